--- /dev/null
+++ b/cmd/dotterelstandin/main.go
@@ -0,0 +1,77 @@
+// Command dotterelstandin runs one of the stand-ins for the systems around the
+// routers, as a process of its own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/dotterelthread/dotterelthread/internal/standin"
+)
+
+type options struct {
+	Listen string `long:"listen" env:"DOTTERELSTANDIN_LISTEN" default:"127.0.0.1:0" description:"address to serve on"`
+}
+
+type logCommand struct{ parent *options }
+
+// Execute serves the platform's log.
+func (c *logCommand) Execute([]string) error {
+	return serve(c.parent.Listen, standin.LogHandler(standin.NewLog()))
+}
+
+type engineCommand struct {
+	parent        *options
+	FirstToken    time.Duration `long:"first-token" env:"DOTTERELSTANDIN_FIRST_TOKEN" default:"0s" description:"time until the first token"`
+	TokenInterval time.Duration `long:"token-interval" env:"DOTTERELSTANDIN_TOKEN_INTERVAL" default:"0s" description:"time between two tokens"`
+}
+
+// Execute serves a model engine.
+func (c *engineCommand) Execute([]string) error {
+	engine := &standin.Engine{FirstToken: c.FirstToken, TokenInterval: c.TokenInterval}
+	return serve(c.parent.Listen, engine.Handler())
+}
+
+func main() {
+	var opts options
+	parser := flags.NewParser(&opts, flags.Default)
+	addCommand(parser, "log", "platform log", &logCommand{parent: &opts})
+	addCommand(parser, "engine", "model engine", &engineCommand{parent: &opts})
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+}
+
+func addCommand(p *flags.Parser, name, short string, data any) {
+	if _, err := p.AddCommand(name, short, "Serves a stand-in "+short+".", data); err != nil {
+		panic(err)
+	}
+}
+
+func serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	server := &http.Server{Handler: handler}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	// Callers that start the process read its address from this line.
+	fmt.Printf("listening on %s\n", listener.Addr())
+	if err := server.Serve(listener); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/configsync/fold.go
@@ -0,0 +1,161 @@
+// Package configsync decides which configuration is in force. Operators append
+// publishes to the config stream of the platform's log; every node folds them
+// in order and reaches the same version.
+package configsync
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+)
+
+// Publish is one record of the config stream.
+type Publish struct {
+	// ID recognises a publish that was sent again after a lost answer.
+	ID string `json:"id"`
+	// Base is the version that the operator saw. The publish is accepted only
+	// if that version is still the newest.
+	Base     uint64              `json:"base"`
+	Author   string              `json:"author"`
+	Upserts  catalogue.Catalogue `json:"upserts"`
+	Removals Removals            `json:"removals"`
+}
+
+// Removals names what a publish takes out.
+type Removals struct {
+	Entries   []string `json:"entries,omitempty"`
+	Upstreams []string `json:"upstreams,omitempty"`
+}
+
+// Outcome says what the fold did with a publish.
+type Outcome int
+
+// The outcomes of a publish.
+const (
+	// Malformed records are skipped alike on every node.
+	Malformed Outcome = iota
+	// Accepted publishes made a new version.
+	Accepted
+	// Duplicate publishes were accepted or refused before under the same ID.
+	Duplicate
+	// Conflict publishes named a base that is not the newest version.
+	Conflict
+)
+
+// Result is the outcome of one publish and the version after it.
+type Result struct {
+	Outcome Outcome
+	Version uint64
+}
+
+// Fold is the state of the config stream. It is not safe for concurrent use.
+type Fold struct {
+	next        uint64
+	version     uint64
+	entries     map[string]catalogue.Entry
+	generations map[string]uint64
+	upstreams   map[string]catalogue.Upstream
+	results     map[string]Result
+}
+
+// NewFold returns the state before the first publish.
+func NewFold() *Fold {
+	return &Fold{
+		next:        1,
+		entries:     make(map[string]catalogue.Entry),
+		generations: make(map[string]uint64),
+		upstreams:   make(map[string]catalogue.Upstream),
+		results:     make(map[string]Result),
+	}
+}
+
+// Next returns the offset of the next record to apply.
+func (f *Fold) Next() uint64 { return f.next }
+
+// Version returns the number of accepted publishes.
+func (f *Fold) Version() uint64 { return f.version }
+
+// Result returns the outcome of the publish with the given ID.
+func (f *Fold) Result(id string) (Result, bool) {
+	r, ok := f.results[id]
+	return r, ok
+}
+
+// Apply folds the record at an offset. Records before Next are ignored.
+func (f *Fold) Apply(offset uint64, data []byte) Result {
+	if offset < f.next {
+		return Result{Outcome: Duplicate, Version: f.version}
+	}
+	f.next = offset + 1
+	p, err := DecodePublish(data)
+	if err != nil {
+		return Result{Outcome: Malformed, Version: f.version}
+	}
+	if _, seen := f.results[p.ID]; seen {
+		return Result{Outcome: Duplicate, Version: f.version}
+	}
+	if p.Base != f.version {
+		r := Result{Outcome: Conflict, Version: f.version}
+		f.results[p.ID] = r
+		return r
+	}
+	f.accept(offset, p)
+	r := Result{Outcome: Accepted, Version: f.version}
+	f.results[p.ID] = r
+	return r
+}
+
+func (f *Fold) accept(offset uint64, p Publish) {
+	f.version++
+	for _, name := range p.Removals.Entries {
+		delete(f.entries, name)
+		delete(f.generations, name)
+	}
+	for _, name := range p.Removals.Upstreams {
+		delete(f.upstreams, name)
+	}
+	for _, e := range p.Upserts.Entries {
+		if _, exists := f.entries[e.Name]; !exists {
+			f.generations[e.Name] = offset
+		}
+		f.entries[e.Name] = e
+	}
+	for _, u := range p.Upserts.Upstreams {
+		f.upstreams[u.Name] = u
+	}
+}
+
+// Catalogue returns a copy of the newest version.
+func (f *Fold) Catalogue() catalogue.Catalogue {
+	var c catalogue.Catalogue
+	for _, e := range f.entries {
+		c.Entries = append(c.Entries, e)
+	}
+	for _, u := range f.upstreams {
+		c.Upstreams = append(c.Upstreams, u)
+	}
+	return c
+}
+
+// Snapshot returns the newest version, indexed.
+func (f *Fold) Snapshot() *catalogue.Snapshot {
+	return catalogue.NewSnapshot(f.version, f.Catalogue(), f.generations)
+}
+
+// DecodePublish parses a record of the config stream. Unknown keys are errors,
+// because ignoring one would accept something else than the operator wrote.
+func DecodePublish(data []byte) (Publish, error) {
+	var p Publish
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&p); err != nil {
+		return Publish{}, errors.Wrap(err, "decode publish")
+	}
+	if p.ID == "" {
+		return Publish{}, errors.New("publish has no id")
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,111 @@
+// Package daemon wires the modules into one router process.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"expvar"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/settings"
+	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
+	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
+)
+
+// Daemon is one router process.
+type Daemon struct {
+	cfg    settings.Daemon
+	logger logrus.FieldLogger
+	config *configsync.Follower
+	budget *budget.Manager
+	server *http.Server
+	admin  *http.Server
+	ready  atomic.Bool
+}
+
+// New returns a router that keeps what must last in the given log.
+func New(cfg settings.Daemon, log logstream.Log, logger logrus.FieldLogger) *Daemon {
+	holder := record.HolderID(cfg.VM + "/" + uuid.NewString())
+	d := &Daemon{cfg: cfg, logger: logger, config: configsync.NewFollower(log, logger)}
+	d.budget = budget.NewManager(budget.Config{
+		Holder: holder, Partitions: cfg.LedgerPartitions, BillBuffer: cfg.BillBuffer,
+		FlushInterval: cfg.FlushInterval, GrantSize: cfg.GrantSize,
+	}, log, logger)
+	api := &httpapi.API{
+		Config: d.config, Budget: d.budget, Engines: upstream.New(), MaxBodyBytes: cfg.MaxBodyBytes,
+	}
+	d.server = &http.Server{
+		Handler: api.Handler(), ReadHeaderTimeout: cfg.ReadTimeout, ReadTimeout: cfg.ReadTimeout,
+		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
+	}
+	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: cfg.ReadTimeout}
+	return d
+}
+
+func (d *Daemon) adminHandler() http.Handler {
+	r := httprouter.New()
+	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		w.WriteHeader(http.StatusOK)
+	})
+	r.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if !d.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	r.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
+	return r
+}
+
+// Run serves on the listeners until the context ends, then finishes open
+// requests and returns shares to the log.
+func (d *Daemon) Run(ctx context.Context, public, admin net.Listener) error {
+	if err := d.config.CatchUp(ctx); err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	if err := d.budget.CatchUp(ctx); err != nil {
+		return errors.Wrap(err, "read ledger")
+	}
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	var loops conc.WaitGroup
+	loops.Go(func() { d.config.Run(background) })
+	loops.Go(func() { d.budget.Run(background) })
+	loops.Go(func() { _ = d.server.Serve(public) })
+	loops.Go(func() { _ = d.admin.Serve(admin) })
+	d.ready.Store(true)
+	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
+	<-ctx.Done()
+	err := d.stop(stopBackground)
+	loops.Wait()
+	return err
+}
+
+// stop ends the process without cutting a request: new work is refused by the
+// balancer once readiness is false, open requests finish, shares go back.
+func (d *Daemon) stop(stopBackground func()) error {
+	obs.EventStopping.Log(d.logger, nil)
+	d.ready.Store(false)
+	time.Sleep(d.cfg.DrainDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
+	defer cancel()
+	err := d.server.Shutdown(ctx)
+	stopBackground()
+	err = errors.CombineErrors(err, d.budget.Close(ctx))
+	_ = d.admin.Close()
+	obs.EventStopped.Log(d.logger, nil)
+	return err
+}
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,275 @@
+// Package e2e has the tests that start routers and stand-ins as separate
+// processes on loopback addresses.
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/standin"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+	"github.com/dotterelthread/dotterelthread/internal/transport/logclient"
+)
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "dotterelthread-e2e")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	binDir = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is a child process of a test. It is killed at the end of the test.
+type process struct {
+	cmd   *exec.Cmd
+	lines chan string
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binDir, name), args...)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{cmd: cmd, lines: make(chan string, 64)}
+	go func() {
+		defer close(p.lines)
+		for s := bufio.NewScanner(out); s.Scan(); {
+			p.lines <- s.Text()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return p
+}
+
+func startStandin(t *testing.T, args ...string) string {
+	t.Helper()
+	p := start(t, "dotterelstandin", args...)
+	address, ok := strings.CutPrefix(<-p.lines, "listening on ")
+	if !ok {
+		t.Fatal("the stand-in printed no address")
+	}
+	return "http://" + address
+}
+
+type router struct {
+	*process
+	url   string
+	admin string
+}
+
+func startRouter(t *testing.T, vm, logURL string) *router {
+	t.Helper()
+	public, admin := freeAddress(t), freeAddress(t)
+	r := &router{url: "http://" + public, admin: "http://" + admin}
+	r.process = start(t, "dotterelthread", "--vm", vm, "--listen", public, "--admin-listen", admin,
+		"--log-url", logURL, "--flush-interval", "20ms", "--log-level", "warn")
+	waitFor(t, func() bool {
+		resp, err := http.Get(r.admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return r
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("condition was not met in time")
+}
+
+const (
+	testSecret  = "secret-1"
+	testModel   = "model-1"
+	testPrepaid = 10000
+)
+
+func publishSample(t *testing.T, logURL, engineURL string) record.EntryKey {
+	t.Helper()
+	log := logclient.New(logURL)
+	data, err := json.Marshal(configsync.Publish{ID: "p1", Upserts: catalogue.Catalogue{
+		Entries: []catalogue.Entry{{
+			Name: "bench", Owner: "ops", Team: "setters", Class: catalogue.ClassInteractive,
+			Models: []string{testModel}, Credentials: []string{catalogue.HashCredential(testSecret)},
+		}},
+		Upstreams: []catalogue.Upstream{{
+			Name: "e1", Kind: catalogue.KindEngine, Address: engineURL, Models: []string{testModel},
+		}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	generation, err := log.Append(context.Background(), record.ConfigStream, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := record.EntryKey{Name: "bench", Generation: generation}
+	batch, err := record.Encode([]record.Item{{Adjust: &record.Adjust{Entry: key, ID: "t1", Delta: testPrepaid}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(context.Background(), record.LedgerStream(record.Partition("bench", 8)), batch); err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func ask(t *testing.T, url string, req chat.Request) (*http.Response, string) {
+	t.Helper()
+	body, err := json.Marshal(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	httpReq, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(string(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	httpReq.Header.Set("Authorization", "Bearer "+testSecret)
+	resp, err := http.DefaultClient.Do(httpReq)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(answer)
+}
+
+// streamedText joins the content of a streamed answer and reports whether the
+// stream has its end mark.
+func streamedText(answer string) (text string, ended bool) {
+	for _, line := range strings.Split(answer, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if data == "[DONE]" {
+			return text, true
+		}
+		var chunk chat.Response
+		if !ok || json.Unmarshal([]byte(data), &chunk) != nil {
+			continue
+		}
+		for _, c := range chunk.Choices {
+			if c.Delta != nil {
+				text += c.Delta.Content
+			}
+		}
+	}
+	return text, false
+}
+
+// TestRequestIsChargedAcrossProcesses guards against a path that works only
+// inside one process: whole answers through each of three routers, and bills in
+// the log that add up to what left the budget.
+func TestRequestIsChargedAcrossProcesses(t *testing.T) {
+	is := is.New(t)
+	logURL := startStandin(t, "log")
+	engineURL := startStandin(t, "engine")
+	key := publishSample(t, logURL, engineURL)
+	var routers []*router
+	for i := range 3 {
+		routers = append(routers, startRouter(t, fmt.Sprintf("vm-%d", i), logURL))
+	}
+	var charged int64
+	for i := range 9 {
+		req := chat.Request{
+			Model: testModel, MaxTokens: int64(3 + i), Stream: i%2 == 1,
+			Messages: []chat.Message{{Role: "user", Content: fmt.Sprintf("tooth angle %d", i)}},
+		}
+		resp, answer := ask(t, routers[i%3].url, req)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		want := strings.Join(standin.AnswerTokens(req), "")
+		if req.Stream {
+			text, ended := streamedText(answer)
+			is.Equal(text, want)
+			is.True(ended)
+		} else {
+			var whole chat.Response
+			is.NoErr(json.Unmarshal([]byte(answer), &whole))
+			is.Equal(whole.Choices[0].Message.Content, want)
+		}
+		charged += standin.InputTokens(req) + int64(len(standin.AnswerTokens(req)))
+	}
+	for _, r := range routers {
+		is.NoErr(r.cmd.Process.Signal(syscall.SIGTERM))
+		is.NoErr(r.cmd.Wait())
+	}
+	is.Equal(billed(t, logURL, key), charged)
+}
+
+func billed(t *testing.T, logURL string, key record.EntryKey) int64 {
+	t.Helper()
+	stream := record.BillStream(record.Partition(key.Name, 8))
+	page, err := logclient.New(logURL).Read(context.Background(), stream, 1, 1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(map[string]bool)
+	var sum int64
+	for _, r := range page.Records {
+		items, _, err := record.Decode(r.Data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, item := range items {
+			if item.Bill != nil && !seen[item.Bill.RequestID] {
+				seen[item.Bill.RequestID] = true
+				sum += item.Bill.Charged
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/obs/events_daemon.go
@@ -0,0 +1,39 @@
+package obs
+
+import "github.com/sirupsen/logrus"
+
+// Events of the daemon, numbers 1000 to 1099.
+var (
+	EventStarted = register(1000, logrus.InfoLevel, "router started",
+		"The router listens and follows the log. No action.")
+	EventStopping = register(1001, logrus.InfoLevel, "router is draining",
+		"A planned stop began: readiness is false, open requests finish. No action.")
+	EventStopped = register(1002, logrus.InfoLevel, "router stopped",
+		"All requests finished and shares were returned. No action.")
+	EventStartFailed = register(1003, logrus.ErrorLevel, "router failed to start",
+		"The settings have findings or an address is in use; the fields say which.")
+)
+
+// Events of the callers' HTTP API, numbers 1100 to 1199.
+var (
+	EventRequestPanic = register(1100, logrus.ErrorLevel, "request handler panicked",
+		"A defect in the router. The request got an error; report the stack.")
+)
+
+// Events of configuration, numbers 1200 to 1299.
+var (
+	EventConfigApplied = register(1200, logrus.InfoLevel, "configuration version in force",
+		"The router serves with this version. No action.")
+	EventConfigMalformed = register(1201, logrus.WarnLevel, "configuration record skipped",
+		"A record on the config stream does not decode; every node skips it alike. Find its writer by the offset.")
+	EventConfigUnreachable = register(1202, logrus.WarnLevel, "configuration stream cannot be read",
+		"The log is down or cut off. The router serves on until its configuration lease ends.")
+)
+
+// Events of budgets and the ledger, numbers 1300 to 1399.
+var (
+	EventLedgerUnreachable = register(1300, logrus.WarnLevel, "ledger stream cannot be read",
+		"The log is down or cut off. Spending goes on from shares.")
+	EventBillsDelayed = register(1301, logrus.WarnLevel, "bills cannot be written",
+		"The log refuses appends. Bills stay in memory up to --bill-buffer; then requests are refused.")
+)
--- /dev/null
+++ b/internal/protocol/record/record.go
@@ -0,0 +1,182 @@
+// Package record defines the records that the system keeps in its own streams
+// of the platform's log, and their CBOR encoding.
+//
+// One append carries one Batch. Field numbers are part of the stored format:
+// they are never reused.
+package record
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// formatVersion is the version of the batch encoding.
+const formatVersion = 1
+
+// maxBatchRecords bounds what a decoder allocates for one batch.
+const maxBatchRecords = 65536
+
+// ErrMalformed reports a batch that does not decode or fails its checks.
+var ErrMalformed = errors.New("malformed record batch")
+
+// EntryKey identifies one life of a catalogue entry: an entry that is removed
+// and created again under the same name gets a new generation.
+type EntryKey struct {
+	_ struct{} `cbor:",toarray"`
+	// Name is the entry's name in the catalogue.
+	Name string
+	// Generation is the configuration version that created the entry.
+	Generation uint64
+}
+
+// String returns the key as name@generation.
+func (k EntryKey) String() string { return fmt.Sprintf("%s@%d", k.Name, k.Generation) }
+
+// HolderID names one process incarnation on one VM, as "vm/incarnation".
+type HolderID string
+
+// Adjust changes the prepaid amount. Each ID counts once per entry.
+type Adjust struct {
+	Entry EntryKey `cbor:"1,keyasint"`
+	ID    string   `cbor:"2,keyasint"`
+	// Delta is in tokens; a negative delta takes only what is free.
+	Delta int64 `cbor:"3,keyasint"`
+	// Author is the operator who asked for the change.
+	Author string `cbor:"4,keyasint,omitempty"`
+}
+
+// Grant asks for a share of the entry's free budget for a holder.
+type Grant struct {
+	Entry  EntryKey `cbor:"1,keyasint"`
+	Holder HolderID `cbor:"2,keyasint"`
+	// Seq rises with each grant of this holder for this entry.
+	Seq uint64 `cbor:"3,keyasint"`
+	// Amount is in tokens; the fold accepts min(Amount, free).
+	Amount int64 `cbor:"4,keyasint"`
+}
+
+// Settle reports a holder's cumulative counters for an entry.
+type Settle struct {
+	Entry  EntryKey `cbor:"1,keyasint"`
+	Holder HolderID `cbor:"2,keyasint"`
+	// Seq rises with each settle of this holder for this entry.
+	Seq uint64 `cbor:"3,keyasint"`
+	// Spent is the total of all bills charged to the holder's share, in tokens.
+	Spent int64 `cbor:"4,keyasint"`
+	// Returned is the total that the holder gave back unspent, in tokens.
+	Returned int64 `cbor:"5,keyasint"`
+}
+
+// Close is the final word on a holder that can no longer send anything.
+// What it neither spent nor returned becomes free.
+type Close struct {
+	Entry  EntryKey `cbor:"1,keyasint"`
+	Holder HolderID `cbor:"2,keyasint"`
+	// Spent is the holder's final total, in tokens.
+	Spent int64 `cbor:"3,keyasint"`
+}
+
+// Remove marks the entry as removed from the catalogue: no further grants.
+type Remove struct {
+	Entry EntryKey `cbor:"1,keyasint"`
+}
+
+// Bill is the charge for one request. Readers count the first bill of a request ID.
+type Bill struct {
+	RequestID string   `cbor:"1,keyasint" json:"request_id"`
+	Entry     EntryKey `cbor:"2,keyasint" json:"entry"`
+	Holder    HolderID `cbor:"3,keyasint" json:"holder"`
+	// Target is the model or the service that ran the request.
+	Target       string `cbor:"4,keyasint" json:"target"`
+	InputTokens  int64  `cbor:"5,keyasint" json:"input_tokens"`
+	OutputTokens int64  `cbor:"6,keyasint" json:"output_tokens"`
+	// Charged is what the budget paid, in tokens.
+	Charged int64 `cbor:"7,keyasint" json:"charged"`
+	// UnixMilli is the time of settling at the router.
+	UnixMilli int64  `cbor:"8,keyasint" json:"unix_milli"`
+	Outcome   string `cbor:"9,keyasint" json:"outcome"`
+}
+
+// Claim reserves the right to run a non-idempotent request. The first claim of
+// an entry and key in the order of the stream wins.
+type Claim struct {
+	Entry     EntryKey `cbor:"1,keyasint"`
+	Key       string   `cbor:"2,keyasint"`
+	BodyHash  []byte   `cbor:"3,keyasint"`
+	RequestID string   `cbor:"4,keyasint"`
+	Holder    HolderID `cbor:"5,keyasint"`
+	UnixMilli int64    `cbor:"6,keyasint"`
+}
+
+// Item is one record of a batch; exactly one field is set.
+type Item struct {
+	Adjust *Adjust `cbor:"1,keyasint,omitempty"`
+	Grant  *Grant  `cbor:"2,keyasint,omitempty"`
+	Settle *Settle `cbor:"3,keyasint,omitempty"`
+	Close  *Close  `cbor:"4,keyasint,omitempty"`
+	Remove *Remove `cbor:"5,keyasint,omitempty"`
+	Bill   *Bill   `cbor:"6,keyasint,omitempty"`
+	Claim  *Claim  `cbor:"7,keyasint,omitempty"`
+}
+
+// Batch is the content of one append.
+type Batch struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Items   []Item `cbor:"2,keyasint"`
+}
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: maxBatchRecords,
+		MaxNestedLevels:  8,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the stored form of the items.
+func Encode(items []Item) ([]byte, error) {
+	data, err := cbor.Marshal(Batch{Version: formatVersion, Items: items})
+	return data, errors.Wrap(err, "encode batch")
+}
+
+// Decode parses one append. Items that name no record are left out and counted
+// in skipped, so that a newer writer's records do not stop an older reader.
+func Decode(data []byte) (items []Item, skipped int, err error) {
+	var batch Batch
+	if err := decMode.Unmarshal(data, &batch); err != nil {
+		return nil, 0, errors.Mark(errors.Wrap(err, "decode batch"), ErrMalformed)
+	}
+	if batch.Version != formatVersion {
+		return nil, 0, errors.Mark(errors.Newf("batch version %d is not supported", batch.Version), ErrMalformed)
+	}
+	for _, item := range batch.Items {
+		if item.kinds() != 1 {
+			skipped++
+			continue
+		}
+		items = append(items, item)
+	}
+	return items, skipped, nil
+}
+
+func (i Item) kinds() int {
+	n := 0
+	for _, set := range []bool{
+		i.Adjust != nil, i.Grant != nil, i.Settle != nil, i.Close != nil,
+		i.Remove != nil, i.Bill != nil, i.Claim != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,28 @@
+// Package settings defines the static settings of the daemon: each is a flag
+// and an environment variable. What changes at run time is in the catalogue.
+package settings
+
+import "time"
+
+// Daemon holds the settings of a router process.
+type Daemon struct {
+	Dev              bool          `long:"dev" env:"DOTTERELTHREAD_DEV" description:"run alone with an in-process log, one stand-in upstream and a sample catalogue"`
+	Listen           string        `long:"listen" env:"DOTTERELTHREAD_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
+	AdminListen      string        `long:"admin-listen" env:"DOTTERELTHREAD_ADMIN_LISTEN" default:"127.0.0.1:8081" description:"address for health, metrics and operators"`
+	VM               string        `long:"vm" env:"DOTTERELTHREAD_VM" default:"vm-1" description:"the platform's id of this VM"`
+	Zone             string        `long:"zone" env:"DOTTERELTHREAD_ZONE" default:"zone-a" description:"availability zone of this VM"`
+	Region           string        `long:"region" env:"DOTTERELTHREAD_REGION" default:"region-1" description:"region of this VM"`
+	LogURL           string        `long:"log-url" env:"DOTTERELTHREAD_LOG_URL" description:"base URL of the platform's log"`
+	LedgerPartitions int           `long:"ledger-partitions" env:"DOTTERELTHREAD_LEDGER_PARTITIONS" default:"8" description:"number of ledger streams, the same in the whole fleet"`
+	BillBuffer       int           `long:"bill-buffer" env:"DOTTERELTHREAD_BILL_BUFFER" default:"100000" description:"bills kept in memory while the log is down"`
+	FlushInterval    time.Duration `long:"flush-interval" env:"DOTTERELTHREAD_FLUSH_INTERVAL" default:"500ms" description:"time between two appends of bills and settles"`
+	GrantSize        int64         `long:"grant-size" env:"DOTTERELTHREAD_GRANT_SIZE" default:"20000" description:"smallest share asked from the log, in tokens"`
+	MaxBodyBytes     int64         `long:"max-body-bytes" env:"DOTTERELTHREAD_MAX_BODY_BYTES" default:"8388608" description:"largest request body, in bytes"`
+	MaxHeaderBytes   int           `long:"max-header-bytes" env:"DOTTERELTHREAD_MAX_HEADER_BYTES" default:"65536" description:"largest request header, in bytes"`
+	ReadTimeout      time.Duration `long:"read-timeout" env:"DOTTERELTHREAD_READ_TIMEOUT" default:"30s" description:"longest time to read a request"`
+	IdleTimeout      time.Duration `long:"idle-timeout" env:"DOTTERELTHREAD_IDLE_TIMEOUT" default:"2m" description:"longest idle time of a caller's connection"`
+	DrainDelay       time.Duration `long:"drain-delay" env:"DOTTERELTHREAD_DRAIN_DELAY" default:"200ms" description:"time between readiness going false and closing the listener"`
+	DrainTimeout     time.Duration `long:"drain-timeout" env:"DOTTERELTHREAD_DRAIN_TIMEOUT" default:"10m" description:"longest time for open requests to finish at a stop"`
+	LogFormat        string        `long:"log-format" env:"DOTTERELTHREAD_LOG_FORMAT" default:"text" description:"form of log lines: text or json"`
+	LogLevel         string        `long:"log-level" env:"DOTTERELTHREAD_LOG_LEVEL" default:"info" description:"lowest level of log lines"`
+}
--- /dev/null
+++ b/internal/transport/logclient/logclient.go
@@ -0,0 +1,136 @@
+// Package logclient speaks to the platform's log service over HTTP.
+package logclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+)
+
+// AppendResponse is the answer to an append.
+type AppendResponse struct {
+	Offset uint64 `json:"offset"`
+}
+
+// ReadResponse is the answer to a read.
+type ReadResponse struct {
+	First   uint64         `json:"first"`
+	Next    uint64         `json:"next"`
+	Records []RecordOnWire `json:"records"`
+}
+
+// RecordOnWire is one record of a ReadResponse; Data is base64 in JSON.
+type RecordOnWire struct {
+	Offset uint64    `json:"offset"`
+	Time   time.Time `json:"time"`
+	Data   []byte    `json:"data"`
+}
+
+// NewReadResponse converts a page to its form on the wire.
+func NewReadResponse(p logstream.Page) ReadResponse {
+	resp := ReadResponse{First: p.First, Next: p.Next, Records: make([]RecordOnWire, len(p.Records))}
+	for i, r := range p.Records {
+		resp.Records[i] = RecordOnWire(r)
+	}
+	return resp
+}
+
+func (r ReadResponse) page() logstream.Page {
+	p := logstream.Page{First: r.First, Next: r.Next, Records: make([]logstream.Record, len(r.Records))}
+	for i, rec := range r.Records {
+		p.Records[i] = logstream.Record(rec)
+	}
+	return p
+}
+
+const (
+	maxResponseBytes = 64 << 20
+	// callTimeout bounds one call besides the wait that a read asks for.
+	callTimeout = 5 * time.Second
+)
+
+// Client implements logstream.Log against an HTTP service.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client for the service at base, such as http://127.0.0.1:7000.
+func New(base string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: transport}}
+}
+
+// Append implements logstream.Log.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.recordsURL(stream), bytes.NewReader(data))
+	if err != nil {
+		return 0, errors.Wrap(err, "build append")
+	}
+	// The transport must not send an append twice on its own.
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "append"), logstream.ErrOutcomeUnknown)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return 0, errors.Mark(statusError(resp), logstream.ErrUnavailable)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, statusError(resp)
+	}
+	var out AppendResponse
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&out); err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "append answer"), logstream.ErrOutcomeUnknown)
+	}
+	return out.Offset, nil
+}
+
+// Read implements logstream.Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
+	u := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", c.recordsURL(stream), from, limit, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return logstream.Page{}, errors.Wrap(err, "build read")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return logstream.Page{}, errors.Mark(errors.Wrap(err, "read"), logstream.ErrUnavailable)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusGone {
+		return logstream.Page{}, errors.Mark(statusError(resp), logstream.ErrTrimmed)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return logstream.Page{}, errors.Mark(statusError(resp), logstream.ErrUnavailable)
+	}
+	var out ReadResponse
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&out); err != nil {
+		return logstream.Page{}, errors.Mark(errors.Wrap(err, "read answer"), logstream.ErrUnavailable)
+	}
+	return out.page(), nil
+}
+
+func (c *Client) recordsURL(stream string) string {
+	return c.base + "/streams/" + url.PathEscape(stream) + "/records"
+}
+
+func statusError(resp *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
+	return errors.Newf("log answered %s: %s", resp.Status, strings.TrimSpace(string(body)))
+}
