--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -40,10 +40,21 @@
 	return serve(c.parent.Listen, engine.Handler())
 }
 
+type vmListCommand struct {
+	parent *options
+	Lag    time.Duration `long:"lag" env:"DOTTERELSTANDIN_LAG" default:"0s" description:"time until readers see a change of the list"`
+}
+
+// Execute serves the platform's VM list.
+func (c *vmListCommand) Execute([]string) error {
+	return serve(c.parent.Listen, standin.NewVMList(c.Lag, nil).Handler())
+}
+
 func main() {
 	var opts options
 	parser := flags.NewParser(&opts, flags.Default)
 	addCommand(parser, "log", "platform log", &logCommand{parent: &opts})
+	addCommand(parser, "vmlist", "platform VM list", &vmListCommand{parent: &opts})
 	addCommand(parser, "engine", "model engine", &engineCommand{parent: &opts})
 	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
--- /dev/null
+++ b/internal/coordination/follow/follow.go
@@ -0,0 +1,263 @@
+// Package follow reads streams of the platform's log into folded states: it
+// loads the newest snapshot, applies the records after it in order, and writes
+// new snapshots before the log drops the records that they replace.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
+)
+
+// Sentinel errors of a Follower.
+var (
+	// ErrNotCaughtUp reports a state that has not reached the end of its stream
+	// since it started or since it lost records to retention. Nothing may be
+	// served from it.
+	ErrNotCaughtUp = errors.New("state has not caught up with the log")
+	// ErrNoSnapshot reports a snapshot stream without a complete snapshot.
+	ErrNoSnapshot = errors.New("no complete snapshot")
+	// ErrSnapshotTooOld reports a snapshot that the retained records do not continue.
+	ErrSnapshotTooOld = errors.New("snapshot is older than the first retained record")
+	// ErrGap reports an answer of the log that leaves out records or whose end
+	// is before the records that were already applied.
+	ErrGap = errors.New("log answer does not continue the stream")
+)
+
+// Reader reads the log.
+type Reader interface {
+	Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (logstream.Page, error)
+}
+
+// Config describes the state behind one stream.
+type Config struct {
+	Stream string
+	// SnapshotStream is empty for a stream without snapshots.
+	SnapshotStream string
+	// Apply folds records in rising order of offset without gaps. Calls do not
+	// overlap, neither with one another nor with install.
+	Apply func([]logstream.Record)
+	// Decode checks a snapshot and returns the function that replaces the state
+	// by it. Records between the old state and the snapshot are never passed to
+	// Apply.
+	Decode func(snapshot.Snapshot) (install func(), err error)
+	// OnError learns of each failed read; nil ignores them.
+	OnError func(error)
+	// Now and Sleep default to the system's clock.
+	Now   func() time.Time
+	Sleep func(context.Context, time.Duration)
+}
+
+const (
+	pageRecords = 256
+	pollWait    = 2 * time.Second
+	// The delay after a failed read doubles from minBackoff to maxBackoff, each
+	// with a random part of up to a half so that a fleet does not retry at once.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 5 * time.Second
+)
+
+// Follower keeps one state up to date. It is safe for concurrent use.
+type Follower struct {
+	cfg    Config
+	reader Reader
+
+	// mu serialises changes of the state. It is not held across I/O.
+	mu       sync.Mutex
+	next     uint64
+	started  bool
+	caughtUp bool
+	asOf     time.Time
+	lastErr  error
+}
+
+// New returns a follower that has read nothing.
+func New(reader Reader, cfg Config) *Follower {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Sleep == nil {
+		cfg.Sleep = sleep
+	}
+	return &Follower{cfg: cfg, reader: reader, next: 1}
+}
+
+// Next returns the offset of the next record to apply.
+func (f *Follower) Next() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// Ready returns nil once the state has reached the end of the stream, and an
+// error marked ErrNotCaughtUp before. An outage does not make it fail again;
+// lost records do.
+func (f *Follower) Ready() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.caughtUp {
+		return nil
+	}
+	if f.lastErr != nil {
+		return errors.Mark(errors.Wrapf(f.lastErr, "stream %s", f.cfg.Stream), ErrNotCaughtUp)
+	}
+	return errors.Wrapf(ErrNotCaughtUp, "stream %s", f.cfg.Stream)
+}
+
+// AsOf returns the time for which the state is known to be complete: the start
+// of the last read that reached the end of the stream.
+func (f *Follower) AsOf() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asOf
+}
+
+// Run follows the stream until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if err := f.poll(ctx, pollWait); err != nil && ctx.Err() == nil {
+			f.cfg.Sleep(ctx, backoff+rand.N(backoff/2))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+	}
+}
+
+// CatchUp reads until it has seen the end of the stream as of a time after the
+// call began.
+func (f *Follower) CatchUp(ctx context.Context) error {
+	began := f.cfg.Now()
+	for {
+		if err := f.poll(ctx, 0); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		done := f.caughtUp && !f.asOf.Before(began)
+		f.mu.Unlock()
+		if done {
+			return nil
+		}
+	}
+}
+
+// poll does one read and applies it.
+func (f *Follower) poll(ctx context.Context, wait time.Duration) error {
+	err := f.pollOnce(ctx, wait)
+	f.mu.Lock()
+	f.lastErr = err
+	f.mu.Unlock()
+	if err != nil && f.cfg.OnError != nil && ctx.Err() == nil {
+		f.cfg.OnError(err)
+	}
+	return err
+}
+
+func (f *Follower) pollOnce(ctx context.Context, wait time.Duration) error {
+	f.mu.Lock()
+	from, started := f.next, f.started
+	f.mu.Unlock()
+	if !started && f.cfg.SnapshotStream != "" {
+		if err := f.restore(ctx); err != nil && !errors.Is(err, ErrNoSnapshot) {
+			return err
+		}
+		from = f.Next()
+	}
+	begin := f.cfg.Now()
+	page, err := f.reader.Read(ctx, f.cfg.Stream, from, pageRecords, wait)
+	if errors.Is(err, logstream.ErrTrimmed) {
+		return f.recover(ctx, err)
+	}
+	if err != nil {
+		return err
+	}
+	return f.apply(page, begin)
+}
+
+// recover replaces a state whose next record is no longer retained.
+func (f *Follower) recover(ctx context.Context, cause error) error {
+	f.mu.Lock()
+	f.caughtUp = false
+	f.mu.Unlock()
+	if f.cfg.SnapshotStream == "" {
+		return cause
+	}
+	before := f.Next()
+	if err := f.restore(ctx); err != nil {
+		return err
+	}
+	if f.Next() == before {
+		return errors.Wrapf(cause, "no snapshot after record %d", before)
+	}
+	return nil
+}
+
+// restore loads the newest snapshot if it is ahead of the state.
+func (f *Follower) restore(ctx context.Context) error {
+	var install func()
+	snap, err := Load(ctx, f.reader, f.cfg.SnapshotStream, f.cfg.Stream, func(s snapshot.Snapshot) error {
+		candidate, err := f.cfg.Decode(s)
+		if err == nil {
+			install = candidate
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started = true
+	if snap.Next <= f.next {
+		// A state never goes back, whatever the snapshot stream holds.
+		return nil
+	}
+	install()
+	f.next = snap.Next
+	return nil
+}
+
+func (f *Follower) apply(page logstream.Page, begin time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if page.Next < f.next {
+		f.caughtUp = false
+		return errors.Wrapf(ErrGap, "end %d is before next record %d", page.Next, f.next)
+	}
+	records := page.Records
+	for len(records) > 0 && records[0].Offset < f.next {
+		records = records[1:]
+	}
+	for i, r := range records {
+		if r.Offset != f.next+uint64(i) {
+			f.caughtUp = false
+			return errors.Wrapf(ErrGap, "got record %d instead of %d", r.Offset, f.next+uint64(i))
+		}
+	}
+	if len(records) > 0 {
+		f.cfg.Apply(records)
+		f.next += uint64(len(records))
+	}
+	f.started = true
+	if f.next >= page.Next {
+		f.caughtUp = true
+		f.asOf = begin
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -17,6 +17,14 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  LogFaults
+	late    []lateAppend
+	now     func() time.Time
+}
+
+// lateAppend is an append whose caller was told that its outcome is unknown.
+type lateAppend struct {
+	stream string
+	data   []byte
 }
 
 // LogFaults are the faults of a Log.
@@ -25,10 +33,15 @@
 	Down bool `json:"down"`
 	// LoseAnswers makes that many appends take effect and then fail.
 	LoseAnswers int `json:"lose_answers"`
+	// LateAppends makes that many appends fail with an unknown outcome and take
+	// effect right after the next append that succeeds.
+	LateAppends int `json:"late_appends"`
 	// Delay is added to each call.
 	Delay time.Duration `json:"delay"`
 	// Retain is the number of records kept per stream; 0 keeps all.
 	Retain int `json:"retain"`
+	// RetainAge is the age up to which records are kept; 0 keeps all.
+	RetainAge time.Duration `json:"retain_age"`
 }
 
 type stream struct {
@@ -38,7 +51,12 @@
 }
 
 // NewLog returns an empty log without faults.
-func NewLog() *Log { return &Log{streams: make(map[string]*stream)} }
+func NewLog() *Log { return NewLogAt(time.Now) }
+
+// NewLogAt returns an empty log whose records carry the times of the given clock.
+func NewLogAt(now func() time.Time) *Log {
+	return &Log{streams: make(map[string]*stream), now: now}
+}
 
 // SetFaults replaces the faults.
 func (l *Log) SetFaults(f LogFaults) {
@@ -46,7 +64,7 @@
 	defer l.mu.Unlock()
 	l.faults = f
 	for _, s := range l.streams {
-		s.trim(f.Retain)
+		l.trim(s)
 	}
 }
 
@@ -74,12 +92,16 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.stream(name)
-	offset := s.next()
-	s.records = append(s.records, logstream.Record{Offset: offset, Time: time.Now(), Data: append([]byte(nil), data...)})
-	s.trim(l.faults.Retain)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	if l.faults.LateAppends > 0 {
+		l.faults.LateAppends--
+		l.late = append(l.late, lateAppend{stream: name, data: append([]byte(nil), data...)})
+		return 0, logstream.ErrOutcomeUnknown
+	}
+	offset := l.add(name, data)
+	for _, late := range l.late {
+		l.add(late.stream, late.data)
+	}
+	l.late = nil
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
 		return 0, logstream.ErrOutcomeUnknown
@@ -87,6 +109,16 @@
 	return offset, nil
 }
 
+func (l *Log) add(name string, data []byte) uint64 {
+	s := l.stream(name)
+	offset := s.next()
+	s.records = append(s.records, logstream.Record{Offset: offset, Time: l.now(), Data: append([]byte(nil), data...)})
+	l.trim(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
 // Read implements logstream.Log.
 func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
 	if err := l.begin(ctx); err != nil {
@@ -115,6 +147,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
+	l.trim(s)
 	page := logstream.Page{First: s.first, Next: s.next()}
 	if from < s.first {
 		return page, nil, logstream.ErrTrimmed
@@ -138,8 +171,19 @@
 
 func (s *stream) next() uint64 { return s.first + uint64(len(s.records)) }
 
-func (s *stream) trim(retain int) {
-	if excess := len(s.records) - retain; retain > 0 && excess > 0 {
+// trim drops the records of a stream that are beyond the retention.
+func (l *Log) trim(s *stream) {
+	excess := 0
+	if l.faults.Retain > 0 {
+		excess = max(0, len(s.records)-l.faults.Retain)
+	}
+	if l.faults.RetainAge > 0 {
+		oldest := l.now().Add(-l.faults.RetainAge)
+		for excess < len(s.records) && s.records[excess].Time.Before(oldest) {
+			excess++
+		}
+	}
+	if excess > 0 {
 		s.records = append([]logstream.Record(nil), s.records[excess:]...)
 		s.first += uint64(excess)
 	}
--- a/internal/state/snapshot/snapshot.go
+++ b/internal/state/snapshot/snapshot.go
@@ -21,7 +21,7 @@
 
 const (
 	formatVersion = 1
-	// PartBytes is the state carried by one part. With base64 in the log's JSON
+	// PartBytes is the usual size of the state in one part. With base64 in the log's JSON
 	// answers it stays well under the 4 MiB that the log takes as one record.
 	PartBytes = 512 << 10
 	// maxParts bounds a series to 2 GiB.
@@ -67,10 +67,9 @@
 	Data    []byte
 }
 
-// Split returns the records that carry the state, in order.
-func Split(s Snapshot) ([][]byte, error) { return split(s, PartBytes) }
-
-func split(s Snapshot, partBytes int) ([][]byte, error) {
+// Split returns the records that carry the state, in order. Writers that share
+// a stream use the same part size.
+func Split(s Snapshot, partBytes int) ([][]byte, error) {
 	count := max(1, (len(s.Data)+partBytes-1)/partBytes)
 	if count > maxParts {
 		return nil, errors.Newf("state of %d bytes needs more than %d parts", len(s.Data), maxParts)
--- a/internal/state/snapshot/snapshot_test.go
+++ b/internal/state/snapshot/snapshot_test.go
@@ -16,7 +16,7 @@
 )
 
 func mustSplit(t interface{ Fatal(...any) }, s Snapshot, partBytes int) [][]byte {
-	parts, err := split(s, partBytes)
+	parts, err := Split(s, partBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/logclient/logclient.go
+++ b/internal/transport/logclient/logclient.go
@@ -89,6 +89,10 @@
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return 0, errors.Mark(statusError(resp), logstream.ErrUnavailable)
 	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		// Another 5xx may come from a hop that lost the service's answer.
+		return 0, errors.Mark(statusError(resp), logstream.ErrOutcomeUnknown)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return 0, statusError(resp)
 	}
@@ -96,6 +100,9 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&out); err != nil {
 		return 0, errors.Mark(errors.Wrap(err, "append answer"), logstream.ErrOutcomeUnknown)
 	}
+	if out.Offset == 0 {
+		return 0, errors.Mark(errors.New("append answer has no offset"), logstream.ErrOutcomeUnknown)
+	}
 	return out.Offset, nil
 }
 
--- /dev/null
+++ b/internal/transport/logclient/logclient_test.go
@@ -0,0 +1,41 @@
+package logclient
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+)
+
+// Guards against an append that is taken for refused although it may have
+// taken effect: only 503 says that it did not.
+func TestAppendOutcomeByAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"unavailable", http.StatusServiceUnavailable, "", logstream.ErrUnavailable},
+		{"bad gateway", http.StatusBadGateway, "", logstream.ErrOutcomeUnknown},
+		{"internal error", http.StatusInternalServerError, "", logstream.ErrOutcomeUnknown},
+		{"cut answer", http.StatusOK, `{"off`, logstream.ErrOutcomeUnknown},
+		{"no offset", http.StatusOK, `{}`, logstream.ErrOutcomeUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer server.Close()
+			_, err := New(server.URL).Append(context.Background(), "s", nil)
+			is.True(errors.Is(err, c.want))
+		})
+	}
+}
