Add claims for non-idempotent requests

Cause: nothing decided which router may run a work order or a pickup.

Change: package state/claims folds a claim stream; the first claim of an entry name and key wins, and claims expire by record time. Package coordination/claim appends claims in batches, decides them only by reading the stream back, bounds the undecided ones and gives UnavailableError, ConflictError or ErrInvalid, after each of which the request did not run. Release (additive) takes back a claim that won after its call had given up, so that the key is usable again.

A claim whose router ends before its release keeps its key until the claim retention has passed.

--- /dev/null
+++ b/internal/coordination/claim/claim.go
@@ -0,0 +1,162 @@
+// Package claim decides which router may run a non-idempotent request. A claim
+// is appended to the platform's log; the first claim of an entry and key in the
+// order of the stream wins, and a router learns the winner only by reading the
+// stream back. No lease or timer is involved, so a winner that was paused is
+// still the only one.
+package claim
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
+
+// ErrInvalid reports a claim that readers of the log would skip, such as one
+// whose key is too long. The request did not run.
+var ErrInvalid = errors.New("claim is not valid")
+
+// UnavailableError reports a claim that could not be decided in time. The
+// request did not run, and this call's claim is never used later.
+type UnavailableError struct {
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string { return "claim unavailable: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// ConflictError reports a key that was used for a request with another body or
+// for another generation of the entry. The request did not run.
+type ConflictError struct {
+	Winner record.Claim
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("key %q of entry %s belongs to another request", e.Winner.Key, e.Winner.Entry.Name)
+}
+
+// Config holds the settings of Claims.
+type Config struct {
+	// Partitions is the number of claim streams, the same in the whole fleet.
+	Partitions int
+	// Interval is the shortest time between two appends to one stream.
+	Interval time.Duration
+	// Queue bounds the undecided claims of one stream.
+	Queue int
+	// MaxWait bounds a call whose context has a later deadline or none.
+	MaxWait time.Duration
+	// Retention is how long a claim is kept, by record time. It is the same in
+	// the whole fleet.
+	Retention time.Duration
+}
+
+// Defaults of a Config.
+const (
+	DefaultPartitions = 16
+	// DefaultInterval gives 64 appends/s for 16 streams with one writer each.
+	DefaultInterval  = 250 * time.Millisecond
+	DefaultQueue     = 4096
+	DefaultMaxWait   = 10 * time.Second
+	DefaultRetention = 24 * time.Hour
+)
+
+const (
+	// maxBatch keeps one append under half a megabyte.
+	maxBatch   = 1024
+	retryAfter = 2 * time.Second
+)
+
+// Log reads and appends.
+type Log = follow.Log
+
+// Claims places and decides claims. It is safe for concurrent use.
+type Claims struct {
+	cfg        Config
+	logger     logrus.FieldLogger
+	partitions []*partition
+}
+
+// New returns claims that have read nothing; Run keeps them up to date.
+func New(cfg Config, log Log, logger logrus.FieldLogger) *Claims {
+	c := &Claims{cfg: cfg, logger: logger}
+	for p := range cfg.Partitions {
+		c.partitions = append(c.partitions, newPartition(p, cfg, log, logger))
+	}
+	return c
+}
+
+// Run follows the streams and appends claims until the context ends.
+func (c *Claims) Run(ctx context.Context) {
+	var loops conc.WaitGroup
+	for _, p := range c.partitions {
+		loops.Go(func() { p.follower.Run(ctx) })
+		loops.Go(func() { p.appendLoop(ctx) })
+	}
+	loops.Wait()
+}
+
+// Claim places a claim and waits until it is decided. Only a call that returns
+// won may dispatch the request, and only once. The winner of a lost claim says
+// which router runs or ran the request.
+//
+// Errors: UnavailableError, ConflictError, ErrInvalid. The request did not run
+// after any of them.
+func (c *Claims) Claim(ctx context.Context, claim record.Claim) (winner record.Claim, won bool, err error) {
+	// A request ID may be claimed twice on one router; the token is unique.
+	token := uuid.New()
+	claim.Token = base64.RawURLEncoding.EncodeToString(token[:])
+	if err := (record.Item{Claim: &claim}).Check(); err != nil {
+		return record.Claim{}, false, errors.Mark(err, ErrInvalid)
+	}
+	obs.ClaimsTotal.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.MaxWait)
+	defer cancel()
+	p := c.partitions[record.Partition(claim.Entry.Name, c.cfg.Partitions)]
+	winner, err = p.decide(ctx, claim)
+	if err != nil {
+		obs.ClaimsUnavailableTotal.Add(1)
+		return record.Claim{}, false, &UnavailableError{RetryAfter: retryAfter, Cause: err}
+	}
+	if winner.Token == claim.Token {
+		return winner, true, nil
+	}
+	if winner.Entry != claim.Entry || !bytes.Equal(winner.BodyHash, claim.BodyHash) {
+		return winner, false, &ConflictError{Winner: winner}
+	}
+	return winner, false, nil
+}
+
+// Ready returns nil once every stream was read to its end.
+func (c *Claims) Ready() error {
+	for _, p := range c.partitions {
+		if err := p.follower.Ready(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SnapshotWriter returns a writer of one stream's snapshots. The home of the
+// partition in the first region calls its Step.
+func (c *Claims) SnapshotWriter(log Log, p int, retention time.Duration, retainRecords uint64) *follow.Writer {
+	part := c.partitions[p]
+	return follow.NewWriter(log, follow.WriterConfig{
+		SnapshotStream: record.ClaimSnapshotStream(p), Retention: retention, RetainRecords: retainRecords,
+		Encode: part.encode, Next: part.next,
+	})
+}
--- /dev/null
+++ b/internal/coordination/claim/claim_test.go
@@ -0,0 +1,336 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/standin"
+)
+
+// long is more than any decision in these tests takes.
+const long = 20 * time.Second
+
+func start(t *testing.T, log Log, change ...func(*Config)) *Claims {
+	t.Helper()
+	cfg := Config{Partitions: 2, Interval: time.Millisecond, Queue: 1000, MaxWait: long, Retention: time.Hour}
+	for _, f := range change {
+		f(&cfg)
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	c := New(cfg, log, logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops conc.WaitGroup
+	loops.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		loops.Wait()
+	})
+	return c
+}
+
+func claimOf(key, holder string) record.Claim {
+	return record.Claim{
+		Entry: record.EntryKey{Name: "orders", Generation: 1}, Key: key, BodyHash: []byte{1},
+		RequestID: "request-of-" + holder, Holder: record.HolderID(holder),
+	}
+}
+
+func stream() string { return record.ClaimStream(record.Partition("orders", 2)) }
+
+func records(t *testing.T, log *standin.Log) int {
+	t.Helper()
+	page, err := log.Read(context.Background(), stream(), 1, 1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(page.Records)
+}
+
+// Guards against a doubled run: three routers that claim the same keys at once,
+// while answers are lost and appends are late, agree on one winner of each.
+func TestThreeRoutersOneWinner(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	const keys = 40
+	var mu sync.Mutex
+	wins, winners := make(map[string]int), make(map[string]map[string]bool)
+	var callers conc.WaitGroup
+	for r := range 3 {
+		router := start(t, log)
+		for k := range keys {
+			callers.Go(func() {
+				if k%8 == 0 {
+					log.SetFaults(standin.LogFaults{LoseAnswers: 1, LateAppends: 1})
+				}
+				claim := claimOf(fmt.Sprint("key-", k), fmt.Sprint("vm-", r))
+				winner, won, err := router.Claim(context.Background(), claim)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if won {
+					wins[claim.Key]++
+				}
+				if winners[claim.Key] == nil {
+					winners[claim.Key] = make(map[string]bool)
+				}
+				winners[claim.Key][winner.RequestID] = true
+			})
+		}
+	}
+	callers.Wait()
+	is.Equal(len(wins), keys)
+	for key := range wins {
+		is.Equal(wins[key], 1)
+		is.Equal(len(winners[key]), 1)
+	}
+}
+
+// Guards against two runs of one request that its caller sent twice to the same
+// router under the same request ID.
+func TestSameRequestTwiceOnOneRouter(t *testing.T) {
+	is := is.New(t)
+	router := start(t, standin.NewLog())
+	_, first, err := router.Claim(context.Background(), claimOf("k", "vm-1"))
+	is.NoErr(err)
+	_, second, err := router.Claim(context.Background(), claimOf("k", "vm-1"))
+	is.NoErr(err)
+	is.True(first)
+	is.True(!second)
+}
+
+// Guards against a key that is reused for another request.
+func TestReusedKeyIsAConflict(t *testing.T) {
+	is := is.New(t)
+	router := start(t, standin.NewLog())
+	_, _, err := router.Claim(context.Background(), claimOf("k", "vm-1"))
+	is.NoErr(err)
+	otherBody, otherGeneration := claimOf("k", "vm-1"), claimOf("k", "vm-1")
+	otherBody.BodyHash = []byte{2}
+	otherGeneration.Entry.Generation = 2
+	for _, claim := range []record.Claim{otherBody, otherGeneration} {
+		_, won, err := router.Claim(context.Background(), claim)
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict))
+		is.True(!won)
+		is.Equal(conflict.Winner.RequestID, "request-of-vm-1")
+	}
+	long := claimOf(string(make([]byte, record.MaxNameBytes+1)), "vm-1")
+	_, _, err = router.Claim(context.Background(), long)
+	is.True(errors.Is(err, ErrInvalid))
+}
+
+// Guards against a decision that is assumed: a claim whose answer was lost is
+// read back, and wins although its router never saw the append succeed.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	router := start(t, log)
+	log.SetFaults(standin.LogFaults{LoseAnswers: 1})
+	_, won, err := router.Claim(context.Background(), claimOf("k", "vm-1"))
+	is.NoErr(err)
+	is.True(won)
+	is.Equal(records(t, log), 1) // it was not appended again
+}
+
+// Guards against a claim that is dropped when reading back does not find it: it
+// is appended again, and the first append that arrives late changes nothing.
+func TestUnfoundClaimIsAppendedAgain(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	router := start(t, log)
+	log.SetFaults(standin.LogFaults{LateAppends: 1})
+	_, won, err := router.Claim(context.Background(), claimOf("k", "vm-1"))
+	is.NoErr(err)
+	is.True(won)
+	is.Equal(records(t, log), 2)
+}
+
+// Guards against a refusal that is not true: a claim that was given up during an
+// outage leaves its key to the caller's next try, and the queue is bounded
+// meanwhile.
+func TestOutageRefusesAndForgets(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	router := start(t, log, func(c *Config) { c.Queue = 1 })
+	log.SetFaults(standin.LogFaults{Down: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	var waiting conc.WaitGroup
+	waiting.Go(func() {
+		_, won, err := router.Claim(ctx, claimOf("k", "vm-1"))
+		var unavailable *UnavailableError
+		is.True(errors.As(err, &unavailable))
+		is.True(!won)
+	})
+	for router.partitions[record.Partition("orders", 2)].undecided() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, _, err := router.Claim(context.Background(), claimOf("other", "vm-1"))
+	is.True(errors.Is(err, errQueueFull))
+	cancel()
+	waiting.Wait()
+	log.SetFaults(standin.LogFaults{})
+	deadline, stop := context.WithTimeout(context.Background(), long)
+	defer stop()
+	for won := false; !won; {
+		// An append that was under way at the end of the outage may hold the key
+		// until its release.
+		_, won, err = router.Claim(deadline, claimOf("k", "vm-1"))
+		is.NoErr(err)
+	}
+}
+
+func (p *partition) undecided() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// pausable is a log whose reads stand still on request, as they do for a router
+// that is paused between its append and reading it back.
+type pausable struct {
+	Log
+	mu     sync.Mutex
+	paused chan struct{}
+}
+
+func (p *pausable) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (logstream.Page, error) {
+	page, err := p.Log.Read(ctx, stream, from, max, wait)
+	p.mu.Lock()
+	paused := p.paused
+	p.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+	return page, err
+}
+
+func (p *pausable) pause() (wake func()) {
+	paused := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused = paused
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.paused = nil
+		close(paused)
+	}
+}
+
+// Guards against a claim that passes to another router while its holder is
+// paused: the holder wins when it wakes, and the other one has lost.
+func TestPausedHolderIsStillTheWinner(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	slow := &pausable{Log: log}
+	holder, other := start(t, slow), start(t, log)
+	wake := slow.pause()
+	var won bool
+	var claiming conc.WaitGroup
+	claiming.Go(func() {
+		var err error
+		_, won, err = holder.Claim(context.Background(), claimOf("k", "vm-1"))
+		is.NoErr(err)
+	})
+	for records(t, log) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	winner, otherWon, err := other.Claim(context.Background(), claimOf("k", "vm-2"))
+	is.NoErr(err)
+	is.True(!otherWon)
+	is.Equal(winner.RequestID, "request-of-vm-1")
+	wake()
+	claiming.Wait()
+	is.True(won)
+}
+
+// Guards against a run after a refusal: a holder that wakes after its deadline
+// gets no claim, and the key is released for the caller's next try.
+func TestHolderThatWakesTooLateReleases(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	slow := &pausable{Log: log}
+	holder, other := start(t, slow), start(t, log)
+	wake := slow.pause()
+	ctx, cancel := context.WithCancel(context.Background())
+	var claiming conc.WaitGroup
+	claiming.Go(func() {
+		_, won, err := holder.Claim(ctx, claimOf("k", "vm-1"))
+		var unavailable *UnavailableError
+		is.True(errors.As(err, &unavailable))
+		is.True(!won)
+	})
+	for records(t, log) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	claiming.Wait()
+	wake()
+	for records(t, log) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	_, won, err := other.Claim(context.Background(), claimOf("k", "vm-2"))
+	is.NoErr(err)
+	is.True(won)
+}
+
+// Guards against a doubled run after a restart of all routers: claims outlive
+// the retention of their stream in its snapshot.
+func TestClaimsOutliveRetention(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	log := standin.NewLog()
+	before := start(t, log)
+	_, won, err := before.Claim(ctx, claimOf("k", "vm-1"))
+	is.NoErr(err)
+	is.True(won)
+	for _, key := range []string{"second", "third"} {
+		_, _, err := before.Claim(ctx, claimOf(key, "vm-1"))
+		is.NoErr(err)
+	}
+	p := record.Partition("orders", 2)
+	complete, err := before.SnapshotWriter(log, p, time.Hour, 0).Step(ctx)
+	is.NoErr(err)
+	is.True(complete)
+	log.SetFaults(standin.LogFaults{Retain: 2})
+	_, err = log.Read(ctx, stream(), 1, 1, 0)
+	is.True(errors.Is(err, logstream.ErrTrimmed))
+	after := start(t, log)
+	winner, won, err := after.Claim(ctx, claimOf("k", "vm-2"))
+	is.NoErr(err)
+	is.True(!won)
+	is.Equal(winner.RequestID, "request-of-vm-1")
+}
+
+// Guards against one append per claim: claims of one interval share an append.
+func TestClaimsShareAppends(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	router := start(t, log, func(c *Config) { c.Interval = 50 * time.Millisecond })
+	const callers = 200
+	var all conc.WaitGroup
+	for i := range callers {
+		all.Go(func() {
+			_, won, err := router.Claim(context.Background(), claimOf(fmt.Sprint(i), "vm-1"))
+			is.NoErr(err)
+			is.True(won)
+		})
+	}
+	all.Wait()
+	is.True(records(t, log) < callers)
+}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -83,7 +83,7 @@
 		cfg.Now = time.Now
 	}
 	if cfg.Sleep == nil {
-		cfg.Sleep = sleep
+		cfg.Sleep = Sleep
 	}
 	return &Follower{cfg: cfg, reader: reader, next: 1}
 }
@@ -253,7 +253,8 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for a duration or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- /dev/null
+++ b/internal/obs/events_claim.go
@@ -0,0 +1,18 @@
+package obs
+
+import "github.com/sirupsen/logrus"
+
+// Events of claims, numbers 1650 to 1669 of the range for requests and claims.
+var (
+	EventClaimsUnreadable = register(1650, logrus.WarnLevel, "claims stream cannot be read",
+		"The log is down or cut off, or no snapshot continues it. Non-idempotent requests are refused as not run.")
+	EventClaimsDelayed = register(1651, logrus.WarnLevel, "claims cannot be appended",
+		"The log refuses appends or loses answers. Claims are retried until their requests give up.")
+)
+
+// Counters of claims.
+var (
+	ClaimsTotal            = Counter("claims_total")
+	ClaimsUnavailableTotal = Counter("claims_unavailable_total")
+	ClaimAppendsTotal      = Counter("claim_appends_total")
+)
--- a/internal/protocol/record/check.go
+++ b/internal/protocol/record/check.go
@@ -55,6 +55,8 @@
 			check{"request id", validName(i.Claim.RequestID)},
 			check{"holder", validName(string(i.Claim.Holder))},
 			check{"token", i.Claim.Token == "" || validName(i.Claim.Token)})
+	case i.Release != nil:
+		return firstBad(i.Release.Entry, check{"key", validName(i.Release.Key)}, check{"token", validName(i.Release.Token)})
 	}
 	return ""
 }
--- a/internal/protocol/record/record.go
+++ b/internal/protocol/record/record.go
@@ -113,15 +113,25 @@
 	Token string `cbor:"7,keyasint,omitempty"`
 }
 
+// Release takes back a claim whose request was refused as not run, so that the
+// key can be used again. Only the router that placed the claim writes it, after
+// it has given up the claim's token.
+type Release struct {
+	Entry EntryKey `cbor:"1,keyasint"`
+	Key   string   `cbor:"2,keyasint"`
+	Token string   `cbor:"3,keyasint"`
+}
+
 // Item is one record of a batch; exactly one field is set.
 type Item struct {
-	Adjust *Adjust `cbor:"1,keyasint,omitempty"`
-	Grant  *Grant  `cbor:"2,keyasint,omitempty"`
-	Settle *Settle `cbor:"3,keyasint,omitempty"`
-	Close  *Close  `cbor:"4,keyasint,omitempty"`
-	Remove *Remove `cbor:"5,keyasint,omitempty"`
-	Bill   *Bill   `cbor:"6,keyasint,omitempty"`
-	Claim  *Claim  `cbor:"7,keyasint,omitempty"`
+	Adjust  *Adjust  `cbor:"1,keyasint,omitempty"`
+	Grant   *Grant   `cbor:"2,keyasint,omitempty"`
+	Settle  *Settle  `cbor:"3,keyasint,omitempty"`
+	Close   *Close   `cbor:"4,keyasint,omitempty"`
+	Remove  *Remove  `cbor:"5,keyasint,omitempty"`
+	Bill    *Bill    `cbor:"6,keyasint,omitempty"`
+	Claim   *Claim   `cbor:"7,keyasint,omitempty"`
+	Release *Release `cbor:"8,keyasint,omitempty"`
 }
 
 // Batch is the content of one append.
@@ -204,7 +214,7 @@
 	n := 0
 	for _, set := range []bool{
 		i.Adjust != nil, i.Grant != nil, i.Settle != nil, i.Close != nil,
-		i.Remove != nil, i.Bill != nil, i.Claim != nil,
+		i.Remove != nil, i.Bill != nil, i.Claim != nil, i.Release != nil,
 	} {
 		if set {
 			n++
--- a/internal/protocol/record/record_test.go
+++ b/internal/protocol/record/record_test.go
@@ -16,6 +16,7 @@
 		{Remove: &Remove{Entry: key}},
 		{Bill: &Bill{RequestID: "r1", Entry: key, Holder: "vm-1/a", Charged: 4}},
 		{Claim: &Claim{Entry: key, Key: "k", BodyHash: []byte{1}, RequestID: "r1", Holder: "vm-1/a", Token: "t"}},
+		{Release: &Release{Entry: key, Key: "k", Token: "t"}},
 	}
 }
 
--- /dev/null
+++ b/internal/state/claims/claims.go
@@ -0,0 +1,173 @@
+// Package claims folds the claims of one partition. The first claim of an entry
+// name and key in the order of the stream wins; every reader of the same
+// records reaches the same winners.
+//
+// A Table is not safe for concurrent use; its owner serialises the calls.
+package claims
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
+
+// ID stands for an entry name and a key. The generation is no part of it:
+// routers that know different generations of an entry must not both win.
+type ID [16]byte
+
+// IDOf returns the ID of a claim.
+func IDOf(c *record.Claim) ID {
+	buf := binary.AppendUvarint(make([]byte, 0, 128), uint64(len(c.Entry.Name)))
+	buf = append(buf, c.Entry.Name...)
+	sum := sha256.Sum256(append(buf, c.Key...))
+	return ID(sum[:len(ID{})])
+}
+
+// winner is the packed form of a claim that won. Packing into one string takes
+// one allocation per claim; entry name and key are known to whoever asks.
+type winner struct {
+	packed string
+	// at is the table's clock when the claim won, in Unix milliseconds.
+	at int64
+}
+
+type packedClaim struct {
+	_          struct{} `cbor:",toarray"`
+	Generation uint64
+	BodyHash   []byte
+	RequestID  string
+	Holder     record.HolderID
+	UnixMilli  int64
+	Token      string
+}
+
+type expiry struct {
+	at int64
+	id ID
+}
+
+// Table is the folded state of one partition.
+type Table struct {
+	retention int64
+	next      uint64
+	// clock is the newest record time so far, in Unix milliseconds. Claims
+	// expire by it and not by a reader's clock, so that all readers agree.
+	clock     int64
+	malformed uint64
+	winners   map[ID]winner
+	// expiries is in rising order of time.
+	expiries []expiry
+}
+
+// New returns an empty table. A claim is dropped when the log's record times
+// have advanced by the retention; it must be the same in the whole fleet.
+func New(retention time.Duration) *Table {
+	return &Table{retention: retention.Milliseconds(), next: 1, winners: make(map[ID]winner)}
+}
+
+// Next returns the offset of the next record to apply.
+func (t *Table) Next() uint64 { return t.next }
+
+// Len returns the number of claims.
+func (t *Table) Len() int { return len(t.winners) }
+
+// Malformed returns the number of records that are no valid claims.
+func (t *Table) Malformed() uint64 { return t.malformed }
+
+// ApplyRecord folds one record and returns the IDs that its claims name. Records
+// before Next are ignored.
+func (t *Table) ApplyRecord(r logstream.Record) []ID {
+	if r.Offset < t.next {
+		return nil
+	}
+	t.next = r.Offset + 1
+	t.clock = max(t.clock, r.Time.UnixMilli())
+	t.expire()
+	items, skipped, err := record.Decode(r.Data)
+	t.malformed += uint64(skipped)
+	if err != nil {
+		t.malformed++
+		return nil
+	}
+	ids := make([]ID, 0, len(items))
+	for _, item := range items {
+		switch {
+		case item.Claim != nil:
+			ids = append(ids, t.add(item.Claim))
+		case item.Release != nil:
+			t.release(item.Release)
+		default:
+			t.malformed++
+		}
+	}
+	return ids
+}
+
+func (t *Table) expire() {
+	done := 0
+	for _, e := range t.expiries {
+		if t.clock-e.at < t.retention {
+			break
+		}
+		// A released key may have been won again since.
+		if t.winners[e.id].at == e.at {
+			delete(t.winners, e.id)
+		}
+		done++
+	}
+	t.expiries = t.expiries[done:]
+}
+
+func (t *Table) add(c *record.Claim) ID {
+	id := IDOf(c)
+	if _, taken := t.winners[id]; taken {
+		return id
+	}
+	data, err := cbor.Marshal(packedClaim{
+		Generation: c.Entry.Generation, BodyHash: c.BodyHash, RequestID: c.RequestID,
+		Holder: c.Holder, UnixMilli: c.UnixMilli, Token: c.Token,
+	})
+	if err != nil {
+		// Plain fields of fixed types always encode.
+		panic(err)
+	}
+	t.winners[id] = winner{packed: string(data), at: t.clock}
+	t.expiries = append(t.expiries, expiry{at: t.clock, id: id})
+	return id
+}
+
+// release drops a winner whose router will not use it.
+func (t *Table) release(r *record.Release) {
+	c := record.Claim{Entry: r.Entry, Key: r.Key}
+	if w, held := t.Winner(&c); held && w.Token == r.Token {
+		delete(t.winners, IDOf(&c))
+	}
+}
+
+// Winner returns the claim that won the entry name and key of c.
+func (t *Table) Winner(c *record.Claim) (record.Claim, bool) {
+	w, ok := t.winners[IDOf(c)]
+	if !ok {
+		return record.Claim{}, false
+	}
+	p, err := unpack([]byte(w.packed))
+	if err != nil {
+		// Both add and Decode store only what unpacks.
+		panic(err)
+	}
+	return record.Claim{
+		Entry: record.EntryKey{Name: c.Entry.Name, Generation: p.Generation}, Key: c.Key, BodyHash: p.BodyHash,
+		RequestID: p.RequestID, Holder: p.Holder, UnixMilli: p.UnixMilli, Token: p.Token,
+	}, true
+}
+
+func unpack(data []byte) (packedClaim, error) {
+	var p packedClaim
+	err := cbor.Unmarshal(data, &p)
+	return p, err
+}
