--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -21,20 +21,11 @@
 	// since it started or since it lost records to retention. Nothing may be
 	// served from it.
 	ErrNotCaughtUp = errors.New("state has not caught up with the log")
-	// ErrNoSnapshot reports a snapshot stream without a complete snapshot.
-	ErrNoSnapshot = errors.New("no complete snapshot")
-	// ErrSnapshotTooOld reports a snapshot that the retained records do not continue.
-	ErrSnapshotTooOld = errors.New("snapshot is older than the first retained record")
 	// ErrGap reports an answer of the log that leaves out records or whose end
 	// is before the records that were already applied.
 	ErrGap = errors.New("log answer does not continue the stream")
 )
 
-// Reader reads the log.
-type Reader interface {
-	Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (logstream.Page, error)
-}
-
 // Config describes the state behind one stream.
 type Config struct {
 	Stream string
@@ -66,7 +57,7 @@
 // Follower keeps one state up to date. It is safe for concurrent use.
 type Follower struct {
 	cfg    Config
-	reader Reader
+	reader snapshot.Reader
 
 	// mu serialises changes of the state. It is not held across I/O.
 	mu       sync.Mutex
@@ -78,7 +69,7 @@
 }
 
 // New returns a follower that has read nothing.
-func New(reader Reader, cfg Config) *Follower {
+func New(reader snapshot.Reader, cfg Config) *Follower {
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -165,7 +156,7 @@
 	from, started := f.next, f.started
 	f.mu.Unlock()
 	if !started && f.cfg.SnapshotStream != "" {
-		if err := f.restore(ctx); err != nil && !errors.Is(err, ErrNoSnapshot) {
+		if err := f.restore(ctx); err != nil && !errors.Is(err, snapshot.ErrNone) {
 			return err
 		}
 		from = f.Next()
@@ -202,7 +193,7 @@
 // restore loads the newest snapshot if it is ahead of the state.
 func (f *Follower) restore(ctx context.Context) error {
 	var install func()
-	snap, err := Load(ctx, f.reader, f.cfg.SnapshotStream, f.cfg.Stream, func(s snapshot.Snapshot) error {
+	snap, err := snapshot.Load(ctx, f.reader, f.cfg.SnapshotStream, f.cfg.Stream, func(s snapshot.Snapshot) error {
 		candidate, err := f.cfg.Decode(s)
 		if err == nil {
 			install = candidate
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -169,9 +169,9 @@
 	}
 	log.SetFaults(standin.LogFaults{Retain: 10})
 	joining := newNode(log, c)
-	is.True(errors.Is(joining.CatchUp(ctx), ErrSnapshotTooOld))
+	is.True(errors.Is(joining.CatchUp(ctx), snapshot.ErrTooOld))
 	is.True(errors.Is(joining.Ready(), ErrNotCaughtUp))
-	is.True(errors.Is(joining.Ready(), ErrSnapshotTooOld)) // and says why
+	is.True(errors.Is(joining.Ready(), snapshot.ErrTooOld)) // and says why
 }
 
 // Guards against a node that was cut off for longer than the retention and
@@ -221,13 +221,13 @@
 	is.NoErr(n.CatchUp(ctx))
 	_, err := n.writer.Step(ctx) // 2 of 4 parts
 	is.True(errors.Is(err, logstream.ErrUnavailable))
-	_, err = Load(ctx, log, testSnapshots, testStream, nil)
-	is.True(errors.Is(err, ErrNoSnapshot))
+	_, err = snapshot.Load(ctx, log, testSnapshots, testStream, nil)
+	is.True(errors.Is(err, snapshot.ErrNone))
 	log.left = 2
 	complete, err := n.writer.Step(ctx)
 	is.NoErr(err)
 	is.True(complete)
-	got, err := Load(ctx, log, testSnapshots, testStream, nil)
+	got, err := snapshot.Load(ctx, log, testSnapshots, testStream, nil)
 	is.NoErr(err)
 	want, _ := n.state.encode()
 	is.True(bytes.Equal(got.Data, want.Data))
--- a/internal/coordination/follow/writer.go
+++ b/internal/coordination/follow/writer.go
@@ -12,7 +12,7 @@
 
 // Log reads and appends.
 type Log interface {
-	Reader
+	snapshot.Reader
 	Append(ctx context.Context, stream string, data []byte) (uint64, error)
 }
 
@@ -71,7 +71,7 @@
 // appends the parts that are missing. It returns whether the series that it
 // wrote is complete. After an error the next Step resumes the series.
 func (w *Writer) Step(ctx context.Context) (complete bool, err error) {
-	if w.scanned, err = scan(ctx, w.log, w.cfg.SnapshotStream, w.scanned, w.note); err != nil {
+	if w.scanned, err = snapshot.Scan(ctx, w.log, w.cfg.SnapshotStream, w.scanned, w.note); err != nil {
 		return false, err
 	}
 	if w.parts != nil && w.cfg.Now().Sub(w.startedAt) > w.cfg.Retention/dueParts {
