--- /dev/null
+++ b/internal/state/ledger/bench_test.go
@@ -0,0 +1,147 @@
+package ledger
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
+)
+
+// targetEntries is the number of prepaid budgets at the target.
+const targetEntries = 60000
+
+// benchBatch is the number of items in one append.
+const benchBatch = 64
+
+func benchKey(i int) record.EntryKey {
+	return record.EntryKey{Name: fmt.Sprintf("team-%03d/budget-%05d", i%610, i), Generation: uint64(i + 1)}
+}
+
+// benchHolder has the length of a VM id and a UUID.
+func benchHolder(i int) record.HolderID {
+	return record.HolderID(fmt.Sprintf("vm-%03d/0f8fad5b-d9cb-469f-a165-70867728%04d", i, i))
+}
+
+// benchLog returns the appends that prepay, grant and settle each entry.
+func benchLog(b *testing.B, entries, holders int) (log [][]byte, records int) {
+	var items []record.Item
+	flush := func(least int) {
+		for len(items) >= least && len(items) > 0 {
+			n := min(benchBatch, len(items))
+			data, err := record.Encode(items[:n])
+			if err != nil {
+				b.Fatal(err)
+			}
+			log, items = append(log, data), items[n:]
+		}
+	}
+	for i := range entries {
+		key := benchKey(i)
+		items = append(items, record.Item{Adjust: &record.Adjust{Entry: key, ID: "prepaid-2026-12", Delta: 1e9}})
+		for h := range holders {
+			holder := benchHolder((i + h) % 380)
+			items = append(items,
+				record.Item{Grant: &record.Grant{Entry: key, Holder: holder, Seq: 1, Amount: 1e6}},
+				record.Item{Settle: &record.Settle{Entry: key, Holder: holder, Seq: 1, Spent: 250000, Returned: 1000}})
+		}
+		records += 1 + 2*holders
+		flush(benchBatch)
+	}
+	flush(1)
+	return log, records
+}
+
+func foldAll(log [][]byte) *Ledger {
+	l := New()
+	fold(l, 1, log)
+	return l
+}
+
+// BenchmarkFold folds the whole log of 60,000 entries with 4 holders each.
+func BenchmarkFold(b *testing.B) {
+	log, records := benchLog(b, targetEntries, 4)
+	b.ReportAllocs()
+	for b.Loop() {
+		foldAll(log)
+	}
+	b.ReportMetric(float64(records)*float64(b.N)/b.Elapsed().Seconds(), "records/s")
+}
+
+// BenchmarkHeap reports the heap of a folded ledger per entry.
+func BenchmarkHeap(b *testing.B) {
+	for _, holders := range []int{1, 4} {
+		b.Run(fmt.Sprintf("holders=%d", holders), func(b *testing.B) {
+			log, _ := benchLog(b, targetEntries, holders)
+			var l *Ledger
+			before := heap()
+			for b.Loop() {
+				l = foldAll(log)
+			}
+			b.ReportMetric(float64(heap()-before)/targetEntries, "heap-bytes/entry")
+			runtime.KeepAlive(l)
+			runtime.KeepAlive(log)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkSnapshot reports size, writing and loading of the state of 60,000
+// entries. Loading joins and checks the parts too.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, holders := range []int{1, 4} {
+		log, _ := benchLog(b, targetEntries, holders)
+		l := foldAll(log)
+		parts := benchParts(b, l)
+		size := 0
+		for _, p := range parts {
+			size += len(p)
+		}
+		b.Run(fmt.Sprintf("write/holders=%d", holders), func(b *testing.B) {
+			for b.Loop() {
+				benchParts(b, l)
+			}
+			b.ReportMetric(float64(size)/targetEntries, "bytes/entry")
+			b.ReportMetric(float64(len(parts)), "parts")
+		})
+		b.Run(fmt.Sprintf("load/holders=%d", holders), func(b *testing.B) {
+			for b.Loop() {
+				benchLoad(b, parts)
+			}
+		})
+	}
+}
+
+func benchParts(b *testing.B, l *Ledger) [][]byte {
+	data, err := l.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	parts, err := snapshot.Split(snapshot.Snapshot{Next: l.Next(), Data: data}, snapshot.PartBytes)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return parts
+}
+
+func benchLoad(b *testing.B, parts [][]byte) {
+	var loaded *Ledger
+	c := snapshot.NewCollector(func(s snapshot.Snapshot) (err error) {
+		loaded, err = Decode(s.Data)
+		return err
+	})
+	for _, p := range parts {
+		c.Add(p)
+	}
+	if loaded == nil || loaded.Len() != targetEntries {
+		b.Fatal("snapshot did not load")
+	}
+}
