--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -32,11 +32,12 @@
 	parent        *options
 	FirstToken    time.Duration `long:"first-token" env:"DOTTERELSTANDIN_FIRST_TOKEN" default:"0s" description:"time until the first token"`
 	TokenInterval time.Duration `long:"token-interval" env:"DOTTERELSTANDIN_TOKEN_INTERVAL" default:"0s" description:"time between two tokens"`
+	ExportTo      string        `long:"export-to" env:"DOTTERELSTANDIN_EXPORT_TO" description:"base URL of an engine that gets a copy of each stream"`
 }
 
 // Execute serves a model engine.
 func (c *engineCommand) Execute([]string) error {
-	engine := &standin.Engine{FirstToken: c.FirstToken, TokenInterval: c.TokenInterval}
+	engine := &standin.Engine{FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
 	return serve(c.parent.Listen, engine.Handler())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/settings"
+	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
@@ -31,6 +32,7 @@
 	cfg    settings.Daemon
 	logger logrus.FieldLogger
 	config *configsync.Follower
+	api    *httpapi.API
 	budget *budget.Manager
 	server *http.Server
 	admin  *http.Server
@@ -45,17 +47,42 @@
 		Holder: holder, Partitions: cfg.LedgerPartitions, BillBuffer: cfg.BillBuffer,
 		FlushInterval: cfg.FlushInterval, GrantSize: cfg.GrantSize,
 	}, log, logger)
-	api := &httpapi.API{
-		Config: d.config, Budget: d.budget, Engines: upstream.New(), MaxBodyBytes: cfg.MaxBodyBytes,
-	}
+	d.api = newAPI(cfg, holder, d.config, d.budget, log, logger)
 	d.server = &http.Server{
-		Handler: api.Handler(), ReadHeaderTimeout: cfg.ReadTimeout, ReadTimeout: cfg.ReadTimeout,
+		Handler: d.api.Handler(), ReadHeaderTimeout: cfg.ReadTimeout,
 		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
 	}
 	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: cfg.ReadTimeout}
 	return d
 }
 
+// newAPI wires the callers' API.
+func newAPI(
+	cfg settings.Daemon, holder record.HolderID, config httpapi.Configuration, spending httpapi.Budget,
+	log logstream.Log, logger logrus.FieldLogger,
+) *httpapi.API {
+	client := upstream.New()
+	return &httpapi.API{
+		Config: config, Budget: spending, Engines: client, Services: client,
+		Admission: localAdmission{}, Routing: &localRouting{config: config, open: make(map[string]int)},
+		Retry: newLocalRetryBudget(), Claims: newLocalClaims(log, cfg.LedgerPartitions),
+		Requests: request.NewTable(request.Config{
+			Retention: cfg.RequestRetention, MaxFinished: cfg.RequestsKept,
+			MaxAnswerBytes: cfg.AnswerMemory, Now: time.Now,
+		}),
+		Unknown: &httpapi.Resolver{
+			Budget: spending, Engines: client, Delay: cfg.UnknownBillDelay, Logger: logger, Now: time.Now,
+		},
+		Holder: holder, Logger: logger, Now: time.Now,
+		Limits: httpapi.Limits{
+			MaxBodyBytes: cfg.MaxBodyBytes, BodyTimeout: cfg.ReadTimeout, WriteTimeout: cfg.WriteTimeout,
+			RequestTimeout: cfg.RequestTimeout, AttemptTimeout: cfg.AttemptTimeout, ResumeTimeout: cfg.ResumeTimeout,
+			RepeatWait: cfg.RepeatWait, UnknownBillDelay: cfg.UnknownBillDelay, MaxOpen: cfg.MaxRequests,
+			MaxAnswerBytes: cfg.MaxAnswerBytes,
+		},
+	}
+}
+
 func (d *Daemon) adminHandler() http.Handler {
 	r := httprouter.New()
 	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -84,12 +111,17 @@
 	var loops conc.WaitGroup
 	loops.Go(func() { d.config.Run(background) })
 	loops.Go(func() { d.budget.Run(background) })
+	var resolver conc.WaitGroup
+	resolver.Go(func() { d.api.Unknown.Run(background) })
 	loops.Go(func() { _ = d.server.Serve(public) })
 	loops.Go(func() { _ = d.admin.Serve(admin) })
 	d.ready.Store(true)
 	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
 	<-ctx.Done()
-	err := d.stop(stopBackground)
+	err := d.stop(func() {
+		stopBackground()
+		resolver.Wait()
+	})
 	loops.Wait()
 	return err
 }
@@ -102,8 +134,10 @@
 	time.Sleep(d.cfg.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
 	defer cancel()
+	d.server.SetKeepAlivesEnabled(false)
 	err := d.server.Shutdown(ctx)
 	stopBackground()
+	d.api.Unknown.Close(ctx)
 	err = errors.CombineErrors(err, d.budget.Close(ctx))
 	_ = d.admin.Close()
 	obs.EventStopped.Log(d.logger, nil)
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -18,7 +18,7 @@
 var (
 	RequestsTotal           = Counter("requests_total")
 	RefusalsTotal           = Counter("refusals_total")
-	FalseRefusalsTotal      = Counter("budget_unavailable_total")
+	BudgetUnavailableTotal  = Counter("budget_unavailable_total")
 	OverspendTokensTotal    = Counter("overspend_tokens_total")
 	BillsTotal              = Counter("bills_total")
 	LedgerRecordsSkipped    = Counter("ledger_records_skipped_total")
@@ -29,4 +29,14 @@
 	ConfigRecordsSkipped    = Counter("config_records_skipped_total")
 	UpstreamFailuresTotal   = Counter("upstream_failures_total")
 	SettleAboveReserveTotal = Counter("settle_above_reserve_total")
+	RetriesTotal            = Counter("retries_total")
+	CanceledTotal           = Counter("canceled_total")
+	RepeatsTotal            = Counter("idempotent_repeats_total")
+	StreamsResumedTotal     = Counter("streams_resumed_total")
+	UnknownResolvedTotal    = Counter("unknown_resolved_total")
+	// FalseRefusalsTotal counts refusals of requests that the unspent and
+	// unreserved budget covered, as far as this router knows.
+	FalseRefusalsTotal = Counter("false_refusals_total")
+	// RequestsOpen is the number of requests in progress.
+	RequestsOpen = Counter("requests_open")
 )
--- /dev/null
+++ b/internal/obs/trace.go
@@ -0,0 +1,130 @@
+package obs
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+	apitrace "go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// The exporters of traces.
+const (
+	TraceExporterNone   = "none"
+	TraceExporterStdout = "stdout"
+	TraceExporterOTLP   = "otlp"
+)
+
+// Names of the spans, one for each hop of a request.
+const (
+	SpanRequest = "caller.request"
+	SpanReserve = "budget.reserve"
+	SpanAttempt = "upstream.attempt"
+	SpanSettle  = "budget.settle"
+)
+
+const tracerName = "github.com/dotterelthread/dotterelthread"
+
+// propagator carries the W3C trace context. It works without an exporter, so
+// that a caller's trace goes on through a router that records none.
+var propagator = propagation.TraceContext{}
+
+// tracer is nil while no spans are recorded.
+var tracer atomic.Pointer[apitrace.Tracer]
+
+// Traces names where spans go.
+type Traces struct {
+	// Exporter is one of the TraceExporter constants.
+	Exporter string
+	// Endpoint is the base URL of an OTLP collector.
+	Endpoint string
+	// Output receives the spans of the stdout exporter.
+	Output io.Writer
+	// VM and Zone describe this process.
+	VM, Zone string
+}
+
+// StartTraces begins to record spans and returns a function that sends the last
+// ones. It is called once, before requests are served.
+func StartTraces(ctx context.Context, t Traces) (stop func(context.Context) error, err error) {
+	var exporter trace.SpanExporter
+	switch t.Exporter {
+	case TraceExporterNone, "":
+		return func(context.Context) error { return nil }, nil
+	case TraceExporterStdout:
+		exporter, err = stdouttrace.New(stdouttrace.WithWriter(t.Output))
+	case TraceExporterOTLP:
+		exporter, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(t.Endpoint))
+	default:
+		err = errors.Newf("unknown trace exporter %q", t.Exporter)
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "start traces")
+	}
+	provider := trace.NewTracerProvider(trace.WithBatcher(exporter), trace.WithResource(resource.NewSchemaless(
+		attribute.String("service.name", "dotterelthread"),
+		attribute.String("host.id", t.VM), attribute.String("cloud.availability_zone", t.Zone),
+	)))
+	started := provider.Tracer(tracerName)
+	tracer.Store(&started)
+	return func(ctx context.Context) error {
+		tracer.Store(nil)
+		return provider.Shutdown(ctx)
+	}, nil
+}
+
+// StartSpan begins a span for one hop. Without an exporter it costs nothing.
+func StartSpan(ctx context.Context, name, requestID string) (context.Context, apitrace.Span) {
+	t := tracer.Load()
+	if t == nil {
+		return ctx, noop.Span{}
+	}
+	return (*t).Start(ctx, name, apitrace.WithAttributes(attribute.String("request.id", requestID)))
+}
+
+// EndSpan ends a span with the error of its hop, which may be nil.
+func EndSpan(span apitrace.Span, err error) {
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
+
+// ExtractTrace returns a context with the trace context of the headers.
+func ExtractTrace(ctx context.Context, header http.Header) context.Context {
+	if header.Get("Traceparent") == "" {
+		return ctx
+	}
+	return propagator.Extract(ctx, propagation.HeaderCarrier(header))
+}
+
+// InjectTrace writes the trace context to the headers of a request.
+func InjectTrace(ctx context.Context, header http.Header) {
+	propagator.Inject(ctx, propagation.HeaderCarrier(header))
+}
+
+// TraceParent returns the trace context as a W3C traceparent, or an empty
+// string. Peer messages carry it.
+func TraceParent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(ctx, carrier)
+	return carrier.Get("traceparent")
+}
+
+// WithTraceParent returns a context with the trace context of a peer message.
+func WithTraceParent(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return propagator.Extract(ctx, propagation.MapCarrier{"traceparent": parent})
+}
--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
+	"io"
 
 	"github.com/cockroachdb/errors"
 )
@@ -93,3 +95,28 @@
 	}
 	return n
 }
+
+// prefixBlockBytes is the length of the steps in which PrefixHashes covers a
+// long prompt.
+const prefixBlockBytes = 1024
+
+// maxPrefixHashes bounds the hashes of one prompt.
+const maxPrefixHashes = 64
+
+// PrefixHashes returns hashes of the beginnings of the prompt, shortest first:
+// one after each block of text and one after each message. Two prompts that
+// begin alike have the same first hashes.
+func (r Request) PrefixHashes() []uint64 {
+	h := fnv.New64a()
+	var hashes []uint64
+	for _, m := range r.Messages {
+		_, _ = io.WriteString(h, m.Role)
+		for rest := m.Content; len(rest) > 0 && len(hashes) < maxPrefixHashes; {
+			n := min(len(rest), prefixBlockBytes)
+			_, _ = io.WriteString(h, rest[:n])
+			rest = rest[n:]
+			hashes = append(hashes, h.Sum64())
+		}
+	}
+	return hashes
+}
--- /dev/null
+++ b/internal/protocol/chat/engineapi.go
@@ -0,0 +1,41 @@
+package chat
+
+// The engine API beside POST /v1/chat/completions. A stream is a list of events
+// numbered from 0; each event carries its number as the SSE field "id". An
+// engine keeps a stream after its connection broke, so that the router can read
+// on from the first event that it does not have.
+//
+//	GET    /v1/streams/{request_id}?offset=n   events from number n on
+//	DELETE /v1/streams/{request_id}            stops the run, answers StreamUsage
+//	GET    /v1/streams/{request_id}/usage      answers StreamUsage
+//
+// All answer 404 for a request that the engine does not hold, which does not
+// prove that it never ran. DELETE with an X-Attempt that was replaced answers
+// 409 and stops nothing. A POST with the id and body of a stream that the engine
+// holds attaches to it and does not run again.
+
+// HeaderDeadline is the time that is left for the request, in milliseconds.
+const HeaderDeadline = "X-Deadline-Ms"
+
+// DoneMark is the data of the event after the last one.
+const DoneMark = "[DONE]"
+
+// RunState is the state of a run at an engine.
+type RunState string
+
+// The states of a run. All but RunRunning are final.
+const (
+	RunRunning   RunState = "running"
+	RunComplete  RunState = "complete"
+	RunCancelled RunState = "cancelled"
+)
+
+// StreamUsage is what a run used so far, or in all when its state is final.
+type StreamUsage struct {
+	RequestID string   `json:"request_id"`
+	State     RunState `json:"state"`
+	Usage     Usage    `json:"usage"`
+}
+
+// Final reports whether the usage no longer changes.
+func (u StreamUsage) Final() bool { return u.State != RunRunning }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,18 @@
 	MaxBodyBytes     int64         `long:"max-body-bytes" env:"DOTTERELTHREAD_MAX_BODY_BYTES" default:"8388608" description:"largest request body, in bytes"`
 	MaxHeaderBytes   int           `long:"max-header-bytes" env:"DOTTERELTHREAD_MAX_HEADER_BYTES" default:"65536" description:"largest request header, in bytes"`
 	ReadTimeout      time.Duration `long:"read-timeout" env:"DOTTERELTHREAD_READ_TIMEOUT" default:"30s" description:"longest time to read a request"`
+	WriteTimeout     time.Duration `long:"write-timeout" env:"DOTTERELTHREAD_WRITE_TIMEOUT" default:"30s" description:"longest time for which a caller may not read its answer"`
+	RequestTimeout   time.Duration `long:"request-timeout" env:"DOTTERELTHREAD_REQUEST_TIMEOUT" default:"30m" description:"longest time of a request"`
+	AttemptTimeout   time.Duration `long:"attempt-timeout" env:"DOTTERELTHREAD_ATTEMPT_TIMEOUT" default:"0s" description:"time without an answer after which an idempotent request is tried on another upstream; 0 never"`
+	ResumeTimeout    time.Duration `long:"resume-timeout" env:"DOTTERELTHREAD_RESUME_TIMEOUT" default:"10s" description:"longest time without progress of a broken stream"`
+	RepeatWait       time.Duration `long:"repeat-wait" env:"DOTTERELTHREAD_REPEAT_WAIT" default:"30s" description:"longest wait of a repeated idempotency key for the request that runs"`
+	UnknownBillDelay time.Duration `long:"unknown-bill-delay" env:"DOTTERELTHREAD_UNKNOWN_BILL_DELAY" default:"10m" description:"time after which a request with an unknown outcome is billed at its upper bound"`
+	RequestRetention time.Duration `long:"request-retention" env:"DOTTERELTHREAD_REQUEST_RETENTION" default:"10m" description:"time for which a finished request can be asked for"`
+	RequestsKept     int           `long:"requests-kept" env:"DOTTERELTHREAD_REQUESTS_KEPT" default:"20000" description:"largest number of finished requests kept"`
+	AnswerMemory     int           `long:"answer-memory" env:"DOTTERELTHREAD_ANSWER_MEMORY" default:"33554432" description:"memory for answers kept for their idempotency key, in bytes"`
+	MaxAnswerBytes   int           `long:"max-answer-bytes" env:"DOTTERELTHREAD_MAX_ANSWER_BYTES" default:"1048576" description:"largest answer kept for its idempotency key, in bytes"`
+	MaxRequests      int64         `long:"max-requests" env:"DOTTERELTHREAD_MAX_REQUESTS" default:"4096" description:"largest number of open requests"`
+	MaxConnections   int           `long:"max-connections" env:"DOTTERELTHREAD_MAX_CONNECTIONS" default:"8192" description:"largest number of callers' connections"`
 	IdleTimeout      time.Duration `long:"idle-timeout" env:"DOTTERELTHREAD_IDLE_TIMEOUT" default:"2m" description:"longest idle time of a caller's connection"`
 	DrainDelay       time.Duration `long:"drain-delay" env:"DOTTERELTHREAD_DRAIN_DELAY" default:"200ms" description:"time between readiness going false and closing the listener"`
 	DrainTimeout     time.Duration `long:"drain-timeout" env:"DOTTERELTHREAD_DRAIN_TIMEOUT" default:"10m" description:"longest time for open requests to finish at a stop"`
--- a/internal/state/request/table.go
+++ b/internal/state/request/table.go
@@ -84,6 +84,9 @@
 				return nil, false, ErrKeyConflict
 			}
 			return known, true, nil
+		} else if known != nil && known.params.Entry == p.Entry && bytes.Equal(known.params.BodyHash, p.BodyHash) {
+			// The claim of the refused request still holds for its id.
+			p.ID = known.params.ID
 		}
 	}
 	r = &Request{table: t, params: p, started: t.cfg.Now(), done: make(chan struct{})}
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -4,18 +4,18 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"slices"
-	"strings"
+	"sync/atomic"
+	"time"
 
-	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
-	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -36,112 +36,175 @@
 
 // Engines sends attempts to model engines.
 type Engines interface {
-	Complete(ctx context.Context, call upstream.Call) (chat.Response, error)
-	Stream(ctx context.Context, call upstream.Call, emit func([]byte, chat.Response) error) error
+	Complete(ctx context.Context, call upstream.Call) (upstream.Answer, error)
+	Stream(ctx context.Context, call upstream.Call, emit func(upstream.Event) error) error
+	Resume(ctx context.Context, call upstream.Call, offset int, emit func(upstream.Event) error) error
+	Cancel(ctx context.Context, call upstream.Call) (chat.StreamUsage, error)
+	Usage(ctx context.Context, call upstream.Call) (chat.StreamUsage, error)
 }
 
-// DefaultMaxBodyBytes bounds a request body.
-const DefaultMaxBodyBytes = 8 << 20
+// Services sends attempts to plain services.
+type Services interface {
+	Call(ctx context.Context, call upstream.ServiceCall) (upstream.ServiceAnswer, error)
+}
+
+// AdmitRequest asks to run a request now.
+type AdmitRequest struct {
+	Entry record.EntryKey
+	Team  string
+	Class catalogue.Class
+	// Tokens is the upper bound of the request.
+	Tokens int64
+	Limits catalogue.Limits
+}
 
-// Headers of an answer.
+// Ticket is the admission of one request.
+type Ticket interface {
+	// Done ends the request. It is called exactly once.
+	Done()
+}
+
+// Admission limits and orders the requests. Admit may wait. It fails with a
+// RateLimitedError or an OverloadedError.
+type Admission interface {
+	Admit(ctx context.Context, req AdmitRequest) (Ticket, error)
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// The results of an attempt.
 const (
-	HeaderBillTokens      = "X-Bill-Tokens"
-	HeaderBudgetRemaining = "X-Budget-Remaining"
+	ResultOK Result = iota
+	ResultRefused
+	ResultFailed
+	// ResultCrashed means that the connection broke after the request was sent.
+	ResultCrashed
 )
 
-// API is the callers' HTTP API.
-type API struct {
-	Config  Configuration
-	Budget  Budget
-	Engines Engines
-	// MaxBodyBytes bounds a request body, in bytes.
-	MaxBodyBytes int64
+// PickRequest asks for an upstream. Model or Service is set.
+type PickRequest struct {
+	Model   string
+	Service string
+	// PrefixHashes name the beginnings of the prompt, shortest first.
+	PrefixHashes []uint64
+	Class        catalogue.Class
+	// Exclude names upstreams that were tried.
+	Exclude     []string
+	Fingerprint [32]byte
 }
 
-// Handler returns the handler chain.
-func (a *API) Handler() http.Handler {
-	r := httprouter.New()
-	r.POST("/v1/chat/completions", a.completions)
-	return r
+// Attempt is the choice of an upstream for one attempt.
+type Attempt interface {
+	Upstream() *catalogue.Upstream
+	// Done reports how the attempt ended. It is called exactly once.
+	Done(result Result)
 }
 
-func (a *API) completions(w http.ResponseWriter, httpReq *http.Request, _ httprouter.Params) {
-	obs.RequestsTotal.Add(1)
-	requestID := uuid.NewString()
-	w.Header().Set(chat.HeaderRequestID, requestID)
-	x, apiErr := a.prepare(w, httpReq, requestID)
-	if apiErr != nil {
-		apiErr.RequestID = requestID
-		apiErr.write(w)
-		return
-	}
-	res, err := a.Budget.Reserve(httpReq.Context(), budget.ReserveRequest{
-		RequestID: requestID, Entry: x.entry.Key, Class: x.entry.Class, Amount: x.bound(),
-	})
-	if err != nil {
-		budgetError(err, requestID).write(w)
-		return
-	}
-	x.reservation = res
-	if x.request.Stream {
-		a.runStream(httpReq.Context(), w, x)
-		return
-	}
-	a.runWhole(httpReq.Context(), w, x)
+// Routing chooses upstreams. Pick fails with ErrNoUpstream or ErrQuarantined.
+type Routing interface {
+	Pick(req PickRequest) (Attempt, error)
+}
+
+// RetryBudget bounds the retries to a part of the traffic.
+type RetryBudget interface {
+	// Request records a first attempt.
+	Request()
+	// TryRetry reports whether one more attempt may be sent.
+	TryRetry() bool
 }
 
-// exchange is one request on its way through the router.
-type exchange struct {
-	requestID   string
-	entry       *catalogue.BoundEntry
-	request     chat.Request
-	body        []byte
-	upstream    *catalogue.Upstream
-	reservation budget.Reservation
+// Claims decides which router runs a non-idempotent request.
+type Claims interface {
+	// Claim returns the first claim of the key in log order. An error means that
+	// the claim is not known to have won, and nothing may be sent.
+	Claim(ctx context.Context, c record.Claim) (winner record.Claim, won bool, err error)
 }
 
-// bound is the most that the request can cost, in tokens.
-func (x *exchange) bound() int64 { return x.request.InputBound() + x.request.MaxTokens }
+// Remote finds requests of other routers.
+type Remote interface {
+	FindRequest(ctx context.Context, id string, entry record.EntryKey) (request.Info, bool)
+}
 
-func (x *exchange) call() upstream.Call {
-	return upstream.Call{Address: x.upstream.Address, RequestID: x.requestID, Attempt: 1, Body: x.body}
+// Headers of the callers' API.
+const (
+	HeaderBillTokens      = "X-Bill-Tokens"
+	HeaderBudgetRemaining = "X-Budget-Remaining"
+	HeaderIdempotencyKey  = "Idempotency-Key"
+	// HeaderReplayed marks an answer that was stored for the idempotency key.
+	HeaderReplayed = "Idempotent-Replayed"
+	// HeaderTimeout is the longest time for the request, in milliseconds.
+	HeaderTimeout = "X-Timeout-Ms"
+)
+
+// Limits bound what one caller can take of the router.
+type Limits struct {
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+	// BodyTimeout bounds the time to read a request body.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds the time for which a caller may not read its answer.
+	WriteTimeout time.Duration
+	// RequestTimeout bounds a request that names no timeout, and those that do.
+	RequestTimeout time.Duration
+	// AttemptTimeout is the time without an answer after which an idempotent
+	// request is tried on another upstream; 0 waits for RequestTimeout.
+	AttemptTimeout time.Duration
+	// ResumeTimeout bounds the time without progress of a broken stream.
+	ResumeTimeout time.Duration
+	// RepeatWait bounds the wait of a repeat for the request that runs.
+	RepeatWait time.Duration
+	// UnknownBillDelay is the time after which an unknown request is billed at
+	// its upper bound.
+	UnknownBillDelay time.Duration
+	// MaxOpen bounds the requests in progress.
+	MaxOpen int64
+	// MaxAnswerBytes bounds an answer that is stored for its idempotency key.
+	MaxAnswerBytes int
 }
 
-func (a *API) prepare(w http.ResponseWriter, httpReq *http.Request, requestID string) (*exchange, *APIError) {
-	snapshot := a.Config.Current()
-	secret, _ := strings.CutPrefix(httpReq.Header.Get("Authorization"), "Bearer ")
-	entry := snapshot.EntryByCredential(secret)
-	if entry == nil {
-		e := refuse(http.StatusUnauthorized, CodeUnauthorized, "the credential names no catalogue entry")
-		return nil, &e
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, httpReq.Body, a.MaxBodyBytes))
-	if err != nil {
-		e := refuse(http.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
-		return nil, &e
-	}
-	req, err := chat.Parse(body)
-	if err != nil {
-		e := refuse(http.StatusBadRequest, CodeBadRequest, err.Error())
-		return nil, &e
-	}
-	if !slices.Contains(entry.Models, req.Model) {
-		e := refuse(http.StatusForbidden, CodeNotAllowed, "the entry does not allow this model")
-		return nil, &e
-	}
-	target := pickEngine(snapshot, req.Model)
-	if target == nil {
-		e := refuse(http.StatusServiceUnavailable, CodeUpstreamUnavailable, "no upstream serves this model")
-		return nil, &e
-	}
-	return &exchange{requestID: requestID, entry: entry, request: req, body: body, upstream: target}, nil
+// API is the callers' HTTP API. Its fields are set before Handler is called.
+type API struct {
+	Config    Configuration
+	Budget    Budget
+	Engines   Engines
+	Services  Services
+	Admission Admission
+	Routing   Routing
+	Retry     RetryBudget
+	Claims    Claims
+	// Remote may be nil.
+	Remote   Remote
+	Requests *request.Table
+	Unknown  *Resolver
+	Holder   record.HolderID
+	Limits   Limits
+	Logger   logrus.FieldLogger
+	Now      func() time.Time
+
+	open atomic.Int64
 }
 
-func pickEngine(s *catalogue.Snapshot, model string) *catalogue.Upstream {
-	for u := range s.Upstreams {
-		if u.Kind == catalogue.KindEngine && slices.Contains(u.Models, model) {
-			return u
-		}
+// Handler returns the handler chain.
+func (a *API) Handler() http.Handler {
+	r := httprouter.New()
+	// The path of a plain service is passed on as it is.
+	r.RedirectTrailingSlash, r.RedirectFixedPath, r.HandleMethodNotAllowed = false, false, false
+	r.HandleOPTIONS = false
+	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		refuse(http.StatusNotFound, CodeNotFound, "no such path").write(w)
+	})
+	r.POST("/v1/chat/completions", func(w http.ResponseWriter, httpReq *http.Request, _ httprouter.Params) {
+		a.serve(w, httpReq, (*exchange).parseChat)
+	})
+	for _, method := range serviceMethods {
+		r.Handle(method, "/v1/services/:service/*path", func(w http.ResponseWriter, httpReq *http.Request, _ httprouter.Params) {
+			a.serve(w, httpReq, (*exchange).parseService)
+		})
 	}
-	return nil
+	r.GET("/v1/requests/:id", a.findRequest)
+	return r
 }
+
+// Open returns the number of requests in progress.
+func (a *API) Open() int64 { return a.open.Load() }
--- a/internal/transport/httpapi/errors.go
+++ b/internal/transport/httpapi/errors.go
@@ -10,25 +10,72 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
-// Code is a stable name for a kind of error.
+// Code is a stable name for a kind of error. docs/callers.md explains each.
 type Code string
 
 // The error codes of the callers' API.
 const (
-	CodeBadRequest          Code = "bad_request"
-	CodeUnauthorized        Code = "unauthorized"
-	CodeNotAllowed          Code = "not_allowed"
-	CodeTooLarge            Code = "request_too_large"
-	CodeBudgetExhausted     Code = "budget_exhausted"
-	CodeBudgetUnavailable   Code = "budget_unavailable"
-	CodeBillingUnavailable  Code = "billing_unavailable"
-	CodeUpstreamUnavailable Code = "upstream_unavailable"
-	CodeOutcomeUnknown      Code = "outcome_unknown"
-	CodeDraining            Code = "draining"
+	CodeBadRequest               Code = "bad_request"
+	CodeNotFound                 Code = "not_found"
+	CodeUnauthorized             Code = "unauthorized"
+	CodeNotAllowed               Code = "not_allowed"
+	CodeTooLarge                 Code = "request_too_large"
+	CodeRequestTimeout           Code = "request_timeout"
+	CodeConfigurationUnavailable Code = "configuration_unavailable"
+	CodeBudgetExhausted          Code = "budget_exhausted"
+	CodeBudgetUnavailable        Code = "budget_unavailable"
+	CodeBillingUnavailable       Code = "billing_unavailable"
+	CodeRateLimited              Code = "rate_limited"
+	CodeOverloaded               Code = "overloaded"
+	CodeUpstreamUnavailable      Code = "upstream_unavailable"
+	CodeUpstreamRejected         Code = "upstream_rejected"
+	CodeQuarantined              Code = "request_quarantined"
+	CodeOutcomeUnknown           Code = "outcome_unknown"
+	CodeDeadlineExceeded         Code = "deadline_exceeded"
+	CodeCanceled                 Code = "canceled"
+	CodeKeyRequired              Code = "idempotency_key_required"
+	CodeKeyConflict              Code = "idempotency_conflict"
+	CodeInProgress               Code = "request_in_progress"
+	CodeAnswerNotKept            Code = "answer_not_kept"
+	CodeClaimUnavailable         Code = "claim_unavailable"
+	CodeClaimed                  Code = "request_claimed"
 )
 
+// Errors of the interfaces that this package uses.
+var (
+	// ErrNoUpstream reports that no upstream can take the request now.
+	ErrNoUpstream = errors.New("no upstream can take the request")
+	// ErrQuarantined reports a request that crashed the upstreams that ran it.
+	ErrQuarantined = errors.New("request is quarantined")
+	// ErrConfigurationExpired reports that the configuration lease has ended.
+	ErrConfigurationExpired = errors.New("configuration lease has ended")
+)
+
+// RateLimitedError reports a limit of the entry or the team.
+type RateLimitedError struct{ RetryAfter time.Duration }
+
+// Error implements error.
+func (e *RateLimitedError) Error() string { return "a limit of the entry or team is reached" }
+
+// OverloadedError reports that the request's class is shed.
+type OverloadedError struct{ RetryAfter time.Duration }
+
+// Error implements error.
+func (e *OverloadedError) Error() string { return "the upstreams are at capacity" }
+
+// errCallerGone reports that the caller does not take its answer.
+var errCallerGone = errors.New("caller does not read the answer")
+
+// statusClientClosed is the customary status of a request whose caller left. It
+// is seen in traces only.
+const statusClientClosed = 499
+
+// defaultRetryAfter is told to callers when nothing better is known.
+const defaultRetryAfter = time.Second
+
 // APIError is the error body of the callers' API.
 type APIError struct {
 	Status    int    `json:"-"`
@@ -40,11 +87,14 @@
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 }
 
+// Error implements error.
+func (e *APIError) Error() string { return string(e.Code) + ": " + e.Message }
+
 type errorBody struct {
-	Error APIError `json:"error"`
+	Error *APIError `json:"error"`
 }
 
-func (e APIError) write(w http.ResponseWriter) {
+func (e *APIError) write(w http.ResponseWriter) {
 	if e.NotRun {
 		obs.RefusalsTotal.Add(1)
 	}
@@ -57,27 +107,64 @@
 	_ = json.NewEncoder(w).Encode(errorBody{Error: e})
 }
 
-func refuse(status int, code Code, message string) APIError {
-	return APIError{Status: status, Code: code, Message: message, NotRun: true}
+func (e *APIError) after(d time.Duration) *APIError {
+	e.RetryAfterMS = max(1, d.Milliseconds())
+	return e
+}
+
+// refuse returns the error for a request that did not run.
+func refuse(status int, code Code, message string) *APIError {
+	return &APIError{Status: status, Code: code, Message: message, NotRun: true}
+}
+
+// ran returns the error for a request that may have run.
+func ran(status int, code Code, message string) *APIError {
+	return &APIError{Status: status, Code: code, Message: message}
 }
 
 // budgetError maps a failed reservation to the answer for the caller.
-func budgetError(err error, requestID string) APIError {
+func budgetError(err error) *APIError {
 	var unavailable *budget.UnavailableError
-	var e APIError
 	switch {
 	case errors.Is(err, budget.ErrExhausted):
-		e = refuse(http.StatusPaymentRequired, CodeBudgetExhausted, "the prepaid budget does not cover the request")
+		return refuse(http.StatusPaymentRequired, CodeBudgetExhausted, "the prepaid budget does not cover the request")
 	case errors.Is(err, budget.ErrBillingUnavailable):
-		e = refuse(http.StatusServiceUnavailable, CodeBillingUnavailable, err.Error())
-		e.RetryAfterMS = time.Second.Milliseconds()
+		return refuse(http.StatusServiceUnavailable, CodeBillingUnavailable,
+			"bills cannot be written now").after(defaultRetryAfter)
 	case errors.As(err, &unavailable):
-		obs.FalseRefusalsTotal.Add(1)
-		e = refuse(http.StatusServiceUnavailable, CodeBudgetUnavailable, err.Error())
-		e.RetryAfterMS = unavailable.RetryAfter.Milliseconds()
+		return refuse(http.StatusServiceUnavailable, CodeBudgetUnavailable,
+			"the state of the budget could not be learned in time").after(unavailable.RetryAfter)
 	default:
-		e = refuse(http.StatusServiceUnavailable, CodeBudgetUnavailable, err.Error())
+		return refuse(http.StatusServiceUnavailable, CodeBudgetUnavailable,
+			"the budget could not be reserved").after(defaultRetryAfter)
+	}
+}
+
+func admissionError(err error) *APIError {
+	var limited *RateLimitedError
+	var overloaded *OverloadedError
+	switch {
+	case errors.As(err, &limited):
+		return refuse(http.StatusTooManyRequests, CodeRateLimited, limited.Error()).after(limited.RetryAfter)
+	case errors.As(err, &overloaded):
+		return refuse(http.StatusServiceUnavailable, CodeOverloaded, overloaded.Error()).after(overloaded.RetryAfter)
+	default:
+		return refuse(http.StatusServiceUnavailable, CodeOverloaded,
+			"the request was not admitted").after(defaultRetryAfter)
+	}
+}
+
+// notRunError maps the last error of a request that provably did not run.
+func notRunError(err error) *APIError {
+	var refused *upstream.RefusedError
+	switch {
+	case errors.Is(err, ErrQuarantined):
+		return refuse(http.StatusUnprocessableEntity, CodeQuarantined,
+			"this request crashed the upstreams that ran it and is stopped")
+	case errors.As(err, &refused) && !refused.Temporary():
+		return refuse(http.StatusBadRequest, CodeUpstreamRejected, refused.Message)
+	default:
+		return refuse(http.StatusServiceUnavailable, CodeUpstreamUnavailable,
+			"no upstream took the request").after(defaultRetryAfter)
 	}
-	e.RequestID = requestID
-	return e
 }
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -2,119 +2,252 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
 // Outcomes of a bill.
 const (
 	outcomeComplete = "complete"
-	outcomeUnknown  = "unknown"
+	outcomeCanceled = "canceled"
+	outcomeDeadline = "deadline_exceeded"
+	// outcomeFound is a request whose usage was learned later.
+	outcomeFound = "found"
+	// outcomeUnknown is a request that is billed at its upper bound.
+	outcomeUnknown = "unknown"
 )
 
-func (a *API) runWhole(ctx context.Context, w http.ResponseWriter, x *exchange) {
-	resp, err := a.Engines.Complete(ctx, x.call())
-	if err != nil {
-		a.failed(x, err).write(w)
-		return
-	}
-	balance := a.settle(x, resp.Usage)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderBillTokens, strconv.FormatInt(charged(x, resp.Usage), 10))
-	w.Header().Set(HeaderBudgetRemaining, strconv.FormatInt(balance.Remaining, 10))
-	_ = json.NewEncoder(w).Encode(resp)
-}
+// maxTries bounds the attempts of one request, so that a request does not visit
+// every upstream of a large pool.
+const maxTries = 8
+
+// cancelTimeout bounds the time to stop a run at an engine.
+const cancelTimeout = 5 * time.Second
 
-func (a *API) runStream(ctx context.Context, w http.ResponseWriter, x *exchange) {
-	var usage *chat.Usage
-	started := false
-	controller := http.NewResponseController(w)
-	err := a.Engines.Stream(ctx, x.call(), func(data []byte, chunk chat.Response) error {
-		if !started {
-			w.Header().Set("Content-Type", "text/event-stream")
-			started = true
+// errReplaced is the cause of an attempt that gave no answer in time.
+var errReplaced = errors.New("attempt gave no answer in time")
+
+// run makes attempts until one is answered or no other may be made.
+func (x *exchange) run() *APIError {
+	x.api.Retry.Request()
+	var last error
+	for {
+		attempt, err := x.api.Routing.Pick(x.pick)
+		if err != nil {
+			return x.failed(errors.CombineErrors(last, err))
 		}
-		if chunk.Usage != nil {
-			usage = chunk.Usage
+		last = x.try(attempt)
+		if last == nil {
+			return nil
 		}
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
-			return errors.Wrap(err, "write to caller")
+		if !x.mayRetry(last) {
+			return x.failed(last)
 		}
-		return controller.Flush()
-	})
+		obs.RetriesTotal.Add(1)
+		x.pick.Exclude = append(x.pick.Exclude, attempt.Upstream().Name)
+	}
+}
+
+// try makes one attempt.
+func (x *exchange) try(attempt Attempt) error {
+	target := attempt.Upstream()
+	n, err := x.record.Dispatch()
 	if err != nil {
-		e := a.failed(x, err)
-		if !started {
-			e.write(w)
-			return
+		attempt.Done(ResultRefused)
+		return err
+	}
+	x.tries++
+	call := upstream.Call{
+		Address: target.Address, RequestID: x.id, Attempt: x.attemptID(n), Priority: priority(x.entry.Class), Body: x.body,
+	}
+	x.calls = append(x.calls, call)
+	ctx, span := obs.StartSpan(x.ctx, obs.SpanAttempt, x.id)
+	err = x.job.send(ctx, x, call, n)
+	obs.EndSpan(span, err)
+	if provablyNotRun(err) {
+		if x.record.AttemptNotRun(n) == nil {
+			x.calls = x.calls[:len(x.calls)-1]
 		}
-		writeStreamError(w, e)
-		return
 	}
-	balance := a.settle(x, usage)
-	fmt.Fprintf(w, "event: bill\ndata: {\"request_id\":%q,\"tokens\":%d,\"remaining\":%d}\n\n",
-		x.requestID, charged(x, usage), balance.Remaining)
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	if err != nil && x.ctx.Err() == nil {
+		obs.UpstreamFailuresTotal.Add(1)
+	}
+	attempt.Done(result(err))
+	return err
 }
 
-// writeStreamError ends a stream whose answer cannot be completed.
-func writeStreamError(w http.ResponseWriter, e APIError) {
-	data, err := json.Marshal(errorBody{Error: e})
-	if err != nil {
-		return
+// attemptID names an attempt in the whole fleet: a request may be tried by
+// another router after this one.
+func (x *exchange) attemptID(n int) string {
+	return strconv.Itoa(n) + "@" + string(x.api.Holder)
+}
+
+func provablyNotRun(err error) bool {
+	return errors.IsAny(err, upstream.ErrNotSent, upstream.ErrRefused)
+}
+
+// result tells the routing how an attempt ended. A caller that left and an
+// answer that was delivered say nothing against the upstream.
+func result(err error) Result {
+	switch {
+	case errors.Is(err, errReplaced):
+		return ResultFailed
+	case err == nil, errors.IsAny(err, errCallerGone, context.Canceled):
+		return ResultOK
+	case errors.Is(err, upstream.ErrRefused):
+		return ResultRefused
+	case errors.IsAny(err, upstream.ErrNotSent, context.DeadlineExceeded, upstream.ErrMismatch):
+		return ResultFailed
+	default:
+		return ResultCrashed
 	}
-	fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
 }
 
-// failed ends the reservation of an attempt without an answer. The budget is
-// released only when the request provably did not run; otherwise the upper
-// bound is billed.
-func (a *API) failed(x *exchange, err error) APIError {
-	obs.UpstreamFailuresTotal.Add(1)
-	if errors.IsAny(err, upstream.ErrNotSent, upstream.ErrRefused) {
-		a.Budget.Release(x.reservation)
-		e := refuse(http.StatusServiceUnavailable, CodeUpstreamUnavailable, err.Error())
-		e.RequestID = x.requestID
-		return e
-	}
-	if errors.Is(err, upstream.ErrMismatch) {
-		obs.MismatchedAnswersTotal.Add(1)
+// mayRetry decides whether another upstream gets the request after an error.
+//
+// After a failed connection nothing was sent, so a retry costs no upstream
+// anything. Whatever reached an upstream is repeated only for an idempotent
+// request and within the retry budget.
+func (x *exchange) mayRetry(err error) bool {
+	var refused *upstream.RefusedError
+	switch {
+	case x.ctx.Err() != nil, x.streaming, x.tries >= maxTries, errors.Is(err, errCallerGone):
+		return false
+	case errors.Is(err, upstream.ErrNotSent):
+		return true
+	case !x.idempotent, errors.As(err, &refused) && !refused.Temporary():
+		return false
+	default:
+		return x.api.Retry.TryRetry()
+	}
+}
+
+// failed ends a request without an answer. It is refused only when no attempt
+// may have run.
+func (x *exchange) failed(err error) *APIError {
+	switch {
+	case x.record.NotRun():
+		return x.stopped(notRunError(err))
+	case x.ctx.Err() != nil || errors.Is(err, errCallerGone):
+		return x.canceled(err)
+	default:
+		return x.lost(err)
+	}
+}
+
+// canceled stops the run of a request whose caller left or whose time ended, and
+// bills what it used.
+func (x *exchange) canceled(cause error) *APIError {
+	obs.CanceledTotal.Add(1)
+	if !x.job.cancelable() || len(x.calls) == 0 {
+		return x.lost(cause)
+	}
+	usage, err := x.stop(x.calls[len(x.calls)-1])
+	if err != nil || !usage.Final() {
+		return x.lost(cause)
+	}
+	outcome, code := outcomeCanceled, CodeCanceled
+	status := statusClientClosed
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		outcome, code, status = outcomeDeadline, CodeDeadlineExceeded, http.StatusGatewayTimeout
+	}
+	if _, err := x.settle(x.record.Info().Attempts, &usage.Usage, outcome); err != nil {
+		return x.lost(err)
 	}
-	obs.OutcomeUnknownTotal.Add(1)
-	a.Budget.Settle(x.reservation, budget.Settlement{
-		Target: x.request.Model, InputTokens: x.request.InputBound(), OutputTokens: x.request.MaxTokens,
-		Charged: x.bound(), Outcome: outcomeUnknown,
-	})
-	return APIError{
-		Status: http.StatusBadGateway, Code: CodeOutcomeUnknown, RequestID: x.requestID,
-		Message: "the upstream's answer was lost; the request may have run",
+	return ran(status, code, "the request was stopped and what it used is billed")
+}
+
+// stop ends a run at its engine. It works after the caller has left.
+func (x *exchange) stop(call upstream.Call) (chat.StreamUsage, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), cancelTimeout)
+	defer cancel()
+	return x.api.Engines.Cancel(ctx, call)
+}
+
+// lost records that the outcome is not known. The reservation stays until the
+// resolver finds the usage or bills the upper bound.
+func (x *exchange) lost(cause error) *APIError {
+	x.span.RecordError(cause)
+	if x.record.Lose(string(CodeOutcomeUnknown)) == nil && x.reserved {
+		x.reserved = false
+		obs.OutcomeUnknownTotal.Add(1)
+		x.api.Unknown.Add(Lost{
+			Request: x.record, Reservation: x.reservation, Target: x.job.target(), Calls: x.calls,
+			Bound: x.bound, Asks: x.job.cancelable(),
+		})
 	}
+	e := ran(http.StatusBadGateway, CodeOutcomeUnknown,
+		"the upstream's answer was lost; the request may have run; ask GET /v1/requests/"+x.id)
+	e.RequestID = x.id
+	return e
 }
 
-func (a *API) settle(x *exchange, usage *chat.Usage) budget.Balance {
-	st := budget.Settlement{Target: x.request.Model, Charged: charged(x, usage), Outcome: outcomeComplete}
-	if usage != nil {
-		st.InputTokens, st.OutputTokens = usage.PromptTokens, usage.CompletionTokens
+// settle ends the request with the answer of an attempt and bills it. It fails,
+// and bills nothing, for the answer of a replaced attempt.
+func (x *exchange) settle(attempt int, usage *chat.Usage, outcome string) (budget.Balance, error) {
+	_, span := obs.StartSpan(x.ctx, obs.SpanSettle, x.id)
+	defer span.End()
+	bill := newBill(x.job.target(), usage, x.bound, outcome)
+	if err := x.record.Settle(attempt, bill); err != nil {
+		obs.MismatchedAnswersTotal.Add(1)
+		return budget.Balance{}, err
 	}
-	return a.Budget.Settle(x.reservation, st)
+	x.reserved = false
+	return x.api.Budget.Settle(x.reservation, settlement(bill)), nil
 }
 
-// charged returns what the request costs: the engine's count, at most the bound.
-func charged(x *exchange, usage *chat.Usage) int64 {
+// newBill charges the engine's count, at most the bound. Without a count the
+// request costs its bound.
+func newBill(target string, usage *chat.Usage, bound int64, outcome string) request.Bill {
+	bill := request.Bill{Target: target, Charged: bound, Outcome: outcome}
 	if usage == nil {
-		return x.bound()
+		return bill
 	}
-	if usage.TotalTokens > x.bound() {
+	if usage.TotalTokens > bound {
 		obs.SettleAboveReserveTotal.Add(1)
 	}
-	return min(usage.TotalTokens, x.bound())
+	bill.InputTokens, bill.OutputTokens = usage.PromptTokens, usage.CompletionTokens
+	bill.Charged = max(0, min(usage.TotalTokens, bound))
+	return bill
+}
+
+func settlement(b request.Bill) budget.Settlement {
+	return budget.Settlement{
+		Target: b.Target, InputTokens: b.InputTokens, OutputTokens: b.OutputTokens,
+		Charged: b.Charged, Outcome: b.Outcome,
+	}
+}
+
+// deliver settles a whole answer and writes it to the caller.
+func (x *exchange) deliver(attempt int, usage *chat.Usage, answer request.Answer) error {
+	balance, err := x.settle(attempt, usage, outcomeComplete)
+	if err != nil {
+		return err
+	}
+	if len(answer.Body) <= x.api.Limits.MaxAnswerBytes {
+		x.answer = &answer
+	}
+	header := x.w.Header()
+	header.Set(chat.HeaderRequestID, x.id)
+	if answer.ContentType != "" {
+		header.Set("Content-Type", answer.ContentType)
+	}
+	header.Set(HeaderBillTokens, strconv.FormatInt(x.record.Info().Bill.Charged, 10))
+	header.Set(HeaderBudgetRemaining, strconv.FormatInt(balance.Remaining, 10))
+	if x.httpReq.Method != http.MethodHead && answer.Status != http.StatusNoContent {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	x.setWriteDeadline()
+	x.w.WriteHeader(answer.Status)
+	_, _ = x.w.Write(answer.Body)
+	return nil
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -2,23 +2,26 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 )
 
-// Errors that say what is known about a failed attempt.
+// Errors that say what is known about a failed attempt. Any other error means
+// that the upstream may have run the request.
 var (
 	// ErrNotSent reports that nothing reached the upstream.
 	ErrNotSent = errors.New("request was not sent")
@@ -28,14 +31,42 @@
 	ErrMismatch = errors.New("answer belongs to another request or attempt")
 	// ErrIncomplete reports an answer that ended early.
 	ErrIncomplete = errors.New("answer ended early")
+	// ErrNotHeld reports that the engine does not hold the request. It does not
+	// prove that the request never ran there.
+	ErrNotHeld = errors.New("engine does not hold the request")
 )
 
+// RefusedError carries the upstream's answer to a request that it did not run.
+type RefusedError struct {
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("upstream answered %d: %s", e.Status, e.Message)
+}
+
+// Unwrap makes the error an ErrRefused.
+func (e *RefusedError) Unwrap() error { return ErrRefused }
+
+// Temporary reports whether another upstream may accept the same request.
+func (e *RefusedError) Temporary() bool {
+	return e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable
+}
+
 const (
-	dialTimeout      = 2 * time.Second
-	maxAnswerBytes   = 32 << 20
-	maxEventBytes    = 1 << 20
-	idlePerUpstream  = 64
+	dialTimeout    = 2 * time.Second
+	maxAnswerBytes = 32 << 20
+	maxEventBytes  = 1 << 20
+	// maxGrowBytes bounds the memory taken before the answer has come: the
+	// length in the header may be wrong, and belongs to no body after HEAD.
+	maxGrowBytes     = 64 << 10
+	maxMessageBytes  = 256
 	idleConnLifetime = 90 * time.Second
+	// idlePerUpstream is the number of idle connections kept, so that a burst of
+	// callers does not open and close a connection for each request.
+	idlePerUpstream = 512
 )
 
 // Client sends requests to upstreams over HTTP.
@@ -50,82 +81,109 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerUpstream,
 		IdleConnTimeout: idleConnLifetime, DisableCompression: true,
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{
+		Transport: transport,
+		// A redirect would send the request a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // Call names one attempt at an engine.
 type Call struct {
 	Address   string
 	RequestID string
-	Attempt   int
-	Priority  int
-	Body      []byte
+	// Attempt differs between all attempts of a request in the whole fleet.
+	Attempt  string
+	Priority int
+	Body     []byte
+}
+
+// Answer is a whole completion. Body is passed on to the caller unchanged.
+type Answer struct {
+	Body  []byte
+	Usage *chat.Usage
+}
+
+// identity holds the fields of an engine's answer that the router reads.
+type identity struct {
+	ID    string      `json:"id"`
+	Usage *chat.Usage `json:"usage"`
 }
 
 // Complete sends a chat completion and waits for the whole answer.
-func (c *Client) Complete(ctx context.Context, call Call) (chat.Response, error) {
-	resp, err := c.send(ctx, call)
+func (c *Client) Complete(ctx context.Context, call Call) (Answer, error) {
+	resp, err := c.post(ctx, call)
 	if err != nil {
-		return chat.Response{}, err
+		return Answer{}, err
 	}
 	defer resp.Body.Close()
-	var out chat.Response
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&out); err != nil {
-		return chat.Response{}, errors.Mark(err, ErrIncomplete)
+	body, err := readAnswer(resp)
+	if err != nil {
+		return Answer{}, err
 	}
-	if out.ID != call.RequestID {
-		return chat.Response{}, ErrMismatch
+	var id identity
+	if err := json.Unmarshal(body, &id); err != nil {
+		return Answer{}, errors.Mark(err, ErrIncomplete)
 	}
-	return out, nil
+	if id.ID != call.RequestID {
+		return Answer{}, ErrMismatch
+	}
+	return Answer{Body: body, Usage: id.Usage}, nil
 }
 
-// Stream sends a streamed chat completion and calls emit for each chunk in
-// order. It returns nil only after the engine's end of stream.
-func (c *Client) Stream(ctx context.Context, call Call, emit func(data []byte, chunk chat.Response) error) error {
-	resp, err := c.send(ctx, call)
+// readAnswer reads a whole body. An answer that is cut off or too long is
+// incomplete.
+func readAnswer(resp *http.Response) ([]byte, error) {
+	var buffer bytes.Buffer
+	if resp.ContentLength > 0 {
+		// ReadFrom wants bytes.MinRead free bytes to find the end without growing.
+		buffer.Grow(int(min(resp.ContentLength, maxGrowBytes)) + bytes.MinRead)
+	}
+	n, err := buffer.ReadFrom(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
-		return err
+		return nil, errors.Mark(errors.Wrap(err, "read answer"), ErrIncomplete)
 	}
-	defer resp.Body.Close()
-	scanner := bufio.NewScanner(resp.Body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	for scanner.Scan() {
-		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
-		if !ok {
-			continue
-		}
-		if string(data) == "[DONE]" {
-			return nil
-		}
-		var chunk chat.Response
-		if err := json.Unmarshal(data, &chunk); err != nil {
-			return errors.Mark(err, ErrIncomplete)
-		}
-		if chunk.ID != call.RequestID {
-			return ErrMismatch
-		}
-		if err := emit(data, chunk); err != nil {
-			return err
-		}
-	}
-	return errors.Mark(errors.Wrap(scanner.Err(), "read stream"), ErrIncomplete)
-}
-
-func (c *Client) send(ctx context.Context, call Call) (*http.Response, error) {
+	if n > maxAnswerBytes {
+		return nil, errors.Mark(errors.Newf("answer is over %d bytes", maxAnswerBytes), ErrIncomplete)
+	}
+	return buffer.Bytes(), nil
+}
+
+func (c *Client) post(ctx context.Context, call Call) (*http.Response, error) {
 	url := strings.TrimRight(call.Address, "/") + "/v1/chat/completions"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
+	req, err := newRequest(ctx, http.MethodPost, url, call, call.Body)
 	if err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, err
 	}
-	// The transport must not repeat an attempt on its own.
-	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
+	return c.send(req, call)
+}
+
+// newRequest returns a request that the transport sends at most once: with a
+// body that it cannot rewind it never repeats a request that was written.
+func newRequest(ctx context.Context, method, url string, call Call, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	req.ContentLength = int64(len(body))
 	req.Header.Set(chat.HeaderRequestID, call.RequestID)
-	req.Header.Set(chat.HeaderAttempt, strconv.Itoa(call.Attempt))
-	req.Header.Set(chat.HeaderPriority, strconv.Itoa(call.Priority))
-	resp, err := c.http.Do(req)
+	req.Header.Set(chat.HeaderAttempt, call.Attempt)
+	if call.Priority != 0 {
+		req.Header.Set(chat.HeaderPriority, strconv.Itoa(call.Priority))
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Header.Set(chat.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
+	obs.InjectTrace(ctx, req.Header)
+	return req, nil
+}
+
+// send sends the request and checks that the answer belongs to it.
+func (c *Client) send(req *http.Request, call Call) (*http.Response, error) {
+	resp, err := c.do(req)
 	if err != nil {
-		return nil, classifySendError(err)
+		return nil, err
 	}
 	if err := checkAnswer(resp, call); err != nil {
 		resp.Body.Close()
@@ -134,27 +192,38 @@
 	return resp, nil
 }
 
-// classifySendError marks a failed dial as not sent. After the dial, the
+// do sends the request. Without a connection nothing was sent; with one, the
 // upstream may have run the request.
-func classifySendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Mark(err, ErrNotSent)
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil && !connected {
+		return nil, errors.Mark(err, ErrNotSent)
 	}
-	return err
+	return resp, err
 }
 
 func checkAnswer(resp *http.Response, call Call) error {
 	switch resp.StatusCode {
 	case http.StatusOK:
-	case http.StatusBadRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		body, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
-		return errors.Mark(errors.Newf("upstream answered %s: %s", resp.Status, bytes.TrimSpace(body)), ErrRefused)
+		return checkIdentity(resp, call)
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusRequestEntityTooLarge,
+		http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return &RefusedError{Status: resp.StatusCode, Message: message(resp)}
 	default:
 		return errors.Newf("upstream answered %s", resp.Status)
 	}
+}
+
+func message(resp *http.Response) string {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+	return string(bytes.TrimSpace(body))
+}
+
+func checkIdentity(resp *http.Response, call Call) error {
 	if resp.Header.Get(chat.HeaderRequestID) != call.RequestID ||
-		resp.Header.Get(chat.HeaderAttempt) != strconv.Itoa(call.Attempt) {
+		resp.Header.Get(chat.HeaderAttempt) != call.Attempt {
 		return ErrMismatch
 	}
 	return nil
