Prove the failure behaviour of requests between processes

Cause: a stream that outlives its engine or a stop, and a retry after its router died, were claimed but never run between processes.

Change: tests that kill an engine and a router in the middle of a stream, stop a router with SIGTERM, and pause one with SIGSTOP, each reading the answer to its end with an HTTP client and comparing it and the bills in the log.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -78,13 +78,19 @@
 }
 
 func startStandin(t *testing.T, args ...string) string {
+	t.Helper()
+	_, url := startStandinProcess(t, args...)
+	return url
+}
+
+func startStandinProcess(t *testing.T, args ...string) (*process, string) {
 	t.Helper()
 	p := start(t, "dotterelstandin", args...)
 	address, ok := strings.CutPrefix(<-p.lines, "listening on ")
 	if !ok {
 		t.Fatal("the stand-in printed no address")
 	}
-	return "http://" + address
+	return p, "http://" + address
 }
 
 type router struct {
@@ -137,17 +143,21 @@
 	testPrepaid = 10000
 )
 
-func publishSample(t *testing.T, logURL, engineURL string) record.EntryKey {
+func publishSample(t *testing.T, logURL string, engineURLs ...string) record.EntryKey {
 	t.Helper()
+	var upstreams []catalogue.Upstream
+	for i, url := range engineURLs {
+		upstreams = append(upstreams, catalogue.Upstream{
+			Name: fmt.Sprintf("e%d", i+1), Kind: catalogue.KindEngine, Address: url, Models: []string{testModel},
+		})
+	}
 	log := logclient.New(logURL)
 	data, err := json.Marshal(configsync.Publish{ID: "p1", Upserts: catalogue.Catalogue{
 		Entries: []catalogue.Entry{{
 			Name: "bench", Owner: "ops", Team: "setters", Class: catalogue.ClassInteractive,
 			Models: []string{testModel}, Credentials: []string{catalogue.HashCredential(testSecret)},
 		}},
-		Upstreams: []catalogue.Upstream{{
-			Name: "e1", Kind: catalogue.KindEngine, Address: engineURL, Models: []string{testModel},
-		}},
+		Upstreams: upstreams,
 	}})
 	if err != nil {
 		t.Fatal(err)
