Check all settings at start; add operator endpoints, traces and the events page

Cause: a start reported one bad value at a time and ignored misspelt environment variables; operators had no status, drain or balance; hops were not traced; the page of log events had to be kept by hand.

Change: settings.Load returns every finding with flag and variable name. The admin address has /admin/status, POST /admin/drain and /admin/balance?entry=. Callers' connections are bounded.

Proof: seen to fail with the trace context not injected, with the attempt span not passed on, with a span missing, with /admin/drain ignored, with shares kept at a stop, with unreadable arguments not all reported, with unknown variables accepted, and with an event changed but not the page. Restored, all pass.

--- a/cmd/dotterelthread/main.go
+++ b/cmd/dotterelthread/main.go
@@ -8,9 +8,9 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/daemon"
@@ -20,13 +20,18 @@
 	"github.com/dotterelthread/dotterelthread/internal/transport/logclient"
 )
 
+// traceFlushTimeout bounds the time to send the last spans at a stop.
+const traceFlushTimeout = 5 * time.Second
+
 func main() {
-	var cfg settings.Daemon
-	if _, err := flags.Parse(&cfg); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(2)
+	cfg, findings, err := settings.Load(os.Args[1:])
+	if errors.Is(err, settings.ErrHelp) {
+		fmt.Println(err)
+		return
+	}
+	if len(findings) > 0 {
+		reportFindings(cfg, findings)
+		os.Exit(exitFindings)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -37,6 +42,16 @@
 	}
 }
 
+// exitFindings is the exit status for settings with findings.
+const exitFindings = 2
+
+func reportFindings(cfg settings.Daemon, findings []settings.Finding) {
+	logger := newLogger(cfg)
+	for _, f := range findings {
+		obs.EventSettingFinding.Log(logger, logrus.Fields{"place": f.Place, "finding": f.Message})
+	}
+}
+
 func newLogger(cfg settings.Daemon) *logrus.Logger {
 	logger := logrus.New()
 	if cfg.LogFormat == "json" {
@@ -61,7 +76,18 @@
 	if err != nil {
 		return err
 	}
-	return daemon.New(cfg, log, logger).Run(ctx, public, admin)
+	stopTraces, err := obs.StartTraces(ctx, obs.Traces{
+		Exporter: cfg.TraceExporter, Endpoint: cfg.TraceEndpoint, Output: os.Stdout, VM: cfg.VM, Zone: cfg.Zone,
+	})
+	if err != nil {
+		return err
+	}
+	err = daemon.New(cfg, log, logger).Run(ctx, public, admin)
+	flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+	defer cancel()
+	// Lost spans are no reason to report a failed stop.
+	_ = stopTraces(flush)
+	return err
 }
 
 func openLog(ctx context.Context, cfg settings.Daemon, public net.Addr) (logstream.Log, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,13 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"expvar"
-
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
-	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/net/netutil"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
@@ -36,13 +34,21 @@
 	budget *budget.Manager
 	server *http.Server
 	admin  *http.Server
-	ready  atomic.Bool
+	holder record.HolderID
+	// started is the time at which the process was set up.
+	started  time.Time
+	ready    atomic.Bool
+	draining atomic.Bool
+	drain    chan struct{}
 }
 
 // New returns a router that keeps what must last in the given log.
 func New(cfg settings.Daemon, log logstream.Log, logger logrus.FieldLogger) *Daemon {
 	holder := record.HolderID(cfg.VM + "/" + uuid.NewString())
-	d := &Daemon{cfg: cfg, logger: logger, config: configsync.NewFollower(log, logger)}
+	d := &Daemon{
+		cfg: cfg, logger: logger, config: configsync.NewFollower(log, logger),
+		holder: holder, started: time.Now(), drain: make(chan struct{}),
+	}
 	d.budget = budget.NewManager(budget.Config{
 		Holder: holder, Partitions: cfg.LedgerPartitions, BillBuffer: cfg.BillBuffer,
 		FlushInterval: cfg.FlushInterval, GrantSize: cfg.GrantSize,
@@ -52,7 +58,7 @@
 		Handler: d.api.Handler(), ReadHeaderTimeout: cfg.ReadTimeout,
 		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
 	}
-	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: cfg.ReadTimeout}
+	d.admin = &http.Server{Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: cfg.ReadTimeout}
 	return d
 }
 
@@ -83,18 +89,32 @@
 	}
 }
 
-func (d *Daemon) adminHandler() http.Handler {
-	r := httprouter.New()
-	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		w.WriteHeader(http.StatusOK)
-	})
-	r.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		if !d.ready.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	r.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
-	return r
+// Status describes the process for /admin/status.
+func (d *Daemon) Status() httpapi.Status {
+	return httpapi.Status{
+		VM: d.cfg.VM, Zone: d.cfg.Zone, Region: d.cfg.Region, Holder: string(d.holder),
+		Ready: d.ready.Load(), Draining: d.draining.Load(), ConfigVersion: d.config.Current().Version,
+		OpenRequests: d.api.Open(), UnknownRequests: d.api.Unknown.Len(), RequestStates: d.api.Requests.Count(),
+		Started: d.started,
+	}
+}
+
+// Drain begins a planned stop, like SIGTERM.
+func (d *Daemon) Drain() {
+	if d.draining.CompareAndSwap(false, true) {
+		close(d.drain)
+	}
+}
+
+// Balance returns what is left of an entry's budget.
+func (d *Daemon) Balance(entry string) (httpapi.EntryBalance, bool) {
+	bound := d.config.Current().Entry(entry)
+	if bound == nil {
+		return httpapi.EntryBalance{}, false
+	}
+	return httpapi.EntryBalance{
+		Entry: bound.Key.Name, Generation: bound.Key.Generation, Remaining: d.budget.Balance(bound.Key).Remaining,
+	}, true
 }
 
 // Run serves on the listeners until the context ends, then finishes open
@@ -113,11 +133,14 @@
 	loops.Go(func() { d.budget.Run(background) })
 	var resolver conc.WaitGroup
 	resolver.Go(func() { d.api.Unknown.Run(background) })
-	loops.Go(func() { _ = d.server.Serve(public) })
+	loops.Go(func() { _ = d.server.Serve(netutil.LimitListener(public, d.cfg.MaxConnections)) })
 	loops.Go(func() { _ = d.admin.Serve(admin) })
 	d.ready.Store(true)
 	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.drain:
+	}
 	err := d.stop(func() {
 		stopBackground()
 		resolver.Wait()
@@ -130,6 +153,7 @@
 // balancer once readiness is false, open requests finish, shares go back.
 func (d *Daemon) stop(stopBackground func()) error {
 	obs.EventStopping.Log(d.logger, nil)
+	d.draining.Store(true)
 	d.ready.Store(false)
 	time.Sleep(d.cfg.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
--- a/internal/obs/events_daemon.go
+++ b/internal/obs/events_daemon.go
@@ -11,7 +11,9 @@
 	EventStopped = register(1002, logrus.InfoLevel, "router stopped",
 		"All requests finished and shares were returned. No action.")
 	EventStartFailed = register(1003, logrus.ErrorLevel, "router failed to start",
-		"The settings have findings or an address is in use; the fields say which.")
+		"An address is in use or the log cannot be read; the field says which.")
+	EventSettingFinding = register(1004, logrus.ErrorLevel, "setting has a finding",
+		"The router does not start. Correct the flag or environment variable in the field \"place\".")
 )
 
 // Events of the callers' HTTP API, numbers 1100 to 1199.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,8 @@
 	IdleTimeout      time.Duration `long:"idle-timeout" env:"DOTTERELTHREAD_IDLE_TIMEOUT" default:"2m" description:"longest idle time of a caller's connection"`
 	DrainDelay       time.Duration `long:"drain-delay" env:"DOTTERELTHREAD_DRAIN_DELAY" default:"200ms" description:"time between readiness going false and closing the listener"`
 	DrainTimeout     time.Duration `long:"drain-timeout" env:"DOTTERELTHREAD_DRAIN_TIMEOUT" default:"10m" description:"longest time for open requests to finish at a stop"`
+	TraceExporter    string        `long:"trace-exporter" env:"DOTTERELTHREAD_TRACE_EXPORTER" default:"none" description:"where traces go: none, stdout or otlp (OTLP over HTTP)"`
+	TraceEndpoint    string        `long:"trace-endpoint" env:"DOTTERELTHREAD_TRACE_ENDPOINT" description:"base URL of the OTLP collector"`
 	LogFormat        string        `long:"log-format" env:"DOTTERELTHREAD_LOG_FORMAT" default:"text" description:"form of log lines: text or json"`
 	LogLevel         string        `long:"log-level" env:"DOTTERELTHREAD_LOG_LEVEL" default:"info" description:"lowest level of log lines"`
 }
