Add the operators' tool

Cause: operators could only append records by hand. Change: dotterelctl with validate, diff, publish, topup, balance, bills, status, drain and hash; package operator reads back every change and folds it as the routers do before it reports it as accepted. Conclusion: the tool is usable against any log; status and drain need the routers' admin endpoints.

--- /dev/null
+++ b/cmd/dotterelctl/routers.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/dotterelthread/dotterelthread/internal/operator"
+)
+
+type adminURLs struct {
+	Admins []string `long:"admin-url" env:"DOTTERELCTL_ADMIN_URLS" env-delim:"," default:"http://127.0.0.1:8081" description:"operators' URL of a router, may be given several times"`
+}
+
+type statusCommand struct {
+	app *app
+	adminURLs
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	ctx, cancel := c.app.context()
+	defer cancel()
+	all := operator.Statuses(ctx, c.Admins)
+	return c.app.print(all, func(w io.Writer) {
+		for _, s := range all {
+			if s.Error != "" {
+				fmt.Fprintf(w, "%s: unreachable: %s\n", s.Admin, s.Error)
+				continue
+			}
+			fmt.Fprintf(w, "%s: %s\n", s.Admin, s.Status)
+		}
+	})
+}
+
+type drainCommand struct {
+	app *app
+	adminURLs
+}
+
+// Execute implements flags.Commander.
+func (c *drainCommand) Execute([]string) error {
+	ctx, cancel := c.app.context()
+	defer cancel()
+	for _, admin := range c.Admins {
+		if err := operator.Drain(ctx, admin); err != nil {
+			return err
+		}
+		fmt.Printf("%s: drain begun\n", admin)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/budget.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"context"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/ledger"
+)
+
+// Balance is the budget of one entry as the log has it, in tokens.
+type Balance struct {
+	Entry   record.EntryKey `json:"entry"`
+	Prepaid int64           `json:"prepaid"`
+	Spent   int64           `json:"spent"`
+	// Shared is what routers hold and have not reported as spent.
+	Shared int64 `json:"shared"`
+	// Free is what no router holds.
+	Free    int64 `json:"free"`
+	Removed bool  `json:"removed"`
+}
+
+func newBalance(key record.EntryKey, a *ledger.Account) Balance {
+	return Balance{
+		Entry: key, Prepaid: a.Prepaid, Spent: a.Spent(), Shared: a.Outstanding(), Free: a.Free, Removed: a.Removed,
+	}
+}
+
+// Adjust changes the prepaid amount of an entry and returns how much was taken.
+// The same ID and amount sent again change nothing and return the first result.
+func (c *Client) Adjust(ctx context.Context, name, id, author string, delta int64) (taken int64, b Balance, err error) {
+	key, err := c.EntryKey(ctx, name)
+	if err != nil {
+		return 0, Balance{}, err
+	}
+	item := record.Item{Adjust: &record.Adjust{Entry: key, ID: id, Delta: delta, Author: author}}
+	data, err := record.Encode([]record.Item{item})
+	if err != nil {
+		return 0, Balance{}, err
+	}
+	p := record.Partition(name, c.Partitions)
+	if err := c.appendUntilKnown(ctx, record.LedgerStream(p), data); err != nil {
+		return 0, Balance{}, err
+	}
+	l, err := c.Ledger(ctx, p)
+	if err != nil {
+		return 0, Balance{}, err
+	}
+	return adjusted(l.Account(key), key, id, delta)
+}
+
+func adjusted(a *ledger.Account, key record.EntryKey, id string, delta int64) (int64, Balance, error) {
+	if a == nil {
+		return 0, Balance{}, errors.Newf("the ledger refused the adjustment of %s", key)
+	}
+	taken, ok := a.Adjusted[id]
+	if !ok {
+		return 0, Balance{}, errors.Newf("the ledger refused adjustment %q of %s", id, key)
+	}
+	partly := delta < 0 && taken <= 0 && taken > delta
+	if taken != delta && !partly {
+		return 0, Balance{}, errors.Wrapf(ErrIDUsed, "id %q stands for %d tokens", id, taken)
+	}
+	return taken, newBalance(key, a), nil
+}
+
+// Balances returns the budgets of one entry, or of all when name is empty,
+// ordered by name and generation.
+func (c *Client) Balances(ctx context.Context, name string) ([]Balance, error) {
+	var all []Balance
+	for p := range c.Partitions {
+		if name != "" && p != record.Partition(name, c.Partitions) {
+			continue
+		}
+		l, err := c.Ledger(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		for key, a := range l.Accounts {
+			if name == "" || key.Name == name {
+				all = append(all, newBalance(key, a))
+			}
+		}
+	}
+	if name != "" && len(all) == 0 {
+		return nil, errors.Wrapf(ErrNoEntry, "entry %q", name)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i].Entry, all[j].Entry
+		return a.Name < b.Name || (a.Name == b.Name && a.Generation < b.Generation)
+	})
+	return all, nil
+}
+
+// Bills returns the bills of an entry in the order of the log, each request once.
+func (c *Client) Bills(ctx context.Context, name string) ([]record.Bill, error) {
+	var bills []record.Bill
+	seen := make(map[string]bool)
+	stream := record.BillStream(record.Partition(name, c.Partitions))
+	// Old bills leave the log with its retention; reading starts at what is left.
+	first, err := c.Log.Read(ctx, stream, 1, 1, 0)
+	if err != nil && !errors.Is(err, logstream.ErrTrimmed) {
+		return nil, errors.Wrap(err, "read bills")
+	}
+	err = c.readAll(ctx, stream, max(1, first.First), func(r logstream.Record) {
+		items, _, err := record.Decode(r.Data)
+		if err != nil {
+			return
+		}
+		for _, item := range items {
+			if b := item.Bill; b != nil && b.Entry.Name == name && !seen[b.RequestID] {
+				seen[b.RequestID] = true
+				bills = append(bills, *b)
+			}
+		}
+	})
+	return bills, err
+}
