--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,61 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Report sums up the results of a run.
+type Report struct {
+	Requests int            `json:"requests"`
+	Codes    map[string]int `json:"codes"`
+	// Billed is in tokens.
+	Billed    int64       `json:"billed"`
+	FirstByte Percentiles `json:"first_byte"`
+	Total     Percentiles `json:"total"`
+}
+
+// Percentiles are of the whole answers only, in nanoseconds in JSON.
+type Percentiles struct {
+	P50 time.Duration `json:"p50"`
+	P95 time.Duration `json:"p95"`
+	P99 time.Duration `json:"p99"`
+}
+
+// Summarize builds the report of a run.
+func Summarize(results []Result) Report {
+	r := Report{Requests: len(results), Codes: make(map[string]int)}
+	var first, total []time.Duration
+	for _, one := range results {
+		r.Codes[one.Code]++
+		r.Billed += one.Billed
+		if one.Code == CodeOK {
+			first = append(first, one.FirstByte)
+			total = append(total, one.Total)
+		}
+	}
+	r.FirstByte = percentiles(first)
+	r.Total = percentiles(total)
+	return r
+}
+
+func percentiles(d []time.Duration) Percentiles {
+	if len(d) == 0 {
+		return Percentiles{}
+	}
+	slices.Sort(d)
+	at := func(percent int) time.Duration { return d[(len(d)-1)*percent/100] }
+	return Percentiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// WriteText writes the report for people.
+func (r Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "%d requests, %d tokens billed\n", r.Requests, r.Billed)
+	for code, n := range r.Codes {
+		fmt.Fprintf(w, "  %s: %d\n", code, n)
+	}
+	fmt.Fprintf(w, "first byte p50 %v p95 %v p99 %v\n", r.FirstByte.P50, r.FirstByte.P95, r.FirstByte.P99)
+	fmt.Fprintf(w, "total      p50 %v p95 %v p99 %v\n", r.Total.P50, r.Total.P95, r.Total.P99)
+}
