--- /dev/null
+++ b/internal/protocol/peerapi/trace.go
@@ -0,0 +1,39 @@
+package peerapi
+
+import (
+	"encoding/hex"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Sizes of a W3C traceparent: text "00-<32 hex>-<16 hex>-<2 hex>" and the bytes
+// of its three hexadecimal fields.
+const (
+	traceTextSize   = 55
+	tracePackedSize = 16 + 8 + 1
+	traceVersion    = "00-"
+)
+
+// packTrace returns the binary form of a traceparent, or nil when it has not
+// the form of version 00. A trace context is a hint and never fails a call.
+func packTrace(text string) []byte {
+	if len(text) != traceTextSize || text[:3] != traceVersion || text[35] != '-' || text[52] != '-' {
+		return nil
+	}
+	packed, err := hex.DecodeString(text[3:35] + text[36:52] + text[53:])
+	if err != nil {
+		return nil
+	}
+	return packed
+}
+
+func unpackTrace(packed []byte) (string, error) {
+	if len(packed) == 0 {
+		return "", nil
+	}
+	if len(packed) != tracePackedSize {
+		return "", errors.Newf("trace context of %d bytes", len(packed))
+	}
+	text := hex.EncodeToString(packed)
+	return traceVersion + text[:32] + "-" + text[32:48] + "-" + text[48:], nil
+}
