Add membership: list, heartbeats, rendezvous hashing and proof of death

The platform's list lags, and heartbeats alone may neither remove a member on one peer's word nor count as proof of death.

Machine is a pure state machine with an injected clock; Membership drives it once a second. A member is removed by the list, or by two reporters heard from two senders after a suspicion of 3 s. The process that answers a probe decides which incarnation is current, because incarnation ids follow clocks that may be set back. Proof rests only on what this node has seen itself.

--- /dev/null
+++ b/internal/coordination/membership/machine_test.go
@@ -0,0 +1,346 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/vmlist"
+	_ "github.com/dotterelthread/dotterelthread/internal/testseed"
+)
+
+// process is one simulated router; fleet is a fleet of them without sockets.
+type process struct {
+	id      peerapi.Identity
+	machine *Machine
+	running bool
+}
+
+type late struct {
+	from peerapi.Identity
+	hb   peerapi.Heartbeat
+}
+
+type fleet struct {
+	now     time.Time
+	current map[string]*process
+	every   []*process
+	listed  map[string]bool
+	blocked map[[2]string]bool
+	starts  int
+	late    []late
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{
+		now: time.Unix(1000, 0), current: map[string]*process{}, listed: map[string]bool{},
+		blocked: map[[2]string]bool{},
+	}
+	for i := range n {
+		f.listed[fmt.Sprintf("vm-%d", i)] = true
+	}
+	for i := range n {
+		f.start(fmt.Sprintf("vm-%d", i), true)
+	}
+	return f
+}
+
+// start runs a new process on a VM. Its incarnation id rises, or falls when the
+// VM's clock was set back.
+func (f *fleet) start(vm string, rising bool) {
+	f.starts++
+	number := f.starts
+	if !rising {
+		number = -number
+	}
+	id := peerapi.Identity{
+		VM: vm, Incarnation: fmt.Sprintf("%06d", 500000+number), Zone: "z" + vm[len(vm)-1:], Region: "r", Address: vm + ":1",
+	}
+	if old := f.current[vm]; old != nil {
+		old.running = false
+	}
+	p := &process{id: id, machine: NewMachine(DefaultConfig(id)), running: true}
+	f.current[vm], f.every = p, append(f.every, p)
+}
+
+func (f *fleet) round() {
+	f.now = f.now.Add(time.Second)
+	for _, vm := range f.vms() {
+		p := f.current[vm]
+		if !p.running {
+			continue
+		}
+		p.machine.ObserveList(f.now, f.list())
+		p.machine.Tick(f.now)
+		for _, probe := range p.machine.Probes(f.now) {
+			f.call(p, probe)
+		}
+	}
+}
+
+func (f *fleet) call(p *process, probe Probe) {
+	hb := p.machine.Heartbeat(f.now, peerapi.ConfigStatus{})
+	f.late = append(f.late, late{p.id, hb})
+	target := f.current[probe.VM]
+	if target == nil || !target.running || f.blocked[[2]string{p.id.VM, probe.VM}] {
+		p.machine.Failed(f.now, probe)
+		return
+	}
+	answer := target.machine.Receive(f.now, p.id, hb, peerapi.ConfigStatus{})
+	p.machine.Answered(f.now, probe, target.id, answer)
+}
+
+func (f *fleet) vms() (vms []string) {
+	for i := range len(f.current) {
+		vms = append(vms, fmt.Sprintf("vm-%d", i))
+	}
+	return vms
+}
+
+func (f *fleet) list() (list []vmlist.VM) {
+	for _, vm := range f.vms() {
+		if f.listed[vm] {
+			list = append(list, vmlist.VM{ID: vm, Address: vm + ":1", Zone: "z" + vm[3:], Region: "r", State: vmlist.StateLive})
+		}
+	}
+	return list
+}
+
+// checkProofs fails when any node holds a proof of death of a running process.
+func (f *fleet) checkProofs(t interface{ Fatalf(string, ...any) }) {
+	for _, observer := range f.every {
+		for _, p := range f.every {
+			if kind, proven := observer.machine.Proof(p.id.VM, p.id.Incarnation); proven && p.running {
+				t.Fatalf("%s has proof %d of the death of %s/%s, which runs", observer.id.VM, kind, p.id.VM, p.id.Incarnation)
+			}
+		}
+	}
+}
+
+// checkConverged fails when a running node's view differs from the truth.
+func (f *fleet) checkConverged(t interface{ Fatalf(string, ...any) }) {
+	for _, observer := range f.current {
+		if !observer.running {
+			continue
+		}
+		seen := map[string]Member{}
+		for _, m := range observer.machine.View().Members() {
+			seen[m.VM] = m
+		}
+		for vm, p := range f.current {
+			m, known := seen[vm]
+			switch {
+			case !f.listed[vm] && known && m.State != StateGone:
+				t.Fatalf("%s sees %s as %s, off the list", observer.id.VM, vm, m.State)
+			case p.running && (m.State != StateAlive || m.Incarnation != p.id.Incarnation):
+				t.Fatalf("%s sees %s as %s/%s, want alive/%s", observer.id.VM, vm, m.State, m.Incarnation, p.id.Incarnation)
+			case f.listed[vm] && !p.running && m.State != StateGone:
+				t.Fatalf("%s sees %s as %s, which has stopped", observer.id.VM, vm, m.State)
+			}
+		}
+	}
+}
+
+// Guards against a proof of death of a process that runs, under restarts,
+// clocks set back, one-way partitions and late messages, and against tables
+// that stay apart once failures have ended.
+func TestProofIsSoundAndTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(4, 7).Draw(t, "nodes"))
+		vm := rapid.SampledFrom(f.vms())
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				if name := vm.Draw(t, "restart"); f.listed[name] {
+					f.start(name, rapid.Bool().Draw(t, "rising"))
+				}
+			case 1:
+				if name := vm.Draw(t, "stop"); f.running() > 3 {
+					f.current[name].running = false
+				}
+			case 2:
+				name := vm.Draw(t, "unlist")
+				f.listed[name] = f.listed[name] && f.current[name].running
+			case 3, 4:
+				f.blocked[[2]string{vm.Draw(t, "from"), vm.Draw(t, "to")}] = rapid.Bool().Draw(t, "cut")
+			case 5:
+				f.deliverLate(t, vm.Draw(t, "receiver"))
+			default:
+				f.round()
+			}
+			f.checkProofs(t)
+		}
+		f.blocked = map[[2]string]bool{}
+		for range 25 {
+			f.round()
+		}
+		f.checkProofs(t)
+		f.checkConverged(t)
+	})
+}
+
+func (f *fleet) running() (n int) {
+	for _, p := range f.current {
+		if p.running {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) deliverLate(t *rapid.T, receiver string) {
+	if p := f.current[receiver]; p.running && len(f.late) > 0 {
+		message := rapid.SampledFrom(f.late).Draw(t, "late")
+		if message.from != p.id {
+			p.machine.Receive(f.now, message.from, message.hb, peerapi.ConfigStatus{})
+		}
+	}
+}
+
+// Guards against the removal of a member on one peer's word, also when that
+// peer names several reporters.
+func TestOnePeersWordRemovesNobody(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5)
+	for range 5 {
+		f.round()
+	}
+	observer, accuser, accused := f.current["vm-0"], f.current["vm-1"], f.current["vm-2"]
+	f.now = f.now.Add(10 * time.Second)
+	for range 20 {
+		f.now = f.now.Add(time.Second)
+		hb := accuser.machine.Heartbeat(f.now, peerapi.ConfigStatus{})
+		r := accused.machine.self.record()
+		r.Reporters = []string{"vm-1", "vm-3", "vm-4"}
+		hb.Changes = []peerapi.MemberRecord{r}
+		observer.machine.Receive(f.now, accuser.id, hb, peerapi.ConfigStatus{})
+		observer.machine.Tick(f.now)
+		is.Equal(stateOf(observer, "vm-2"), StateSuspect)
+	}
+	hb := f.current["vm-3"].machine.Heartbeat(f.now, peerapi.ConfigStatus{})
+	r := accused.machine.self.record()
+	r.Reporters = []string{"vm-3"}
+	hb.Changes = []peerapi.MemberRecord{r}
+	observer.machine.Receive(f.now, f.current["vm-3"].id, hb, peerapi.ConfigStatus{})
+	observer.machine.Tick(f.now)
+	is.Equal(stateOf(observer, "vm-2"), StateGone) // two peers' word removes
+}
+
+func stateOf(p *process, vm string) State {
+	for _, m := range p.machine.View().Members() {
+		if m.VM == vm {
+			return m.State
+		}
+	}
+	return StateGone
+}
+
+// Guards against members that come and go while calls to one of them fail in
+// one direction only.
+func TestOneWayPartitionDoesNotFlapMembers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9)
+	for range 5 {
+		f.round()
+	}
+	homes := f.current["vm-0"].machine.View()
+	for _, vm := range f.vms() {
+		f.blocked[[2]string{vm, "vm-2"}] = true
+	}
+	for range 120 {
+		f.round()
+		for _, p := range f.current {
+			is.Equal(stateOf(p, "vm-2"), StateAlive)
+			for partition := range 16 {
+				before, _ := homes.Home(partition, "r")
+				after, _ := p.machine.View().Home(partition, "r")
+				is.Equal(before.VM, after.VM)
+			}
+		}
+	}
+}
+
+// Guards against partitions that move although their home has not changed, and
+// against a backup in the home's availability zone.
+func TestRendezvousMovesOnlyTheChangedMembersPartitions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []Member
+		for i := range rapid.IntRange(2, 40).Draw(t, "members") {
+			members = append(members, Member{
+				VM: fmt.Sprintf("vm-%03d", i), Zone: fmt.Sprint(i % 4), Region: "r",
+				State: State(rapid.IntRange(0, 3).Draw(t, "state")),
+			})
+		}
+		changed := rapid.IntRange(0, len(members)-1).Draw(t, "changed")
+		after := append([]Member(nil), members...)
+		after[changed].State = State(rapid.IntRange(0, 3).Draw(t, "new state"))
+		a, b := newView(members), newView(after)
+		for partition := range 64 {
+			ha, okA := a.Home(partition, "r")
+			hb, okB := b.Home(partition, "r")
+			if okA && okB && ha.VM != hb.VM && ha.VM != members[changed].VM && hb.VM != members[changed].VM {
+				t.Fatalf("partition %d moved from %s to %s", partition, ha.VM, hb.VM)
+			}
+			if backup, ok := a.Backup(partition, "r"); ok && (backup.Zone == ha.Zone || backup.State > StateSuspect) {
+				t.Fatalf("partition %d has home %v and backup %v", partition, ha, backup)
+			}
+		}
+	})
+}
+
+// Guards against a log outage that a large fleet cannot recognise, because
+// direct messages reach too few members within a configuration lease.
+func TestLogOutageReportsReachAMajorityInSeconds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(128)
+	down := peerapi.ConfigStatus{LogUnreachable: true}
+	for range 8 {
+		f.now = f.now.Add(time.Second)
+		for _, vm := range f.vms() {
+			p := f.current[vm]
+			p.machine.ObserveList(f.now, f.list())
+			for _, probe := range p.machine.Probes(f.now) {
+				target := f.current[probe.VM]
+				answer := target.machine.Receive(f.now, p.id, p.machine.Heartbeat(f.now, down), down)
+				p.machine.Answered(f.now, probe, target.id, answer)
+			}
+		}
+	}
+	for _, p := range f.current {
+		recent := 0
+		for _, r := range p.machine.Reports(f.now) {
+			if r.LogDown && r.LogDownAge <= 4*time.Second {
+				recent++
+			}
+		}
+		is.True(recent > 64)
+	}
+}
+
+// Guards against the proof of the wrong process's death: the news of the newer
+// process overtakes the answer that the older one gave before its exit.
+func TestAnswerOfAnOlderProcessProvesNothingAboutTheNewer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	observer, older := f.current["vm-0"].machine, f.current["vm-1"]
+	observer.ObserveList(f.now, f.list())
+	probe := observer.Probes(f.now)[0]
+	answer := older.machine.Receive(f.now, f.current["vm-0"].id, observer.Heartbeat(f.now, peerapi.ConfigStatus{}), peerapi.ConfigStatus{})
+	f.start("vm-1", true)
+	newer := f.current["vm-1"].id
+	observer.Watch(newer.VM, newer.Incarnation, newer.Address)
+	observer.Answered(f.now, probe, older.id, answer)
+	_, proven := observer.Proof(newer.VM, newer.Incarnation)
+	is.True(!proven)
+
+	f.call(f.current["vm-0"], observer.Probes(f.now)[0])
+	kind, proven := observer.Proof(older.id.VM, older.id.Incarnation)
+	is.True(proven && kind == ProofReplaced)
+	observer.ObserveList(f.now, nil) // a list without this VM counts for nothing
+	_, proven = observer.Proof(newer.VM, newer.Incarnation)
+	is.True(!proven)
+}
--- a/internal/protocol/peerapi/messages.go
+++ b/internal/protocol/peerapi/messages.go
@@ -1,6 +1,10 @@
 package peerapi
 
-import "github.com/dotterelthread/dotterelthread/internal/protocol/record"
+import (
+	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
 
 // Identity names the process at the other end of an authenticated connection.
 type Identity struct {
@@ -19,11 +23,11 @@
 // MemberState is a member's state in a heartbeat.
 type MemberState uint8
 
-// The states that travel in heartbeats. That a member is gone is not among
-// them: each node concludes it from the list or from distinct reporters.
+// The states that travel in heartbeats. A suspicion travels as a list of
+// reporters. That a member is gone does not travel: each node concludes it from
+// the list or from distinct reporters.
 const (
 	MemberAlive MemberState = iota
-	MemberSuspect
 	MemberLeaving
 	// MemberClosed is sent only by the member itself, as its last message.
 	MemberClosed
@@ -64,8 +68,16 @@
 	TableHash uint64 `json:"t"`
 	// Changes is the digest of recent changes, bounded in size.
 	Changes []MemberRecord `json:"d,omitempty"`
+	// LogDown is sent during a log outage: for each member in the order of VM
+	// ids, 0 or 1 plus the age of its report of the outage in LogDownUnit.
+	// It is valid only between tables with the same VM ids, which VMHash shows.
+	LogDown []byte `json:"l,omitempty"`
+	VMHash  uint64 `json:"w,omitempty"`
 }
 
+// LogDownUnit is the unit of the ages in Heartbeat.LogDown.
+const LogDownUnit = 100 * time.Millisecond
+
 // ReserveParams asks the home for a reservation.
 type ReserveParams struct {
 	Entry      string `json:"e"`
