Add routing: upstream choice, retry budget, poison requests

Cause: the first upstream of a model got every request; nothing bounded retries or isolated requests that crash upstreams. Change: a router with an injected clock scores upstreams by expected time to first token from lagging reports corrected by what was sent since, expected prefix blocks, zone and slow start; it ejects outliers down to half of a pool and gives leaving upstreams no work. Retries are a tenth of first attempts. Crash evidence merges as a union of flags. The check that an absent upstream is leaving could be removed without a failing test, because such an upstream is also in no pool. Conclusion: a poison request crashes at most two upstreams after the first crash in the test; crashes that two routers see within 2 s count as one.

--- /dev/null
+++ b/internal/coordination/routing/attempt.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+)
+
+// Result says how an attempt ended.
+type Result int
+
+// The results of an attempt.
+const (
+	// ResultOK is a complete answer.
+	ResultOK Result = iota
+	// ResultRefused is an upstream's answer that it did not run the request.
+	ResultRefused
+	// ResultFailed is any other failure, such as no connection.
+	ResultFailed
+	// ResultCrashed is the loss of the upstream while it ran the request.
+	ResultCrashed
+	// ResultLeaving is an upstream's answer that it takes no new work.
+	ResultLeaving
+)
+
+// Attempt is one request at one upstream.
+type Attempt struct {
+	router      *Router
+	state       *upstreamState
+	upstream    *catalogue.Upstream
+	fingerprint Fingerprint
+	suspect     bool
+	// known is the number of crashes known when the attempt was sent.
+	known     uint64
+	epoch     uint64
+	hashes    []uint64
+	predicted int
+	priority  int
+	done      bool
+}
+
+// Upstream returns where the attempt is sent.
+func (a *Attempt) Upstream() *catalogue.Upstream { return a.upstream }
+
+// PredictedBlocks returns how many prompt blocks the router expects in the
+// upstream's cache.
+func (a *Attempt) PredictedBlocks() int { return a.predicted }
+
+// Priority returns the priority for engines that honour one; a lower number is
+// more urgent.
+func (a *Attempt) Priority() int { return a.priority }
+
+func priorityOf(c catalogue.Class) int {
+	switch c {
+	case catalogue.ClassInteractive:
+		return 0
+	case catalogue.ClassService:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (r *Router) begin(a *Attempt, now time.Time) {
+	s := a.state
+	s.note(1, now)
+	s.attempts[a] = struct{}{}
+	if a.suspect {
+		s.suspects++
+	}
+	// The upstream will hold the prompt's blocks once it has run the request.
+	for _, h := range a.hashes[:min(len(a.hashes), maxLookups)] {
+		r.prefix.add(h, s.slot)
+	}
+}
+
+// Done ends the attempt. Further calls have no effect.
+func (a *Attempt) Done(result Result) {
+	r := a.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.done {
+		return
+	}
+	a.done = true
+	now := r.cfg.Now()
+	s := a.state
+	if result == ResultCrashed && a.epoch == s.epoch {
+		r.crashed(s, now)
+	}
+	s.note(-1, now)
+	delete(s.attempts, a)
+	if a.suspect {
+		s.suspects--
+	}
+	switch result {
+	case ResultOK:
+		s.succeeded()
+		if a.suspect {
+			r.cfg.Evidence.clean(a.fingerprint, a.known)
+		}
+	case ResultFailed:
+		r.failed(s, now)
+	case ResultLeaving:
+		r.markLeaving(s)
+	}
+}
+
+// crashed records one crash with all requests in flight. The others that died
+// with it belong to the same crash and do not count again.
+func (r *Router) crashed(s *upstreamState, now time.Time) {
+	id := r.cfg.Evidence.crashID(s.upstream.Name, s.report.Incarnation)
+	observations := make([]Observation, 0, len(s.attempts))
+	for a := range s.attempts {
+		// Attempts of an earlier epoch died in an earlier crash and have only
+		// not been ended yet.
+		if a.epoch == s.epoch {
+			observations = append(observations, Observation{
+				Crash: id, Fingerprint: a.fingerprint, Suspect: a.suspect, UnixMilli: now.UnixMilli(),
+			})
+		}
+	}
+	s.epoch++
+	r.cfg.Evidence.Merge(observations...)
+	r.notify(Change{Kind: ChangeCrashed, Upstream: s.upstream.Name})
+	r.newSlot(s)
+	r.eject(s, crashPause, now)
+}
+
+// CacheEvent is a change of an engine's prefix cache. Events come late and with
+// gaps.
+type CacheEvent struct {
+	Upstream    string
+	Incarnation string
+	// Seq counts the events of an incarnation.
+	Seq     uint64
+	Stored  []uint64
+	Evicted []uint64
+	// Cleared is true when the engine dropped its whole cache.
+	Cleared bool
+}
+
+// Cache takes over a cache event. An event older than the last one is ignored.
+// A gap may hide evictions; the entries stay, because a wrong one costs one
+// prefix computation and the next use of the block corrects it.
+func (r *Router) Cache(e CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.byName[e.Upstream]
+	if s == nil || e.Seq <= s.cacheSeq || (s.report.Incarnation != "" && e.Incarnation != s.report.Incarnation) {
+		return
+	}
+	if e.Cleared {
+		r.newSlot(s)
+	}
+	s.cacheSeq = e.Seq
+	for _, h := range e.Evicted {
+		r.prefix.remove(h, s.slot)
+	}
+	for _, h := range e.Stored {
+		r.prefix.add(h, s.slot)
+	}
+}
+
+// ChangeKind says what changed.
+type ChangeKind int
+
+// The kinds of change.
+const (
+	ChangeEjected ChangeKind = iota
+	ChangeLeaving
+	ChangeCrashed
+)
+
+// Change is something that an operator may want to know of.
+type Change struct {
+	Kind     ChangeKind
+	Upstream string
+}
--- /dev/null
+++ b/internal/coordination/routing/notify.go
@@ -0,0 +1,24 @@
+package routing
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+)
+
+// LogChanges returns a Notify function that logs and counts changes.
+func LogChanges(logger logrus.FieldLogger) func(Change) {
+	return func(c Change) {
+		fields := logrus.Fields{"upstream": c.Upstream}
+		switch c.Kind {
+		case ChangeEjected:
+			obs.UpstreamEjectionsTotal.Add(1)
+			obs.EventUpstreamEjected.Log(logger, fields)
+		case ChangeLeaving:
+			obs.EventUpstreamLeaving.Log(logger, fields)
+		case ChangeCrashed:
+			obs.UpstreamCrashesTotal.Add(1)
+			obs.EventUpstreamCrashed.Log(logger, fields)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/routing_test.go
@@ -0,0 +1,526 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+	_ "github.com/dotterelthread/dotterelthread/internal/testseed"
+)
+
+type fakeClock struct{ now time.Time }
+
+func (c *fakeClock) Now() time.Time          { return c.now }
+func (c *fakeClock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+const testModel = "m"
+
+func engines(n int) *catalogue.Snapshot {
+	var c catalogue.Catalogue
+	for i := range n {
+		c.Upstreams = append(c.Upstreams, catalogue.Upstream{
+			Name: fmt.Sprintf("e%03d", i), Kind: catalogue.KindEngine, Models: []string{testModel},
+			Zone: fmt.Sprint("z", i%4), Region: "r", Concurrency: 8,
+		})
+	}
+	return catalogue.NewSnapshot(1, c, nil)
+}
+
+func newRouter(n int) (*Router, *fakeClock) {
+	clock := &fakeClock{now: time.Unix(1000, 0)}
+	r := New(Config{Now: clock.Now, Zone: "z0", Region: "r", Rand: rand.New(rand.NewPCG(1, 2))})
+	r.Update(engines(n))
+	return r, clock
+}
+
+func pick(t testing.TB, r *Router, req Request) *Attempt {
+	t.Helper()
+	req.Model = testModel
+	a, err := r.Pick(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// Guards against more retries than a tenth of the traffic, against a naive
+// model that counts everything, and against a budget that saves up for ever.
+func TestRetryBudgetProperties(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var b RetryBudget
+		requests, retries := 0, 0
+		level := 0.0 // naive model
+		for range 500 {
+			if rapid.IntRange(0, 3).Draw(r, "action") > 0 {
+				b.Request()
+				requests++
+				level = min(20, level+0.1)
+			} else if got := b.TryRetry(); got != (level > 1-1e-9) {
+				r.Fatalf("TryRetry is %v at level %f", got, level)
+			} else if got {
+				retries++
+				level--
+			}
+			if float64(requests+retries) > 1.1*float64(requests) {
+				r.Fatalf("%d retries for %d requests", retries, requests)
+			}
+		}
+	})
+}
+
+func TestKVMove(t *testing.T) {
+	is := is.New(t)
+	m := KVMove{Tokens: 1000, BytesPerToken: 1 << 17, BytesPerSecond: 1 << 30, Setup: 20 * time.Millisecond, PrefillTokensPerSecond: 4000}
+	is.True(m.Worthwhile())
+	m.BytesPerSecond /= 4
+	is.True(!m.Worthwhile())
+	m.BytesPerSecond = 0
+	is.True(!m.Worthwhile())
+}
+
+func observation(r *rapid.T) Observation {
+	return Observation{
+		Crash:       CrashID{Upstream: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "upstream")},
+		Fingerprint: Fingerprint{rapid.ByteRange(1, 4).Draw(r, "print")},
+		Suspect:     rapid.Bool().Draw(r, "suspect"), Clean: rapid.IntRange(0, 4).Draw(r, "clean") == 0,
+		UnixMilli: 1_000_000 + int64(rapid.IntRange(0, 3).Draw(r, "at")),
+	}
+}
+
+// Guards against crash evidence that depends on the order or repetition of
+// messages, and checks the verdicts against a naive count.
+func TestEvidenceMerge(t *testing.T) {
+	now := func() time.Time { return time.Unix(1000, 0) }
+	rapid.Check(t, func(r *rapid.T) {
+		all := rapid.SliceOfN(rapid.Custom(observation), 1, 25).Draw(r, "observations")
+		a, b := NewEvidence(now), NewEvidence(now)
+		a.Merge(all...)
+		for _, o := range rapid.Permutation(all).Draw(r, "order") {
+			b.Merge(o)
+			b.Merge(o, o)
+		}
+		is := is.New(t)
+		is.Equal(a.Export(), b.Export())
+		c := NewEvidence(now)
+		c.Merge(b.Export()...)
+		is.Equal(a.Export(), c.Export())
+		for f := byte(1); f <= 4; f++ {
+			suspect, blames := naiveVerdict(all, Fingerprint{f})
+			is.Equal(a.Suspect(Fingerprint{f}), suspect)
+			is.Equal(a.Quarantined(Fingerprint{f}), blames >= 2)
+		}
+	})
+}
+
+func naiveVerdict(all []Observation, f Fingerprint) (suspect bool, blames int) {
+	for _, upstream := range []string{"a", "b", "c"} {
+		seen, clean := false, false
+		suspects := make(map[Fingerprint]bool)
+		for _, o := range all {
+			if o.Crash.Upstream != upstream {
+				continue
+			}
+			if o.Suspect {
+				suspects[o.Fingerprint] = true
+			}
+			if o.Fingerprint == f {
+				seen = true
+				clean = clean || o.Clean
+			}
+		}
+		suspect = suspect || (seen && !clean)
+		if seen && !clean && suspects[f] && len(suspects) == 1 {
+			blames++
+		}
+	}
+	return suspect, blames
+}
+
+// Guards against evidence that grows without bound or is kept for ever.
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{now: time.Unix(10000, 0)}
+	e := NewEvidence(clock.Now)
+	e.most = 100
+	for i := range 1000 {
+		clock.advance(time.Millisecond)
+		e.Merge(Observation{Crash: CrashID{Upstream: "u", N: i}, Fingerprint: Fingerprint{byte(i % 50)}, UnixMilli: clock.now.UnixMilli()})
+	}
+	is.Equal(len(e.Export()), 100)
+	is.True(e.Suspect(Fingerprint{49}))
+	clock.advance(DefaultEvidenceLife)
+	is.True(!e.Suspect(Fingerprint{49}))
+	e.Merge()
+	is.Equal(len(e.byPrint), 0)
+}
+
+// Guards against a poison request that keeps crashing upstreams under new
+// request ids, on several routers, and against neighbours that are blamed.
+func TestPoisonRequest(t *testing.T) {
+	is := is.New(t)
+	var routers []*Router
+	var clocks []*fakeClock
+	for range 3 {
+		r, clock := newRouter(12)
+		routers, clocks = append(routers, r), append(clocks, clock)
+	}
+	poison := FingerprintOf("entry", testModel, []byte("poison"))
+	crashes, quarantined := 0, 0
+	neighbours := make(map[Fingerprint]bool)
+	for i := range 10 {
+		r := routers[i%len(routers)]
+		for _, clock := range clocks {
+			clock.advance(5 * time.Second)
+		}
+		a, err := r.Pick(Request{Model: testModel, Fingerprint: poison})
+		var q *QuarantinedError
+		if errors.As(err, &q) {
+			quarantined++
+			continue
+		}
+		is.NoErr(err)
+		// Neighbours are in flight on every upstream.
+		var others []*Attempt
+		for n := range 24 {
+			f := FingerprintOf("entry", testModel, fmt.Appendf(nil, "neighbour %d %d", i, n))
+			neighbours[f] = true
+			others = append(others, pick(t, r, Request{Fingerprint: f}))
+		}
+		crashes++
+		for _, o := range append(others, a) {
+			if o.Upstream() == a.Upstream() {
+				o.Done(ResultCrashed)
+			} else {
+				o.Done(ResultOK)
+			}
+		}
+		for _, from := range routers {
+			for _, to := range routers {
+				to.cfg.Evidence.Merge(from.cfg.Evidence.Export()...)
+			}
+		}
+	}
+	is.Equal(crashes, 3) // it becomes known in the first one, two more are blamed
+	is.Equal(quarantined, 7)
+	for f := range neighbours {
+		is.True(!routers[0].cfg.Evidence.Quarantined(f))
+		is.Equal(routers[0].cfg.Evidence.verdict(f).blames, 0)
+		for routers[0].cfg.Evidence.Suspect(f) {
+			pick(t, routers[0], Request{Fingerprint: f}).Done(ResultOK) // one clean run ends it
+			is.True(!routers[0].cfg.Evidence.Suspect(f))
+		}
+	}
+}
+
+// Guards against a crash that counts again for each request that died in it,
+// for requests that end late, or for a second router, and against prefixes that
+// are expected in the cache of a restarted upstream.
+func TestOneCrashCountsOnce(t *testing.T) {
+	is := is.New(t)
+	r, clock := newRouter(1)
+	a := pick(t, r, Request{Fingerprint: Fingerprint{1}, PrefixHashes: []uint64{1, 2}})
+	late := pick(t, r, Request{Fingerprint: Fingerprint{2}})
+	a.Done(ResultCrashed)
+	other, otherClock := newRouter(1)
+	otherClock.now = clock.now.Add(300 * time.Millisecond)
+	other.cfg.Evidence.Merge(r.cfg.Evidence.Export()...)
+	pick(t, other, Request{Fingerprint: Fingerprint{4}}).Done(ResultCrashed)
+	r.cfg.Evidence.Merge(other.cfg.Evidence.Export()...)
+	is.Equal(len(r.cfg.Evidence.crashes), 1)
+
+	clock.advance(5 * time.Second)
+	second := pick(t, r, Request{Fingerprint: Fingerprint{3}, PrefixHashes: []uint64{1, 2}})
+	is.Equal(second.PredictedBlocks(), 0)
+	second.Done(ResultCrashed)
+	clock.advance(5 * time.Second)
+	third := pick(t, r, Request{Fingerprint: Fingerprint{5}})
+	late.Done(ResultCrashed)
+	is.Equal(len(r.cfg.Evidence.crashes), 2)
+	third.Done(ResultCrashed)
+	is.Equal(len(r.cfg.Evidence.crashes), 3)
+	is.Equal(len(r.cfg.Evidence.byPrint[Fingerprint{2}]), 1)
+}
+
+// Guards against two suspects on one upstream, blame without a single suspect,
+// and blame or suspicion that outlives a clean run: a state machine of attempts
+// on few upstreams, where one fingerprint always crashes its upstream.
+func TestSuspectsProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r, clock := newRouter(3)
+		var running []*Attempt
+		for range 100 {
+			clock.advance(500 * time.Millisecond)
+			if rapid.Bool().Draw(rt, "send") || len(running) == 0 {
+				f := Fingerprint{rapid.ByteRange(1, 5).Draw(rt, "print")}
+				if a, err := r.Pick(Request{Model: testModel, Fingerprint: f}); err == nil {
+					running = append(running, a)
+				}
+			} else {
+				i := rapid.IntRange(0, len(running)-1).Draw(rt, "i")
+				a := running[i]
+				result := ResultOK
+				if a.fingerprint == (Fingerprint{1}) {
+					result = ResultCrashed
+				}
+				rest := running[:0]
+				for _, o := range running {
+					switch {
+					case o == a || (result == ResultCrashed && o.state == a.state):
+						o.Done(result)
+					default:
+						rest = append(rest, o)
+					}
+				}
+				running = rest
+				if result == ResultOK && r.cfg.Evidence.Suspect(a.fingerprint) && a.suspect && a.known == r.cfg.Evidence.known() {
+					rt.Fatalf("still a suspect after a clean run")
+				}
+			}
+			onUpstream := make(map[*upstreamState]int)
+			for _, a := range running {
+				if a.suspect {
+					onUpstream[a.state]++
+				}
+				if onUpstream[a.state] > 1 {
+					rt.Fatalf("two suspects on %s", a.Upstream().Name)
+				}
+			}
+		}
+		for f := byte(2); f <= 5; f++ {
+			suspectsAlone := r.cfg.Evidence.verdict(Fingerprint{f}).blames
+			if suspectsAlone > 0 && !coincided(r.cfg.Evidence, Fingerprint{f}) {
+				rt.Fatalf("fingerprint %d is blamed", f)
+			}
+		}
+	})
+}
+
+// coincided reports whether the fingerprint was the single suspect in a crash
+// of a request that was not known yet, which the rule cannot tell apart.
+func coincided(e *Evidence, f Fingerprint) bool {
+	for _, c := range e.crashes {
+		poison, present := c.items[Fingerprint{1}]
+		if _, beside := c.items[f]; beside && present && !poison.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against new work for a leaving upstream after any sign, and against a
+// late report of the time before that takes the sign back.
+func TestLeavingUpstream(t *testing.T) {
+	signs := map[string]func(*Router, string){
+		"list":   func(r *Router, name string) { r.SetListLeaving(name, true) },
+		"report": func(r *Router, name string) { r.Report(Report{Upstream: name, Leaving: true}) },
+		"peer":   func(r *Router, name string) { r.MarkLeaving(name) },
+		"answer": func(r *Router, name string) {
+			for {
+				a := pick(t, r, Request{})
+				if a.Upstream().Name == name {
+					a.Done(ResultLeaving)
+					return
+				}
+			}
+		},
+		"catalogue": func(r *Router, _ string) { r.Update(engines(3)) },
+	}
+	for sign, apply := range signs {
+		t.Run(sign, func(t *testing.T) {
+			is := is.New(t)
+			r, clock := newRouter(4)
+			apply(r, "e003")
+			clock.advance(time.Second)
+			if sign == "peer" || sign == "answer" {
+				r.Report(Report{Upstream: "e003", Age: 500 * time.Millisecond})
+			}
+			for range 100 {
+				is.True(pick(t, r, Request{}).Upstream().Name != "e003")
+			}
+		})
+	}
+}
+
+// Guards against ejection that empties a pool: failures everywhere, reports
+// that stop, and a pool that shrinks after ejections leave half of it in use.
+func TestPoolIsNeverEmptied(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(rt, "upstreams")
+		r, clock := newRouter(n)
+		for range 100 {
+			name := fmt.Sprintf("e%03d", rapid.IntRange(0, n-1).Draw(rt, "upstream"))
+			switch rapid.IntRange(0, 9).Draw(rt, "action") {
+			case 0:
+				r.SetListLeaving(name, rapid.Bool().Draw(rt, "leaving"))
+			case 1:
+				r.Report(Report{Upstream: name, Age: time.Minute, Running: 1000, Waiting: 1000})
+			case 2:
+				clock.advance(time.Second)
+			default:
+				if a, err := r.Pick(Request{Model: testModel}); err == nil {
+					a.Done(rapid.SampledFrom([]Result{ResultFailed, ResultFailed, ResultFailed, ResultCrashed}).Draw(rt, "result"))
+				}
+			}
+			members, ejected := r.pools[testModel].counts(clock.now)
+			if 2*ejected > members {
+				rt.Fatalf("%d of %d upstreams are ejected", ejected, members)
+			}
+			if _, err := r.Pick(Request{Model: testModel}); err != nil && members > 0 {
+				rt.Fatalf("no upstream although %d may get work", members)
+			}
+		}
+	})
+}
+
+// Guards against a failing upstream that keeps its share, and one that comes
+// back at full load.
+func TestOutlierAndSlowStart(t *testing.T) {
+	is := is.New(t)
+	r, clock := newRouter(4)
+	share := func() int {
+		n := 0
+		var sent []*Attempt
+		for range 16 {
+			a := pick(t, r, Request{})
+			sent = append(sent, a)
+			if a.Upstream().Name == "e000" {
+				n++
+			}
+		}
+		for _, a := range sent {
+			a.Done(ResultOK)
+		}
+		return n
+	}
+	before := share()
+	for s := r.byName["e000"]; !s.ejected(clock.now); {
+		r.failed(s, clock.now)
+	}
+	is.Equal(share(), 0)
+	clock.advance(baseEjection)
+	is.True(share() < before/2+1)
+	clock.advance(slowStart)
+	is.Equal(share(), before)
+}
+
+// Guards against routers that follow a lagging report: requests sent since the
+// report, by this router and its peers, count.
+func TestLaggingReportIsCorrected(t *testing.T) {
+	is := is.New(t)
+	r, clock := newRouter(2)
+	for _, name := range []string{"e000", "e001"} {
+		r.Report(Report{Upstream: name, Running: 0})
+	}
+	clock.advance(300 * time.Millisecond)
+	r.MergeSent([]SentDelta{{Upstream: "e000", Net: 6}}, 50*time.Millisecond)
+	for range 6 {
+		is.Equal(pick(t, r, Request{}).Upstream().Name, "e001")
+	}
+	// A report measured before the requests were sent does not hide them; one
+	// measured after them does not count them twice.
+	clock.advance(200 * time.Millisecond)
+	r.Report(Report{Upstream: "e000", Age: 400 * time.Millisecond})
+	is.Equal(r.byName["e000"].load(clock.now, 1), 6.0)
+	r.Report(Report{Upstream: "e000", Age: 0, Running: 6})
+	is.Equal(r.byName["e000"].load(clock.now, 1), 6.0)
+}
+
+// Guards against requests that ignore cached prefixes, pile up on one upstream
+// because of them, or miss for ever after a lost cache event.
+func TestPrefixAffinity(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRouter(4)
+	prompt := make([]uint64, 32)
+	for i := range prompt {
+		prompt[i] = uint64(i + 1)
+	}
+	r.Cache(CacheEvent{Upstream: "e002", Seq: 1, Stored: prompt})
+	a := pick(t, r, Request{PrefixHashes: prompt})
+	is.Equal(a.Upstream().Name, "e002")
+	is.Equal(a.PredictedBlocks(), 32)
+	seen := make(map[string]bool)
+	for range 24 {
+		seen[pick(t, r, Request{PrefixHashes: prompt}).Upstream().Name] = true
+	}
+	is.Equal(len(seen), 4) // a full upstream is not worth the prefix
+	r.Cache(CacheEvent{Upstream: "e002", Seq: 5, Evicted: prompt[16:]})
+	r.Cache(CacheEvent{Upstream: "e002", Seq: 4, Stored: prompt}) // late
+	found := 0
+	r.prefix.match(prompt, func(s slot, n int) {
+		if s == r.byName["e002"].slot {
+			found = max(found, n)
+		}
+	})
+	is.Equal(found, 16)
+	x := newPrefixIndex(1000)
+	for i := range uint64(100000) {
+		x.add(i, slot(i%7+1))
+	}
+	is.True(len(x.young)+len(x.old) <= 1000)
+}
+
+// Guards against an engine without the adapter, version or role, a plain service
+// in another zone while the own zone has room, and excluded upstreams.
+func TestMatching(t *testing.T) {
+	is := is.New(t)
+	r, clock := newRouter(4)
+	r.Report(Report{Upstream: "e001", Adapters: []string{"a"}, Version: "2"})
+	r.Report(Report{Upstream: "e002", Role: "prefill"})
+	for range 20 {
+		is.Equal(pick(t, r, Request{Adapter: "a", Version: "2"}).Upstream().Name, "e001")
+		is.True(pick(t, r, Request{Exclude: []string{"e000"}}).Upstream().Name != "e002")
+	}
+	is.Equal(pick(t, r, Request{Role: "prefill", Exclude: []string{"e000", "e001", "e003"}}).Upstream().Name, "e002")
+	_, err := r.Pick(Request{Model: "other"})
+	var none *NoUpstreamError
+	is.True(errors.As(err, &none))
+
+	var c catalogue.Catalogue
+	for i := range 3 {
+		c.Upstreams = append(c.Upstreams, catalogue.Upstream{Name: fmt.Sprint("s", i), Kind: catalogue.KindService,
+			Service: "stock", Zone: fmt.Sprint("z", i%2), Region: "r", Concurrency: 2})
+	}
+	r.Update(catalogue.NewSnapshot(2, c, nil))
+	clock.advance(slowStart)
+	counts := make(map[string]int)
+	for range 4 {
+		a, err := r.Pick(Request{Service: "stock"})
+		is.NoErr(err)
+		counts[a.Upstream().Name]++
+	}
+	is.Equal(counts, map[string]int{"s0": 2, "s2": 2})
+	a, err := r.Pick(Request{Service: "stock"})
+	is.NoErr(err)
+	is.Equal(a.Upstream().Name, "s1") // the own zone is full
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{24, 600} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			r, _ := newRouter(n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			perUpstream := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
+			hashes := make([]uint64, 32)
+			for i := range hashes {
+				hashes[i] = uint64(i + 1)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				pick(b, r, Request{PrefixHashes: hashes}).Done(ResultOK)
+			}
+			b.ReportMetric(perUpstream, "heapB/upstream")
+		})
+	}
+}
--- /dev/null
+++ b/internal/obs/events_routing.go
@@ -0,0 +1,28 @@
+package obs
+
+import "github.com/sirupsen/logrus"
+
+// Events of routing and admission, numbers 1500 to 1599.
+var (
+	EventUpstreamEjected = register(1500, logrus.WarnLevel, "upstream ejected after failures",
+		"The upstream gets no requests for some seconds. If this repeats, look at the upstream.")
+	EventUpstreamLeaving = register(1501, logrus.InfoLevel, "upstream is leaving",
+		"The upstream said that it takes no new work. No action.")
+	EventUpstreamCrashed = register(1502, logrus.WarnLevel, "upstream lost while it ran requests",
+		"The requests in flight are suspects until they run cleanly. See docs/operations/overload.md.")
+	EventRequestQuarantined = register(1503, logrus.ErrorLevel, "request quarantined",
+		"A request has crashed two upstreams as the only suspect; it is refused everywhere for an hour. Tell its owner.")
+	EventLoadShed = register(1504, logrus.WarnLevel, "requests are refused for overload",
+		"The estimated wait is above what the class accepts. Add upstreams or lower the load.")
+)
+
+// Counters of routing and admission.
+var (
+	RateLimitedTotal       = Counter("rate_limited_total")
+	OverloadedTotal        = Counter("overloaded_total")
+	RetriesTotal           = Counter("retries_total")
+	RetriesDeniedTotal     = Counter("retries_denied_total")
+	UpstreamEjectionsTotal = Counter("upstream_ejections_total")
+	UpstreamCrashesTotal   = Counter("upstream_crashes_total")
+	QuarantinedTotal       = Counter("requests_quarantined_total")
+)
