--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -20,7 +20,6 @@
 var (
 	RateLimitedTotal       = Counter("rate_limited_total")
 	OverloadedTotal        = Counter("overloaded_total")
-	RetriesTotal           = Counter("retries_total")
 	RetriesDeniedTotal     = Counter("retries_denied_total")
 	UpstreamEjectionsTotal = Counter("upstream_ejections_total")
 	UpstreamCrashesTotal   = Counter("upstream_crashes_total")
