Bound what an engine can read, and end every stop with bills

Cause: the upper bound covered only texts that the router decoded: tools, several answers (n), or a second field in another case let an engine use more than was reserved. An engine whose stream another one completed was reported as healthy.

Change: chat.Parse compares names exactly, counts messages as sent and unknown fields, and covers n. Routing hears of the crash.

Proof: seen to fail with the deadline not passed on or not billed, the bound of open requests removed, panics not handled or always released, every claim won, connections left open after the drain time, unknown fields or n not counted, UTF-8 unchecked, and the moved stream reported as good.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -149,6 +149,9 @@
 	return err
 }
 
+// handBackTimeout bounds the time to write the last bills and hand back shares.
+const handBackTimeout = 30 * time.Second
+
 // stop ends the process without cutting a request: new work is refused by the
 // balancer once readiness is false, open requests finish, shares go back.
 func (d *Daemon) stop(stopBackground func()) error {
@@ -160,6 +163,14 @@
 	defer cancel()
 	d.server.SetKeepAlivesEnabled(false)
 	err := d.server.Shutdown(ctx)
+	if err != nil {
+		// The time is over. Cutting the connections lets the open requests stop
+		// their runs and bill what they used.
+		_ = d.server.Close()
+	}
+	ctx, cancelClose := context.WithTimeout(context.Background(), handBackTimeout)
+	defer cancelClose()
+	d.api.Wait(ctx)
 	stopBackground()
 	d.api.Unknown.Close(ctx)
 	err = errors.CombineErrors(err, d.budget.Close(ctx))
--- a/internal/e2e/admin_test.go
+++ b/internal/e2e/admin_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
 )
 
@@ -23,6 +24,19 @@
 	}
 }
 
+func inputBound(t *testing.T, req chat.Request) int64 {
+	t.Helper()
+	body, err := json.Marshal(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := chat.Parse(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed.InputBound()
+}
+
 // TestOperatorDrainsRouter guards against a drain that cuts a stream, hands back
 // no shares or does not end the process, and against a status that hides it.
 func TestOperatorDrainsRouter(t *testing.T) {
@@ -53,7 +67,7 @@
 
 	// What the first router did not spend is free for the second one.
 	all := slowRequest(false)
-	all.MaxTokens = testPrepaid - requestCost(req) - all.InputBound()
+	all.MaxTokens = testPrepaid - requestCost(req) - inputBound(t, all)
 	answer, body := ask(t, second.url, all)
 	is.Equal(fmt.Sprint(answer.StatusCode, " ", body[:min(len(body), 7)]), `200 {"id":"`)
 	var balance httpapi.EntryBalance
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/standin"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
 // slowRequest has 24 tokens, so that a fault comes in the middle of its stream.
@@ -207,3 +208,69 @@
 	other.stop(t)
 	is.Equal(billed(t, logURL, key), requestCost(req))
 }
+
+// TestOrderIsNotPostedAgainAfterRouterDeath guards against an order that runs
+// twice, or is called "not run", when its router is killed while the service
+// works on it and the caller sends it again through another router.
+func TestOrderIsNotPostedAgainAfterRouterDeath(t *testing.T) {
+	is := is.New(t)
+	logURL := startStandin(t, "log")
+	service := &standin.Service{}
+	arrived, finish := make(chan struct{}, 10), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		service.ServeHTTP(w, req)
+		arrived <- struct{}{}
+		<-finish
+	}))
+	defer server.Close()
+	defer close(finish)
+	publishUpstreams(t, logURL, []catalogue.Upstream{
+		{Name: "s1", Kind: catalogue.KindService, Service: testService, Address: server.URL},
+	})
+	first, second := startRouter(t, "vm-1", logURL), startRouter(t, "vm-2", logURL)
+	go func() { _, _, _ = postOrder(first.url) }()
+	<-arrived
+	is.NoErr(first.cmd.Process.Kill())
+	status, body, err := postOrder(second.url)
+	is.NoErr(err)
+	is.Equal(status, http.StatusConflict)
+	is.True(strings.Contains(body, `"code":"request_claimed"`) && strings.Contains(body, `"not_run":false`))
+	is.Equal(service.Calls("POST", "/new", "drill bits"), 1)
+}
+
+func postOrder(url string) (status int, body string, err error) {
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/services/"+testService+"/new", strings.NewReader("drill bits"))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+testSecret)
+	req.Header.Set("Idempotency-Key", "order-1")
+	// An order that runs again would wait for the service for ever.
+	resp, err := (&http.Client{Timeout: 10 * time.Second}).Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// TestDrainTimeoutBillsWhatWasUsed guards against a stop that loses the bill of a
+// request that did not finish in time.
+func TestDrainTimeoutBillsWhatWasUsed(t *testing.T) {
+	is := is.New(t)
+	logURL := startStandin(t, "log")
+	engine := &standin.Engine{TokenInterval: 200 * time.Millisecond}
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	key := publishSample(t, logURL, server.URL)
+	r := startRouter(t, "vm-1", logURL, "--drain-timeout", "300ms")
+	c := beginAsk(t, r.url, slowRequest(true), "")
+	<-c.begun
+	is.NoErr(r.cmd.Process.Signal(syscall.SIGTERM))
+	_ = r.cmd.Wait()
+	c.wait(t)
+	_, ended := streamedText(c.body)
+	is.True(!ended)
+	is.Equal(billed(t, logURL, key), engine.Tokens.Load())
+}
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -99,12 +99,13 @@
 	admin string
 }
 
-func startRouter(t *testing.T, vm, logURL string) *router {
+func startRouter(t *testing.T, vm, logURL string, more ...string) *router {
 	t.Helper()
 	public, admin := freeAddress(t), freeAddress(t)
 	r := &router{url: "http://" + public, admin: "http://" + admin}
-	r.process = start(t, "dotterelthread", "--vm", vm, "--listen", public, "--admin-listen", admin,
-		"--log-url", logURL, "--flush-interval", "20ms", "--log-level", "warn")
+	args := []string{"--vm", vm, "--listen", public, "--admin-listen", admin,
+		"--log-url", logURL, "--flush-interval", "20ms", "--log-level", "warn"}
+	r.process = start(t, "dotterelthread", append(args, more...)...)
 	waitFor(t, func() bool {
 		resp, err := http.Get(r.admin + "/readyz")
 		if err != nil {
@@ -140,6 +141,7 @@
 const (
 	testSecret  = "secret-1"
 	testModel   = "model-1"
+	testService = "orders"
 	testPrepaid = 10000
 )
 
@@ -151,11 +153,17 @@
 			Name: fmt.Sprintf("e%d", i+1), Kind: catalogue.KindEngine, Address: url, Models: []string{testModel},
 		})
 	}
+	return publishUpstreams(t, logURL, upstreams)
+}
+
+func publishUpstreams(t *testing.T, logURL string, upstreams []catalogue.Upstream) record.EntryKey {
+	t.Helper()
 	log := logclient.New(logURL)
 	data, err := json.Marshal(configsync.Publish{ID: "p1", Upserts: catalogue.Catalogue{
 		Entries: []catalogue.Entry{{
 			Name: "bench", Owner: "ops", Team: "setters", Class: catalogue.ClassInteractive,
-			Models: []string{testModel}, Credentials: []string{catalogue.HashCredential(testSecret)},
+			Models: []string{testModel}, Services: []string{testService},
+			Credentials: []string{catalogue.HashCredential(testSecret)},
 		}},
 		Upstreams: upstreams,
 	}})
--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"io"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
@@ -34,6 +35,11 @@
 	Messages  []Message `json:"messages"`
 	MaxTokens int64     `json:"max_tokens"`
 	Stream    bool      `json:"stream"`
+	// N is the number of answers; 0 stands for one.
+	N int64 `json:"n,omitempty"`
+
+	// inputBytes is the length of everything in the body that may become input.
+	inputBytes int64
 }
 
 // Usage is what a completion used.
@@ -66,34 +72,84 @@
 // maxTokensLimit keeps sums of bounds far from overflow.
 const maxTokensLimit = 1 << 40
 
+// maxAnswers bounds the answers to one request.
+const maxAnswers = 128
+
 // Parse decodes a request body and checks what charging depends on.
+//
+// Names are compared exactly, and whatever the router does not know counts as
+// input. Otherwise a body with "max_tokens" and "Max_Tokens", or with a field
+// that only the engine knows, would be reserved for less than it uses.
 func Parse(body []byte) (Request, error) {
 	var r Request
-	if err := json.Unmarshal(body, &r); err != nil {
+	var fields map[string]json.RawMessage
+	// A byte that is no UTF-8 may become three at the engine.
+	if !utf8.Valid(body) {
+		return Request{}, errors.New("request body is not UTF-8")
+	}
+	if err := json.Unmarshal(body, &fields); err != nil {
 		return Request{}, errors.Wrap(err, "request body")
 	}
+	if err := r.decode(fields); err != nil {
+		return Request{}, err
+	}
+	return r, r.check()
+}
+
+// decode takes the known fields and counts the length of the others.
+func (r *Request) decode(fields map[string]json.RawMessage) error {
+	maxCompletion := r.MaxTokens
+	known := map[string]any{
+		"model": &r.Model, "messages": &r.Messages, "max_tokens": &r.MaxTokens, "stream": &r.Stream, "n": &r.N,
+		"max_completion_tokens": &maxCompletion,
+	}
+	for name, raw := range fields {
+		target, ok := known[name]
+		if !ok || name == "messages" {
+			r.inputBytes += int64(len(name) + len(raw))
+		}
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, target); err != nil {
+			return errors.Wrapf(err, "field %s", name)
+		}
+	}
+	if fields["best_of"] != nil {
+		return errors.New("best_of is not supported")
+	}
+	if maxCompletion > r.MaxTokens {
+		return errors.New("max_completion_tokens is over max_tokens")
+	}
+	return nil
+}
+
+func (r *Request) check() error {
 	switch {
 	case r.Model == "":
-		return Request{}, errors.New("model is missing")
+		return errors.New("model is missing")
 	case len(r.Messages) == 0:
-		return Request{}, errors.New("messages is empty")
+		return errors.New("messages is empty")
 	case r.MaxTokens <= 0:
-		return Request{}, errors.New("max_tokens must be at least 1")
+		return errors.New("max_tokens must be at least 1")
 	case r.MaxTokens > maxTokensLimit:
-		return Request{}, errors.Newf("max_tokens is over %d", int64(maxTokensLimit))
+		return errors.Newf("max_tokens is over %d", int64(maxTokensLimit))
+	case r.N < 0 || r.N > maxAnswers:
+		return errors.Newf("n must be from 1 to %d", maxAnswers)
 	}
-	return r, nil
+	return nil
 }
 
-// InputBound returns an upper bound on the input tokens of the request. A byte
-// pair encoder never makes more tokens than bytes, so the bound holds for every
-// model without its vocabulary.
+// InputBound returns an upper bound on the input tokens of a parsed request. A
+// byte pair encoder never makes more tokens than bytes, so the bound holds for
+// every model without its vocabulary.
 func (r Request) InputBound() int64 {
-	var n int64
-	for _, m := range r.Messages {
-		n += int64(len(m.Role)+len(m.Content)) + perMessageTokens
-	}
-	return n
+	return r.inputBytes + int64(len(r.Messages))*perMessageTokens
+}
+
+// Bound returns the most that a parsed request can cost, in tokens.
+func (r Request) Bound() int64 {
+	return r.InputBound() + r.MaxTokens*max(1, r.N)
 }
 
 // prefixBlockBytes is the length of the steps in which PrefixHashes covers a
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -206,5 +206,15 @@
 	return r
 }
 
+// Wait returns when no request is in progress, or when the context ends.
+func (a *API) Wait(ctx context.Context) {
+	for a.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(waitInterval)
+	}
+}
+
+// waitInterval is the time between two looks at the open requests at a stop.
+const waitInterval = 10 * time.Millisecond
+
 // Open returns the number of requests in progress.
 func (a *API) Open() int64 { return a.open.Load() }
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -44,7 +44,7 @@
 	if !slices.Contains(x.entry.Models, req.Model) {
 		return refuse(http.StatusForbidden, CodeNotAllowed, "the entry does not allow this model")
 	}
-	x.bound = req.InputBound() + req.MaxTokens
+	x.bound = req.Bound()
 	x.idempotent = true
 	x.pick = PickRequest{Model: req.Model, PrefixHashes: req.PrefixHashes(), Class: x.entry.Class, Fingerprint: x.hash}
 	if req.Stream {
@@ -113,7 +113,7 @@
 func (j streamJob) send(ctx context.Context, x *exchange, call upstream.Call, attempt int) error {
 	ctx, answered := x.attemptContext(ctx)
 	defer answered()
-	s := &stream{x: x, attempt: attempt, answered: answered}
+	s := &stream{x: x, attempt: attempt, answered: answered, home: call.Address}
 	err := x.api.Engines.Stream(ctx, call, s.emit)
 	if err != nil && s.events == 0 {
 		return x.attemptError(ctx, call, err)
@@ -132,6 +132,8 @@
 	x        *exchange
 	attempt  int
 	answered func()
+	// home is the address of the engine that began the stream.
+	home string
 	// events is the number of events that the caller has.
 	events int
 	usage  *chat.Usage
@@ -208,6 +210,7 @@
 			if s.events > before {
 				obs.StreamsResumedTotal.Add(1)
 				deadline = now().Add(limits.ResumeTimeout)
+				s.x.moved = s.x.moved || address != s.home
 				s.x.calls[len(s.x.calls)-1] = call
 			}
 			if err == nil || !s.resumable(ctx, err) {
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -59,7 +59,9 @@
 	tries int
 	// streaming is true once a part of a stream was written.
 	streaming bool
-	answer    *request.Answer
+	// moved is true once another engine took over a stream.
+	moved  bool
+	answer *request.Answer
 }
 
 // job is what differs between chat completions and plain services.
--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -168,10 +168,12 @@
 	is.Equal(len(charges), 0)
 	f.now = f.now.Add(time.Minute)
 	f.api.Unknown.Resolve(context.Background())
-	req, _ := chatRequest(false, "a")
+	_, body := chatRequest(false, "a")
+	req, err := chat.Parse([]byte(body))
+	is.NoErr(err)
 	open, _, charges = f.budget.state()
 	is.Equal(open, 0)
-	is.Equal(charges, []int64{req.InputBound() + req.MaxTokens})
+	is.Equal(charges, []int64{req.Bound()})
 }
 
 // lateEngine answers each request with the answer to the attempt before it, as
@@ -287,19 +289,42 @@
 	}
 }
 
-// TestStreamThatCannotResumeEndsInError guards against a stream that just stops,
-// so that its caller takes a part for the whole.
-func TestStreamThatCannotResumeEndsInError(t *testing.T) {
+// TestRoutingLearnsOfTheCrash guards against an engine that counts as healthy
+// because another one completed its stream.
+func TestRoutingLearnsOfTheCrash(t *testing.T) {
 	is := is.New(t)
 	engine, handler := engineAndHandler()
+	_, copyHandler := engineAndHandler()
+	f := newFixture(t, notHolding(handler), copyHandler)
+	routing := f.api.Routing.(*firstFit)
+	engine.ExportTo = routing.upstreams[1].Address
 	engine.SetFaults(standin.EngineFaults{Break: 1, BreakAt: 3})
-	f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	r := f.chat(true, "a b c")
+	_, ended := streamText(r.body)
+	is.True(ended)
+	is.Equal(routing.results, []Result{ResultCrashed})
+	is.Equal(f.chat(true, "a b c").status, 200)
+	is.Equal(routing.results, []Result{ResultCrashed, ResultOK})
+}
+
+// notHolding is an engine that forgets a stream when its connection breaks.
+func notHolding(engine http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodGet && !strings.HasSuffix(req.URL.Path, "/usage") {
 			http.Error(w, "not held", http.StatusNotFound)
 			return
 		}
-		handler.ServeHTTP(w, req)
-	}))
+		engine.ServeHTTP(w, req)
+	})
+}
+
+// TestStreamThatCannotResumeEndsInError guards against a stream that just stops,
+// so that its caller takes a part for the whole.
+func TestStreamThatCannotResumeEndsInError(t *testing.T) {
+	is := is.New(t)
+	engine, handler := engineAndHandler()
+	engine.SetFaults(standin.EngineFaults{Break: 1, BreakAt: 3})
+	f := newFixture(t, notHolding(handler))
 	r := f.chat(true, "a b c")
 	is.NoErr(r.err)
 	_, ended := streamText(r.body)
--- a/internal/transport/httpapi/fixture_test.go
+++ b/internal/transport/httpapi/fixture_test.go
@@ -78,18 +78,30 @@
 }
 
 // firstFit picks the first upstream that was not tried, in catalogue order.
-type firstFit struct{ upstreams []catalogue.Upstream }
+type firstFit struct {
+	upstreams []catalogue.Upstream
+	mu        sync.Mutex
+	results   []Result
+}
 
-type fit struct{ u *catalogue.Upstream }
+type fit struct {
+	*firstFit
+	u *catalogue.Upstream
+}
 
 func (f fit) Upstream() *catalogue.Upstream { return f.u }
-func (f fit) Done(Result)                   {}
+
+func (f fit) Done(r Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.results = append(f.results, r)
+}
 
 func (f *firstFit) Pick(req PickRequest) (Attempt, error) {
 	for i := range f.upstreams {
 		u := &f.upstreams[i]
 		if (u.Kind == catalogue.KindService) == (req.Service != "") && !slices.Contains(req.Exclude, u.Name) {
-			return fit{u}, nil
+			return fit{f, u}, nil
 		}
 	}
 	return nil, ErrNoUpstream
@@ -152,6 +164,11 @@
 	}, nil)
 }
 
+// fixedSnapshot is a configuration that does not change.
+type fixedSnapshot struct{ *catalogue.Snapshot }
+
+func (s fixedSnapshot) Current() *catalogue.Snapshot { return s.Snapshot }
+
 // newFixture serves the API in front of the given engines, and of a plain
 // service if the last handler is one.
 func newFixture(t *testing.T, upstreams ...http.Handler) *fixture {
--- /dev/null
+++ b/internal/transport/httpapi/limits_test.go
@@ -0,0 +1,92 @@
+package httpapi
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/standin"
+)
+
+// TestDeadlineStopsTheRun guards against a run that goes on after the caller's
+// time, an upstream that is not told the time left, and a bill for more than was
+// used.
+func TestDeadlineStopsTheRun(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		is := is.New(t)
+		engine := &standin.Engine{TokenInterval: 40 * time.Millisecond}
+		handler := engine.Handler()
+		var left int
+		f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if req.Method == http.MethodPost {
+				left, _ = strconv.Atoi(req.Header.Get(chat.HeaderDeadline))
+			}
+			handler.ServeHTTP(w, req)
+		}))
+		r := f.chat(stream, "a b c", HeaderTimeout, "200")
+		is.Equal(r.problem().Code, CodeDeadlineExceeded)
+		is.True(!r.problem().NotRun)
+		is.True(left > 0 && left <= 200)
+		_, _, charges := f.budget.state()
+		is.Equal(charges, []int64{engine.Tokens.Load()})
+	}
+}
+
+// TestOpenRequestsAreBounded guards against a router that takes more requests
+// than it has memory for, or reserves budget for those that it refuses.
+func TestOpenRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	_, handler := engineAndHandler()
+	f := newFixture(t, handler)
+	f.api.Limits.MaxOpen = 0
+	r := f.chat(false, "a")
+	is.Equal(r.status, 503)
+	is.Equal(r.problem().Code, CodeOverloaded)
+	is.True(r.problem().NotRun && r.header.Get("Retry-After") != "")
+	_, reserved, _ := f.budget.state()
+	is.Equal(reserved, 0)
+}
+
+// panicking fails at the given step of a request.
+type panicking struct {
+	*firstFit
+	onPick bool
+}
+
+func (p *panicking) Pick(req PickRequest) (Attempt, error) {
+	if p.onPick {
+		panic("pick")
+	}
+	attempt, err := p.firstFit.Pick(req)
+	return panickingAttempt{attempt}, err
+}
+
+type panickingAttempt struct{ Attempt }
+
+func (panickingAttempt) Done(Result) { panic("done") }
+
+// TestPanicKeepsTheBudgetRight guards against a defect in one request that loses
+// its reservation, or releases it although the request may have run.
+func TestPanicKeepsTheBudgetRight(t *testing.T) {
+	for _, onPick := range []bool{true, false} {
+		is := is.New(t)
+		engine, handler := engineAndHandler()
+		engine.SetFaults(standin.EngineFaults{ResetAfter: 1})
+		f := newFixture(t, handler)
+		f.api.Admission = f.api.Routing.(*firstFit)
+		f.api.Config = fixedSnapshot{f.Current()}
+		f.api.Routing = &panicking{firstFit: f.api.Routing.(*firstFit), onPick: onPick}
+		is.True(f.chat(false, "a").err != nil)
+		for f.api.Open() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		open, _, charges := f.budget.state()
+		is.Equal(len(charges), 0)
+		is.Equal(open == 0, onPick)
+		is.Equal(f.api.Unknown.Len() == 0, onPick)
+	}
+}
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -81,7 +81,12 @@
 	if err != nil && x.ctx.Err() == nil {
 		obs.UpstreamFailuresTotal.Add(1)
 	}
-	attempt.Done(result(err))
+	if x.moved {
+		// The engine that was chosen did not come back.
+		attempt.Done(ResultCrashed)
+	} else {
+		attempt.Done(result(err))
+	}
 	return err
 }
 
