--- a/cmd/dotterelctl/app.go
+++ b/cmd/dotterelctl/app.go
@@ -28,6 +28,8 @@
 	exitNotFound    = 6
 	// exitLate reports a published version that is not in force everywhere yet.
 	exitLate = 7
+	// exitAudit reports an audit with findings.
+	exitAudit = 8
 )
 
 type options struct {
@@ -45,6 +47,7 @@
 
 var (
 	errFindings = errors.New("the catalogue file has findings")
+	errAudit    = errors.New("the audit has findings")
 	errLate     = errors.New("the version is not in force on every router")
 )
 
@@ -68,6 +71,8 @@
 	case errors.As(err, &conflict):
 		printChanges(os.Stderr, "the accepted version differs from the file:", conflict.Changes)
 		return exitConflict
+	case errors.Is(err, errAudit):
+		return exitAudit
 	case errors.Is(err, errLate):
 		return exitLate
 	case errors.IsAny(err, logstream.ErrUnavailable, logstream.ErrOutcomeUnknown):
--- a/cmd/dotterelctl/main.go
+++ b/cmd/dotterelctl/main.go
@@ -39,6 +39,7 @@
 		{"topup", "change an entry's prepaid amount", "Adds tokens to an entry's budget, or takes free tokens away when negative. An id counts once.", &topupCommand{app: a}},
 		{"balance", "show budgets", "Shows prepaid, spent, shared and free tokens of one entry or of all.", &balanceCommand{app: a}},
 		{"bills", "show an entry's bills", "Lists the bills of an entry that the log still keeps, each request once.", &billsCommand{app: a}},
+		{"audit", "compare spending with bills", "Folds the ledger twice, in two ways, and compares it with the bills: overspend, doubled and missing bills, shares of stopped routers.", &auditCommand{app: a}},
 		{"status", "show routers", "Shows version in force, readiness and open requests of each router.", &statusCommand{app: a}},
 		{"drain", "stop a router gracefully", "Asks a router to finish its requests, hand back its shares and exit.", &drainCommand{app: a}},
 		{"hash", "hash a credential", "Prints the hash under which the catalogue keeps a credential. Reads it from standard input.", &hashCommand{app: a}},
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -10,9 +10,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/ledger"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
 )
 
 // Errors of an operator's request.
@@ -74,13 +76,23 @@
 	return e.Key, nil
 }
 
-// Ledger folds one partition to its end.
+// Ledger folds one partition to its end, from its newest snapshot when there is one.
 func (c *Client) Ledger(ctx context.Context, partition int) (*ledger.Ledger, error) {
 	l := ledger.New()
-	err := c.readAll(ctx, record.LedgerStream(partition), l.Next(), func(r logstream.Record) {
-		l.ApplyRecord(r.Offset, r.Data)
+	reader := follow.New(c.Log, follow.Config{
+		Stream: record.LedgerStream(partition), SnapshotStream: record.LedgerSnapshotStream(partition),
+		Apply: func(records []logstream.Record) {
+			for _, r := range records {
+				l.ApplyRecord(r.Offset, r.Data)
+			}
+		},
+		Decode: func(s snapshot.Snapshot) (func(), error) {
+			loaded, err := ledger.Decode(s.Data)
+			return func() { l = loaded }, err
+		},
 	})
-	return l, err
+	err := reader.CatchUp(ctx)
+	return l, errors.Wrapf(err, "read ledger partition %d", partition)
 }
 
 // appendUntilKnown appends data until the log has answered. A record whose
