--- a/internal/protocol/record/check.go
+++ b/internal/protocol/record/check.go
@@ -55,6 +55,22 @@
 			check{"request id", validName(i.Claim.RequestID)},
 			check{"holder", validName(string(i.Claim.Holder))},
 			check{"token", i.Claim.Token == "" || validName(i.Claim.Token)})
+	case i.Release != nil:
+		return firstBad(i.Release.Entry, check{"key", validName(i.Release.Key)}, check{"token", validName(i.Release.Token)})
+	case i.Backup != nil:
+		return firstBackupFault(i.Backup)
+	}
+	return ""
+}
+
+func firstBackupFault(b *Backup) string {
+	switch {
+	case !validName(string(b.Holder)):
+		return "holder"
+	case b.Backup != "" && !validName(string(b.Backup)):
+		return "backup"
+	case b.Epoch == 0:
+		return "epoch"
 	}
 	return ""
 }
