Report a log outage once and read back at once after it

Cause: each retry of an outage logged a line for every claim stream, and a claim that was appended right after an outage waited for the follower's backoff.

Change: the follower reports the first failed read after a good one; a read that its caller ended is no failure. After an append that succeeds while reads were failing, the claim stream is read at once.

The read after an append has no test of its own.

Conclusion: one line per stream and outage.

--- a/internal/coordination/claim/partition.go
+++ b/internal/coordination/claim/partition.go
@@ -42,6 +42,8 @@
 	// wins, it is released so that its key is usable again.
 	abandoned []*call
 	releases  []record.Release
+	// failing is set while appends fail; it belongs to the append loop.
+	failing bool
 }
 
 // call is one undecided claim.
@@ -271,10 +273,14 @@
 		obs.LogAppendsTotal.Add(1)
 		_, err = p.log.Append(ctx, p.stream, data)
 	}
+	p.report(err)
 	if err == nil {
+		if p.follower.Failing() {
+			// The follower may still wait after an outage that is over.
+			_ = p.follower.CatchUp(ctx)
+		}
 		return
 	}
-	obs.EventClaimsDelayed.Log(p.logger, logrus.Fields{"stream": p.stream, "claims": len(batch), "error": err.Error()})
 	if !errors.Is(err, logstream.ErrUnavailable) {
 		// Reading to the end decides the claims that took effect.
 		_ = p.follower.CatchUp(ctx)
@@ -282,6 +288,14 @@
 	p.requeue(batch)
 }
 
+// report logs the first failure after a success.
+func (p *partition) report(err error) {
+	if err != nil && !p.failing {
+		obs.EventClaimsDelayed.Log(p.logger, logrus.Fields{"stream": p.stream, "error": err.Error()})
+	}
+	p.failing = err != nil
+}
+
 func (p *partition) requeue(batch []*call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -38,7 +38,7 @@
 	// by it. Records between the old state and the snapshot are never passed to
 	// Apply.
 	Decode func(snapshot.Snapshot) (install func(), err error)
-	// OnError learns of each failed read; nil ignores them.
+	// OnError learns of the first failed read after a good one; nil ignores it.
 	OnError func(error)
 	// Now and Sleep default to the system's clock.
 	Now   func() time.Time
@@ -145,15 +145,28 @@
 // poll does one read and applies it.
 func (f *Follower) poll(ctx context.Context, wait time.Duration) error {
 	err := f.pollOnce(ctx, wait)
+	if err != nil && ctx.Err() != nil {
+		// The caller ended the read; that says nothing about the stream.
+		return err
+	}
 	f.mu.Lock()
+	first := f.lastErr == nil
 	f.lastErr = err
 	f.mu.Unlock()
-	if err != nil && f.cfg.OnError != nil && ctx.Err() == nil {
+	if err != nil && first && f.cfg.OnError != nil {
 		f.cfg.OnError(err)
 	}
 	return err
 }
 
+// Failing reports whether the newest read failed, so that Run may be waiting
+// before it reads again.
+func (f *Follower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastErr != nil
+}
+
 func (f *Follower) pollOnce(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
 	from, started := f.next, f.started
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -285,3 +285,25 @@
 	is.Equal(*n.state, want)
 	is.Equal(n.Next(), uint64(3))
 }
+
+// Guards against a log line for each retry of an outage, and against an ended
+// wait that is taken for one.
+func TestOutageIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	log := standin.NewLog()
+	reports := 0
+	f := New(log, Config{Stream: testStream, OnError: func(error) { reports++ }})
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(f.CatchUp(ended) != nil)
+	is.True(!f.Failing())
+	log.SetFaults(standin.LogFaults{Down: true})
+	for range 3 {
+		is.True(f.CatchUp(context.Background()) != nil)
+	}
+	is.Equal(reports, 1)
+	is.True(f.Failing())
+	log.SetFaults(standin.LogFaults{})
+	is.NoErr(f.CatchUp(context.Background()))
+	is.True(!f.Failing())
+}
