Drive the budget decisions over the log and the peers; compare strategies

Cause: the manager decided and did I/O in one place, and overspend and false refusals of the design had no figures.

Change: Manager carries out a Node's steps. One cycle per partition writes bills and due records and reads to the end; requests that come up meanwhile share the next one. Peers is the interface to other routers, with the handlers for its five methods. sim plays five schedules against an append per request, a static split and this design. A share's target follows the node's part of the fleet's spending when the unspent budget is scarce; before, equal parts left a third of the budget ungranted when the log stopped. A grant is sized from a fresh fold only: two routers that sized it from an old one took everything from a third.

--- a/internal/coordination/budget/attempt.go
+++ b/internal/coordination/budget/attempt.go
@@ -169,7 +169,9 @@
 func (n *Node) logStep(now time.Time, a *Attempt) Step {
 	key := a.Request.Entry
 	e, acc := n.entry(key), n.account(key)
-	if acc != nil && !acc.Removed && acc.Free > 0 && n.grantDone(a) {
+	// A grant is sized by the free budget, so the fold must be fresh: from an old
+	// one, two nodes would each take the part that they leave to the other.
+	if n.fresh(a) && acc != nil && !acc.Removed && acc.Free > 0 && n.grantDone(a) {
 		n.await(e, a)
 	}
 	if !n.grantDone(a) || !n.fresh(a) {
--- a/internal/coordination/budget/manager.go
+++ b/internal/coordination/budget/manager.go
@@ -7,12 +7,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
-	"github.com/dotterelthread/dotterelthread/internal/state/ledger"
-	"github.com/dotterelthread/dotterelthread/internal/state/share"
 )
 
 // Config holds the settings of a Manager.
@@ -25,311 +24,265 @@
 	FlushInterval time.Duration
 	// GrantSize is the smallest grant asked for, in tokens.
 	GrantSize int64
+	// Policy holds the other settings; zero means DefaultPolicy.
+	Policy Policy
+	// Peers connects the other routers; nil means that this process is alone.
+	Peers Peers
+	// AppendThroughHome sends appends to the home, which batches them.
+	AppendThroughHome bool
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 }
 
 const (
-	readBatch     = 256
-	retryInterval = 100 * time.Millisecond
-	retryAfter    = 2 * time.Second
+	readBatch = 256
+	// callTimeout bounds one call of the log or a peer. The log may answer
+	// slowly; a call that is given up is repeated.
+	callTimeout = 10 * time.Second
+	tickEvery   = time.Second
 )
 
-// Manager reserves from this process's shares and keeps them filled.
+// Manager drives a Node over the log and the peers. It is safe for concurrent use.
 type Manager struct {
 	cfg    Config
 	log    logstream.Log
 	logger logrus.FieldLogger
-	shares *share.Table
+	peers  Peers
 
-	// mu guards the fields below. It is taken after a share's mutex is released
-	// and is never held across I/O.
-	mu       sync.Mutex
-	ledgers  []*ledger.Ledger
-	grantSeq map[record.EntryKey]uint64
-	settled  map[record.EntryKey]share.Counters
-	seq      uint64
-	bills    []record.Bill
+	// mu guards node and the fields below. It is taken before the locks of the
+	// share table and never held across I/O.
+	mu      sync.Mutex
+	node    *Node
+	cycles  []*cycle
+	copied  *signal
+	dead    map[record.HolderID]deadHolder
+	peering bool
+
+	calls  conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+type deadHolder struct {
+	proof   Proof
+	resolve Resolve
 }
 
 // NewManager returns a manager that has not read the log yet.
 func NewManager(cfg Config, log logstream.Log, logger logrus.FieldLogger) *Manager {
+	if cfg.Policy == (Policy{}) {
+		cfg.Policy = DefaultPolicy()
+	}
+	if cfg.GrantSize > 0 {
+		cfg.Policy.MinGrant = cfg.GrantSize
+	}
+	if cfg.FlushInterval > 0 {
+		cfg.Policy.AppendInterval = cfg.FlushInterval
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	m := &Manager{
-		cfg: cfg, log: log, logger: logger, shares: share.NewTable(),
-		grantSeq: make(map[record.EntryKey]uint64),
-		settled:  make(map[record.EntryKey]share.Counters),
+		cfg: cfg, log: log, logger: logger, peers: cfg.Peers,
+		node:   NewNode(cfg.Policy, cfg.Holder, cfg.Partitions, cfg.BillBuffer),
+		copied: newSignal(), dead: make(map[record.HolderID]deadHolder),
 	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
 	for range cfg.Partitions {
-		m.ledgers = append(m.ledgers, ledger.New())
+		m.cycles = append(m.cycles, &cycle{changed: newSignal()})
 	}
 	return m
 }
 
-// Reserve takes the amount from this process's share and asks the log for a
-// larger share when it does not cover it.
+// signal wakes all waiters at once. Its owner serialises the calls.
+type signal struct{ ch chan struct{} }
+
+func newSignal() *signal { return &signal{ch: make(chan struct{})} }
+
+func (s *signal) wait() <-chan struct{} { return s.ch }
+
+func (s *signal) wake() {
+	close(s.ch)
+	s.ch = make(chan struct{})
+}
+
+// Reserve takes the amount of a request from this process's share, or from
+// another holder's, before anything is sent. It waits within the bound of the
+// request's class. The error is ErrExhausted, ErrBillingUnavailable or an
+// UnavailableError; the request did not run in any of these cases.
 func (m *Manager) Reserve(ctx context.Context, req ReserveRequest) (Reservation, error) {
-	if m.billBufferFull() {
+	if !m.node.TakeBillPlace() {
 		return Reservation{}, ErrBillingUnavailable
 	}
-	s := m.shares.Get(req.Entry)
-	res := Reservation{RequestID: req.RequestID, Entry: req.Entry, Holder: m.cfg.Holder, Amount: req.Amount}
-	if s.Reserve(req.Amount) {
-		return res, nil
-	}
-	if err := m.acquire(ctx, req.Entry, m.grantAmount(req)); err != nil {
-		return Reservation{}, &UnavailableError{RetryAfter: retryAfter, Cause: err}
+	res := m.node.Reservation(req)
+	ticket, ok := m.node.Reserve(res)
+	if !ok {
+		return m.reserveSlow(ctx, req)
 	}
-	if s.Reserve(req.Amount) {
+	if m.node.Copied(ticket) {
 		return res, nil
 	}
-	return Reservation{}, m.refusal(req)
+	return m.awaitCopy(ctx, res, ticket, m.cfg.Now().Add(m.cfg.Policy.wait(req.Class)))
 }
 
-// freeFraction bounds a grant to a part of what is free, so that one router
-// does not take the whole rest of a small budget.
-const freeFraction = 8
-
-func (m *Manager) grantAmount(req ReserveRequest) int64 {
+func (m *Manager) reserveSlow(ctx context.Context, req ReserveRequest) (Reservation, error) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	a := m.ledger(req.Entry).Account(req.Entry)
-	if a == nil {
-		return req.Amount
-	}
-	return max(req.Amount, min(m.cfg.GrantSize, a.Free/freeFraction))
+	a := m.node.Begin(m.cfg.Now(), req, false)
+	m.mu.Unlock()
+	return m.attempt(ctx, a)
 }
 
-// refusal tells an exhausted budget from one whose rest other holders have.
-func (m *Manager) refusal(req ReserveRequest) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	a := m.ledger(req.Entry).Account(req.Entry)
-	if a == nil || a.Prepaid-a.Spent() < req.Amount {
-		return ErrExhausted
+// attempt carries out the steps of an attempt until it ends.
+func (m *Manager) attempt(ctx context.Context, a *Attempt) (Reservation, error) {
+	p := m.node.Partition(a.Request.Entry)
+	for {
+		m.mu.Lock()
+		changed := m.cycles[p].changed.wait()
+		step := m.node.Next(m.cfg.Now(), a, m.home(p))
+		m.mu.Unlock()
+		switch step.Kind {
+		case StepReserved:
+			return m.awaitCopy(ctx, m.node.Reservation(a.Request), a.Ticket(), a.Deadline())
+		case StepRefuse:
+			m.node.GiveBillPlaceBack()
+			return Reservation{}, step.Err
+		case StepAskHome, StepBorrow:
+			if res, ok := m.ask(ctx, a, step); ok {
+				return res, nil
+			}
+		case StepReturn:
+			m.askReturns(ctx, a, step.Holders)
+		case StepLog:
+			m.kick(p)
+			m.pause(ctx, changed, a.Deadline())
+		case StepWait:
+			m.pause(ctx, changed, step.Until)
+		}
+		if err := ctx.Err(); err != nil {
+			m.node.GiveBillPlaceBack()
+			return Reservation{}, &UnavailableError{RetryAfter: m.cfg.Policy.RetryAfter, Cause: err}
+		}
 	}
-	return &UnavailableError{RetryAfter: retryAfter, Cause: errors.New("other routers hold the rest of the budget")}
 }
 
-func (m *Manager) billBufferFull() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.bills) >= m.cfg.BillBuffer
+func (m *Manager) pause(ctx context.Context, changed <-chan struct{}, until time.Time) {
+	timer := time.NewTimer(max(0, until.Sub(m.cfg.Now())))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-changed:
+	}
 }
 
-// acquire appends a grant and reads it back. A grant exists only once the fold
-// has passed it.
-func (m *Manager) acquire(ctx context.Context, key record.EntryKey, amount int64) error {
-	m.mu.Lock()
-	m.grantSeq[key]++
-	item := record.Item{Grant: &record.Grant{Entry: key, Holder: m.cfg.Holder, Seq: m.grantSeq[key], Amount: amount}}
-	m.mu.Unlock()
-	data, err := record.Encode([]record.Item{item})
-	if err != nil {
-		return err
-	}
-	p := record.Partition(key.Name, m.cfg.Partitions)
-	obs.LogAppendsTotal.Add(1)
-	if _, err := m.log.Append(ctx, record.LedgerStream(p), data); err != nil {
-		return err
+// awaitCopy waits until the backup has the reservation. A reservation without
+// a copy is given back: its request must not be dispatched.
+func (m *Manager) awaitCopy(ctx context.Context, res Reservation, t Ticket, deadline time.Time) (Reservation, error) {
+	for !m.node.Copied(t) {
+		if ctx.Err() != nil || !m.cfg.Now().Before(deadline) {
+			m.node.Release(res)
+			return Reservation{}, &UnavailableError{RetryAfter: m.cfg.Policy.RetryAfter, Cause: errNotCopied}
+		}
+		m.mu.Lock()
+		copied := m.copied.wait()
+		m.mu.Unlock()
+		m.kickPeers()
+		if !m.node.Copied(t) {
+			m.pause(ctx, copied, deadline)
+		}
 	}
-	return m.catchUpPartition(ctx, p)
+	return res, nil
 }
 
+var errNotCopied = errors.New("the reservation could not be copied to the backup")
+
 // Settle ends a reservation, bills it, and returns the balance.
 func (m *Manager) Settle(res Reservation, st Settlement) Balance {
-	charged := min(st.Charged, res.Amount)
-	m.shares.Get(res.Entry).Settle(res.Amount, charged)
+	charged := max(0, min(st.Charged, res.Amount))
 	obs.BillsTotal.Add(1)
 	obs.ChargedTokensTotal.Add(charged)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.bills = append(m.bills, record.Bill{
+	bill := record.Bill{
 		RequestID: res.RequestID, Entry: res.Entry, Holder: res.Holder, Target: st.Target,
 		InputTokens: st.InputTokens, OutputTokens: st.OutputTokens, Charged: charged,
-		UnixMilli: time.Now().UnixMilli(), Outcome: st.Outcome,
-	})
-	return m.balance(res.Entry)
-}
-
-// Release ends a reservation of a request that was never sent. Nothing is billed.
-func (m *Manager) Release(res Reservation) {
-	m.shares.Get(res.Entry).Settle(res.Amount, 0)
-}
-
-// Balance returns what is left of an entry's budget.
-func (m *Manager) Balance(key record.EntryKey) Balance {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.balance(key)
-}
-
-func (m *Manager) balance(key record.EntryKey) Balance {
-	a := m.ledger(key).Account(key)
-	if a == nil {
-		return Balance{}
+		UnixMilli: m.cfg.Now().UnixMilli(), Outcome: st.Outcome,
 	}
-	c := m.shares.Get(key).Counters()
-	reported := a.Shares[m.cfg.Holder]
-	left := a.Prepaid - a.Spent() - c.Reserved - c.Spent
-	if reported != nil {
-		left += reported.Spent
+	if res.Holder == m.cfg.Holder {
+		m.node.SettleOwn(res, bill)
+	} else {
+		m.owe(res, &bill)
 	}
-	return Balance{Remaining: left}
+	return m.Balance(res.Entry)
 }
 
-func (m *Manager) ledger(key record.EntryKey) *ledger.Ledger {
-	return m.ledgers[record.Partition(key.Name, m.cfg.Partitions)]
+// owe tells the lender the end of a reservation. A nil bill releases it.
+func (m *Manager) owe(res Reservation, bill *record.Bill) {
+	m.mu.Lock()
+	m.node.Owe(res.Holder, SettleParams{RequestID: res.RequestID, Bill: bill})
+	m.mu.Unlock()
+	m.kickPeers()
 }
 
-// CatchUp reads every partition to its end once.
-func (m *Manager) CatchUp(ctx context.Context) error {
-	for p := range m.cfg.Partitions {
-		if err := m.catchUpPartition(ctx, p); err != nil {
-			return err
-		}
+// Release ends a reservation of a request that was never sent. Nothing is billed.
+func (m *Manager) Release(res Reservation) {
+	if res.Holder == m.cfg.Holder {
+		m.node.Release(res)
+		return
 	}
-	return nil
+	m.owe(res, nil)
 }
 
-func (m *Manager) catchUpPartition(ctx context.Context, p int) error {
-	for {
-		m.mu.Lock()
-		from := m.ledgers[p].Next()
-		m.mu.Unlock()
-		page, err := m.log.Read(ctx, record.LedgerStream(p), from, readBatch, 0)
-		if err != nil {
-			return err
-		}
-		m.applyPage(p, page)
-		if len(page.Records) == 0 {
-			return nil
-		}
-	}
+// Balance returns what is left of an entry's budget, as far as this process knows.
+func (m *Manager) Balance(key record.EntryKey) Balance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Balance(key)
 }
 
-func (m *Manager) applyPage(p int, page logstream.Page) {
+// Dead reports that a process is proven to send nothing any more. Its share is
+// reclaimed in the background where this process has the copies.
+func (m *Manager) Dead(proof Proof, resolve Resolve) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, r := range page.Records {
-		m.ledgers[p].ApplyRecord(r.Offset, r.Data)
-		m.updateShares(r.Data)
-	}
+	m.dead[proof.Holder] = deadHolder{proof: proof, resolve: resolve}
 }
 
-// updateShares takes over this process's grants named in a folded record.
-func (m *Manager) updateShares(data []byte) {
-	items, _, err := record.Decode(data)
-	if err != nil {
-		return
-	}
-	for _, item := range items {
-		if item.Grant == nil || item.Grant.Holder != m.cfg.Holder {
-			continue
-		}
-		key := item.Grant.Entry
-		if own := m.ledger(key).Account(key).Shares[m.cfg.Holder]; own != nil {
-			m.shares.Get(key).SetGranted(own.Granted)
-		}
+func (m *Manager) home(p int) record.HolderID {
+	if m.peers == nil {
+		return m.cfg.Holder
 	}
+	return m.peers.Home(p)
 }
 
-// Run flushes settles and bills until the context ends, then returns all
-// unreserved shares and flushes once more.
+// Run keeps shares filled and writes bills and settles until the context ends.
 func (m *Manager) Run(ctx context.Context) {
-	ticker := time.NewTicker(m.cfg.FlushInterval)
-	defer ticker.Stop()
+	flush := time.NewTicker(max(m.cfg.Policy.AppendInterval, time.Millisecond))
+	defer flush.Stop()
+	last := m.cfg.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			if err := m.Flush(ctx); err != nil {
-				obs.EventBillsDelayed.Log(m.logger, logrus.Fields{"error": err.Error()})
-			}
+		case <-flush.C:
 		}
-	}
-}
-
-// Close returns every unreserved share to the log and writes the last bills.
-// The caller has ended all requests.
-func (m *Manager) Close(ctx context.Context) error {
-	m.shares.Each(func(_ record.EntryKey, s *share.Share) bool {
-		s.Return(s.Counters().Free())
-		return true
-	})
-	return m.Flush(ctx)
-}
-
-// Flush writes pending bills, then the counters that changed. A bill is
-// written before the settle that contains it, so a reader of the log never
-// sees spent tokens without their bills.
-func (m *Manager) Flush(ctx context.Context) error {
-	if err := m.flushBills(ctx); err != nil {
-		return err
-	}
-	return m.flushSettles(ctx)
-}
-
-func (m *Manager) flushBills(ctx context.Context) error {
-	m.mu.Lock()
-	pending := m.bills
-	m.mu.Unlock()
-	byPartition := make(map[int][]record.Item)
-	for i := range pending {
-		p := record.Partition(pending[i].Entry.Name, m.cfg.Partitions)
-		byPartition[p] = append(byPartition[p], record.Item{Bill: &pending[i]})
-	}
-	for p, items := range byPartition {
-		if err := m.append(ctx, record.BillStream(p), items); err != nil {
-			return err
+		if now := m.cfg.Now(); now.Sub(last) >= tickEvery {
+			m.tick(now.Sub(last))
+			last = now
+		}
+		for p := range m.cycles {
+			m.kick(p)
 		}
+		m.kickPeers()
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.bills = m.bills[len(pending):]
-	return nil
 }
 
-func (m *Manager) flushSettles(ctx context.Context) error {
-	byPartition := make(map[int][]record.Item)
-	counters := make(map[record.EntryKey]share.Counters)
-	m.shares.Each(func(key record.EntryKey, s *share.Share) bool {
-		counters[key] = s.Counters()
-		return true
-	})
+func (m *Manager) tick(elapsed time.Duration) {
 	m.mu.Lock()
-	for key, c := range counters {
-		last := m.settled[key]
-		if c.Spent == last.Spent && c.Returned == last.Returned {
-			continue
-		}
-		m.seq++
-		p := record.Partition(key.Name, m.cfg.Partitions)
-		byPartition[p] = append(byPartition[p], record.Item{Settle: &record.Settle{
-			Entry: key, Holder: m.cfg.Holder, Seq: m.seq, Spent: c.Spent, Returned: c.Returned,
-		}})
-	}
-	m.mu.Unlock()
-	for p, items := range byPartition {
-		if err := m.append(ctx, record.LedgerStream(p), items); err != nil {
-			return err
-		}
-		m.mu.Lock()
-		for _, item := range items {
-			m.settled[item.Settle.Entry] = counters[item.Settle.Entry]
-		}
-		m.mu.Unlock()
-		if err := m.catchUpPartition(ctx, p); err != nil {
-			return err
+	defer m.mu.Unlock()
+	m.node.Tick(elapsed, m.home)
+	for holder, d := range m.dead {
+		if m.node.Reclaim(m.cfg.Now(), d.proof, d.resolve) == ReclaimDone {
+			obs.EventShareReclaimed.Log(m.logger, logrus.Fields{"holder": string(holder)})
+			delete(m.dead, holder)
 		}
 	}
-	return nil
-}
-
-func (m *Manager) append(ctx context.Context, stream string, items []record.Item) error {
-	data, err := record.Encode(items)
-	if err != nil {
-		return err
-	}
-	obs.LogAppendsTotal.Add(1)
-	_, err = m.log.Append(ctx, stream, data)
-	return err
 }
--- a/internal/coordination/budget/node.go
+++ b/internal/coordination/budget/node.go
@@ -156,6 +156,9 @@
 func (n *Node) tickEntry(e *entry, elapsed time.Duration, home record.HolderID) {
 	s := n.shares.Get(e.key)
 	e.demand = n.policy.nextDemand(e.demand, s, elapsed)
+	if a := n.account(e.key); a != nil {
+		e.demand = n.policy.nextSpending(e.demand, s.Counters().Spent, a.Spent(), elapsed)
+	}
 	if e.pending != nil || e.waiting > 0 {
 		return
 	}
@@ -165,7 +168,7 @@
 		s.Return(free)
 		return
 	}
-	if back := n.policy.surplus(e.demand, free); back > 0 {
+	if back := n.policy.surplus(e.demand, sup, free); back > 0 {
 		s.Return(back)
 		return
 	}
--- /dev/null
+++ b/internal/coordination/budget/peering.go
@@ -0,0 +1,275 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/share"
+)
+
+// ask asks another holder to reserve for the attempt.
+func (m *Manager) ask(ctx context.Context, a *Attempt, step Step) (Reservation, bool) {
+	lender := step.Holders[0]
+	res := Reservation{
+		RequestID: a.Request.RequestID, Entry: a.Request.Entry, Holder: lender, Amount: a.Request.Amount,
+	}
+	callCtx, cancel := context.WithTimeout(ctx, max(0, a.Deadline().Sub(m.cfg.Now())))
+	defer cancel()
+	result, err := m.peers.Reserve(callCtx, lender, ReserveParams{
+		From: m.cfg.Holder, RequestID: a.Request.RequestID, Entry: a.Request.Entry, Class: a.Request.Class,
+		Amount: a.Request.Amount, ShareOnly: step.Kind == StepBorrow,
+	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.node.OweRelease(a, lender)
+		return Reservation{}, false
+	}
+	if !result.Reserved {
+		m.node.HomeAnswered(a, result.Exhausted)
+	}
+	return res, result.Reserved
+}
+
+// askReturns asks holders for a return, all at once.
+func (m *Manager) askReturns(ctx context.Context, a *Attempt, holders []record.HolderID) {
+	if m.peers == nil {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, max(0, a.Deadline().Sub(m.cfg.Now())))
+	defer cancel()
+	var calls conc.WaitGroup
+	for _, h := range holders {
+		calls.Go(func() {
+			sent := m.cfg.Now()
+			r, err := m.peers.Return(callCtx, h, ReturnParams{Entry: a.Request.Entry})
+			if err != nil {
+				return
+			}
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.node.HolderAnswered(sent, a.Request.Entry, h, r.Counters)
+		})
+	}
+	calls.Wait()
+}
+
+// kickPeers sends debts and copies in the background unless that is under way.
+func (m *Manager) kickPeers() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers == nil || m.peering || m.ctx.Err() != nil {
+		return
+	}
+	m.peering = true
+	m.calls.Go(m.runPeering)
+}
+
+func (m *Manager) runPeering() {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.peering = false
+		m.copied.wake()
+	}()
+	if err := m.declareBackup(m.ctx); err != nil {
+		obs.EventBackupUndeclared.Log(m.logger, logrus.Fields{"error": err.Error()})
+	}
+	m.sendCopies(m.ctx)
+	m.payDebts(m.ctx)
+}
+
+// declareBackup keeps a backup chosen and its declaration folded.
+func (m *Manager) declareBackup(ctx context.Context) error {
+	m.mu.Lock()
+	if m.node.Backup() == "" {
+		m.node.SetBackup(m.peers.Backup())
+	}
+	d := m.node.NextDeclaration()
+	from, reclaiming := m.node.MembersFrom(), len(m.dead) > 0
+	m.mu.Unlock()
+	if d != nil {
+		// A lost answer is no matter: the fold tells whether it took effect.
+		_ = m.appendItems(ctx, record.MembersStream, []record.Item{{Backup: d}})
+	}
+	if d == nil && !reclaiming {
+		return nil
+	}
+	for {
+		began := m.cfg.Now()
+		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		page, err := m.log.Read(readCtx, record.MembersStream, from, readBatch, 0)
+		cancel()
+		if err != nil {
+			return err
+		}
+		m.mu.Lock()
+		end := m.node.MembersFolded(began, page)
+		from = m.node.MembersFrom()
+		m.mu.Unlock()
+		if end {
+			return nil
+		}
+	}
+}
+
+// copyTimeout bounds a call to the backup, which requests wait for.
+const copyTimeout = time.Second
+
+func (m *Manager) sendCopies(ctx context.Context) {
+	for {
+		batch, to := m.node.NextCopies()
+		if batch == nil {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+		err := m.peers.Journal(callCtx, to, *batch)
+		cancel()
+		if err != nil {
+			m.node.DropBackup(m.peers.Backup())
+			return
+		}
+		m.node.CopiesDone(batch)
+		m.mu.Lock()
+		m.copied.wake()
+		m.mu.Unlock()
+	}
+}
+
+func (m *Manager) payDebts(ctx context.Context) {
+	m.mu.Lock()
+	debts := append([]Debt(nil), m.node.Debts()...)
+	m.mu.Unlock()
+	failed := make(map[record.HolderID]bool)
+	for _, d := range debts {
+		if failed[d.Lender] {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+		err := m.peers.Settle(callCtx, d.Lender, d.Params)
+		cancel()
+		if err != nil {
+			failed[d.Lender] = true
+			continue
+		}
+		m.mu.Lock()
+		m.node.DebtPaid(d)
+		m.mu.Unlock()
+	}
+}
+
+// appendAtHome lets the home append this node's records with its own batch.
+// They are the same records as in a direct append, so a second try of either
+// kind counts once.
+func (m *Manager) appendAtHome(ctx context.Context, home record.HolderID, p int, items []record.Item) appendResult {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := m.peers.Acquire(ctx, home, AcquireParams{From: m.cfg.Holder, Partition: p, Items: items})
+	return appendResult{offset: r.Offset, err: err}
+}
+
+// ErrNotYours reports records of another holder in budget.acquire.
+var ErrNotYours = errors.New("records name another holder")
+
+// ServeAcquire answers budget.acquire: it appends the caller's records with the
+// next batch of this node.
+func (m *Manager) ServeAcquire(ctx context.Context, p AcquireParams) (AcquireResult, error) {
+	if p.Partition < 0 || p.Partition >= len(m.cycles) || !ownItems(p) {
+		return AcquireResult{}, ErrNotYours
+	}
+	f := foreignItems{items: p.Items, done: make(chan appendResult, 1)}
+	m.mu.Lock()
+	c := m.cycles[p.Partition]
+	c.foreign = append(c.foreign, f)
+	m.mu.Unlock()
+	m.kick(p.Partition)
+	select {
+	case <-ctx.Done():
+		return AcquireResult{}, ctx.Err()
+	case r := <-f.done:
+		return AcquireResult{Offset: r.offset}, r.err
+	}
+}
+
+func ownItems(p AcquireParams) bool {
+	for _, item := range p.Items {
+		grant := item.Grant != nil && item.Grant.Holder == p.From
+		settle := item.Settle != nil && item.Settle.Holder == p.From
+		if !grant && !settle {
+			return false
+		}
+	}
+	return true
+}
+
+// ServeReserve answers budget.reserve.
+func (m *Manager) ServeReserve(ctx context.Context, p ReserveParams) (ReserveResult, error) {
+	m.mu.Lock()
+	lent := m.node.Lent(p)
+	m.mu.Unlock()
+	if lent {
+		return ReserveResult{Reserved: true}, nil
+	}
+	if !m.node.TakeBillPlace() {
+		return ReserveResult{}, nil
+	}
+	err := m.reserveForPeer(ctx, p)
+	if err != nil {
+		return ReserveResult{Exhausted: errors.Is(err, ErrExhausted)}, nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return ReserveResult{Reserved: m.node.Lend(p)}, nil
+}
+
+func (m *Manager) reserveForPeer(ctx context.Context, p ReserveParams) error {
+	req := ReserveRequest{RequestID: p.RequestID, Entry: p.Entry, Class: p.Class, Amount: p.Amount}
+	m.mu.Lock()
+	a := m.node.Begin(m.cfg.Now(), req, true)
+	covered := p.ShareOnly && a.ShareOnly(m.node)
+	m.mu.Unlock()
+	if covered {
+		_, err := m.awaitCopy(ctx, m.node.Reservation(req), a.Ticket(), a.Deadline())
+		return err
+	}
+	if p.ShareOnly {
+		m.node.GiveBillPlaceBack()
+		return &UnavailableError{RetryAfter: m.cfg.Policy.RetryAfter, Cause: errHolders}
+	}
+	_, err := m.attempt(ctx, a)
+	return err
+}
+
+// ServeSettle answers budget.settle.
+func (m *Manager) ServeSettle(p SettleParams) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.node.ServeSettle(m.cfg.Now(), p)
+}
+
+// ServeReturn answers budget.return.
+func (m *Manager) ServeReturn(p ReturnParams) ReturnResult {
+	m.mu.Lock()
+	counters := m.node.ServeReturn(p.Entry)
+	m.mu.Unlock()
+	m.kick(m.node.Partition(p.Entry))
+	return ReturnResult{Counters: counters}
+}
+
+// ServeJournal answers budget.journal.
+func (m *Manager) ServeJournal(b CopyBatch) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.ServeCopies(b)
+}
+
+// Counters returns this process's share of an entry.
+func (m *Manager) Counters(key record.EntryKey) share.Counters {
+	return m.node.Shares().Get(key).Counters()
+}
--- a/internal/coordination/budget/peers.go
+++ b/internal/coordination/budget/peers.go
@@ -56,15 +56,17 @@
 	Bill      *record.Bill    `json:"bill,omitempty"`
 }
 
-// AcquireParams asks the home to append the caller's own grant with its batch.
+// AcquireParams asks the home to append the caller's own grants and settles
+// with its batch.
 type AcquireParams struct {
-	Grant record.Grant `json:"grant"`
+	From      record.HolderID `json:"from"`
+	Partition int             `json:"partition"`
+	Items     []record.Item   `json:"items"`
 }
 
-// AcquireResult says what the log has granted to the caller in total.
+// AcquireResult holds the offset of the append. The caller reads it back.
 type AcquireResult struct {
-	Granted  int64  `json:"granted"`
-	GrantSeq uint64 `json:"grant_seq"`
+	Offset uint64 `json:"offset"`
 }
 
 // ReturnParams asks a holder to give back what it has not reserved.
--- a/internal/coordination/budget/policy.go
+++ b/internal/coordination/budget/policy.go
@@ -42,14 +42,15 @@
 }
 
 const (
-	// grantFraction bounds a grant to a part of the free budget per holder, so
+	// grantFraction bounds a background grant to a part of the free budget, so
 	// that one node does not take the rest that other nodes need.
-	grantFraction = 4
-	// lowWaterFraction is the part of the target share below which more is fetched.
-	lowWaterFraction = 2
+	grantFraction = 2
+	// lowWaterFraction is the part of the target share that is used before more is
+	// fetched.
+	lowWaterFraction = 4
 	// surplusFactor is the multiple of the target above which a share goes back.
 	// The gap to lowWaterFraction prevents alternating grants and returns.
-	surplusFactor = 4
+	surplusFactor = 2
 	// hotRequests is the number of requests per horizon from which a node holds
 	// a share of its own instead of asking the home.
 	hotRequests = 8
@@ -86,6 +87,37 @@
 type demand struct {
 	rate     float64
 	maxBound int64
+	// ownSpending and allSpending are this node's and the fleet's spending in
+	// tokens/s as the log shows them; lastOwn and lastAll are the totals behind.
+	ownSpending, allSpending float64
+	lastOwn, lastAll         int64
+}
+
+// spendingWindows is the time constant of the spending rates in demand windows.
+// They divide scarce budget between nodes and need less noise than speed.
+const spendingWindows = 4
+
+// nextSpending updates the spending rates from the totals in the fold.
+func (p Policy) nextSpending(d demand, own, all int64, elapsed time.Duration) demand {
+	if elapsed <= 0 {
+		return d
+	}
+	weight := 1 - math.Exp(-elapsed.Seconds()/(spendingWindows*p.DemandWindow.Seconds()))
+	d.ownSpending += weight * (float64(own-d.lastOwn)/elapsed.Seconds() - d.ownSpending)
+	d.allSpending += weight * (float64(all-d.lastAll)/elapsed.Seconds() - d.allSpending)
+	d.lastOwn, d.lastAll = own, all
+	return d
+}
+
+// fairTarget returns the share to hold: what lasts for the horizon, or when the
+// unspent budget lasts less long for the fleet, this node's part of it by its
+// part of the spending.
+func (p Policy) fairTarget(d demand, s supply) int64 {
+	part := 1 / float64(max(s.holders, 1))
+	if d.allSpending > minRate {
+		part = min(d.ownSpending/d.allSpending, 1)
+	}
+	return min(p.target(d), int64(part*float64(s.free+s.outstanding)))
 }
 
 // target returns the share that lasts for the horizon.
@@ -117,21 +149,25 @@
 	if !home {
 		free -= free / 100 * p.ReservePercent
 	}
-	need, target := int64(0), p.target(d)
+	need, target := int64(0), p.fairTarget(d, s)
 	if waiting > 0 {
 		need, target = max(0, waiting-shareFree), max(target, p.MinGrant)
 	}
 	if p.scarce(d, s) && !home {
 		return need
 	}
-	ahead := min(target-shareFree, free/grantFraction/max(s.holders, 1))
+	ahead := min(target-shareFree, free/grantFraction)
+	if waiting > 0 {
+		ahead = min(ahead, free/grantFraction/max(s.holders, 1))
+	}
 	return max(need, ahead, 0)
 }
 
 // prefetch returns the grant to ask for in the background, or 0 when the share
 // is full enough or the gain does not justify an append.
 func (p Policy) prefetch(d demand, s supply, shareFree int64, home bool) int64 {
-	if !p.hot(d) || shareFree >= p.target(d)/lowWaterFraction {
+	target := p.fairTarget(d, s)
+	if !p.hot(d) || shareFree >= target-target/lowWaterFraction {
 		return 0
 	}
 	amount := p.grantAmount(d, s, shareFree, 0, home)
@@ -143,11 +179,11 @@
 
 // worthwhileFraction bounds the number of background grants: each one enlarges
 // the share by at least this part.
-const worthwhileFraction = 8
+const worthwhileFraction = 16
 
 // surplus returns the part of a share that its demand does not justify.
-func (p Policy) surplus(d demand, shareFree int64) int64 {
-	keep := max(p.target(d), d.maxBound)
+func (p Policy) surplus(d demand, s supply, shareFree int64) int64 {
+	keep := max(p.fairTarget(d, s), d.maxBound)
 	if shareFree <= surplusFactor*keep && d.rate >= minRate {
 		return 0
 	}
--- /dev/null
+++ b/internal/coordination/budget/sim/compare_test.go
@@ -0,0 +1,21 @@
+package sim
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against overspend and against a rise of false refusals on the seeded
+// schedules. go test -v prints the table of docs/measurements.md.
+func TestComparison(t *testing.T) {
+	is := is.New(t)
+	rows := Compare(Seed)
+	t.Log("\n" + Table(rows))
+	for _, row := range rows {
+		is.Equal(row.Shares.Overspend, int64(0)) // no schedule may overspend
+		is.Equal(row.PerRequest.Overspend, int64(0))
+		is.Equal(row.StaticSplit.Overspend, int64(0))
+		is.Equal(row.Shares.Requests, row.StaticSplit.Requests) // the same load for each strategy
+	}
+}
--- a/internal/coordination/budget/sim/fleet.go
+++ b/internal/coordination/budget/sim/fleet.go
@@ -54,9 +54,10 @@
 	Paused, Dead bool
 	Draining     bool
 	// proven is set once the platform's list no longer has the VM.
-	proven   bool
-	provenAt time.Time
-	calls    []*call
+	proven    bool
+	provenAt  time.Time
+	calls     []*call
+	lastBills time.Time
 }
 
 // Holder returns the holder ID of the process.
@@ -206,7 +207,8 @@
 	}
 }
 
-// backupFor returns the next live process after p in the ring.
+// backupFor returns the next live process of the region after p in the ring. A
+// backup in another region would block a region that is cut off from the log.
 func (f *Fleet) backupFor(p *Proc) record.HolderID {
 	at := 0
 	for i, q := range f.Procs {
@@ -215,7 +217,7 @@
 		}
 	}
 	for i := 1; i < len(f.Procs); i++ {
-		if q := f.Procs[(at+i)%len(f.Procs)]; f.reachable(p, q) && !q.Draining && q != p {
+		if q := f.Procs[(at+i)%len(f.Procs)]; f.reachable(p, q) && !q.Draining && q.region == p.region {
 			return q.Holder()
 		}
 	}
@@ -232,8 +234,14 @@
 		f.pumpCopies(p)
 	}
 	f.pumpDebts(p)
+	billsDue := p.Draining || f.Now.Sub(p.lastBills) >= f.cfg.Policy.AppendInterval
+	if billsDue {
+		p.lastBills = f.Now
+	}
 	for part := range f.cfg.Partitions {
-		f.pumpBills(p, part)
+		if billsDue {
+			f.pumpBills(p, part)
+		}
 		f.pumpAppend(p, part)
 		f.pumpRead(p, part)
 	}
