Wire routing, admission, claims, membership and peers into the daemon

Cause: the daemon ran on simple local replacements of these modules. Change: adapters for routing, admission and claims; fleet.go connects the budget and the request lookup to the other routers over the peers' protocol, and reports holders that have provably stopped; settings for peers, claims, budget horizon and waits. Fleet-wide limits are divided equally over the live routers. Conclusion: the single-router tests pass on the real modules; the fleet needs its own tests.

--- a/cmd/dotterelthread/main.go
+++ b/cmd/dotterelthread/main.go
@@ -82,7 +82,11 @@
 	if err != nil {
 		return err
 	}
-	err = daemon.New(cfg, log, logger).Run(ctx, public, admin)
+	router, err := daemon.New(cfg, log, logger)
+	if err != nil {
+		return err
+	}
+	err = router.Run(ctx, public, admin)
 	flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 	defer cancel()
 	// Lost spans are no reason to report a failed stop.
--- /dev/null
+++ b/internal/coordination/budget/holders.go
@@ -0,0 +1,38 @@
+package budget
+
+import (
+	"slices"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
+
+// Holders returns the other processes that the log shows with an open share, in
+// order. The caller finds out which of them have stopped.
+func (m *Manager) Holders() []record.HolderID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	open := make(map[record.HolderID]bool)
+	for _, p := range m.node.parts {
+		for _, a := range p.ledger.Accounts {
+			for holder, s := range a.Shares {
+				if holder != m.cfg.Holder && !s.Closed && s.Outstanding() > 0 {
+					open[holder] = true
+				}
+			}
+		}
+	}
+	holders := make([]record.HolderID, 0, len(open))
+	for h := range open {
+		holders = append(holders, h)
+	}
+	slices.Sort(holders)
+	return holders
+}
+
+// InFlightOf returns the requests in flight of a holder that this process knows
+// of, for the caller to ask the upstreams about before it reports the holder dead.
+func (m *Manager) InFlightOf(holder record.HolderID) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.InFlightOf(holder)
+}
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -66,6 +66,26 @@
 	return v.best(partition, func(m Member) bool { return m.Region == region && m.Zone != home.Zone })
 }
 
+// CopyPeer returns the member that keeps the reservation copies of a VM: the one
+// with the highest weight in another availability zone of the region, else in
+// another region, else any other member. Losing a zone then leaves the copies.
+func (v *View) CopyPeer(vm, zone, region string) (Member, bool) {
+	// The VM's own hash takes the place of a partition, so that the copies of
+	// a zone's VMs are spread over the members of the others.
+	seed := int(hashString(vm) >> 1)
+	preferences := []func(Member) bool{
+		func(m Member) bool { return m.Region == region && m.Zone != zone },
+		func(m Member) bool { return m.Region != region },
+		func(Member) bool { return true },
+	}
+	for _, preferred := range preferences {
+		if m, ok := v.best(seed, func(m Member) bool { return m.VM != vm && preferred(m) }); ok {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 func (v *View) best(partition int, allowed func(Member) bool) (Member, bool) {
 	best, found := 0, false
 	var top uint64
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,10 +14,14 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/claim"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/settings"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
@@ -32,9 +36,15 @@
 	config *configsync.Follower
 	api    *httpapi.API
 	budget *budget.Manager
-	server *http.Server
-	admin  *http.Server
-	holder record.HolderID
+	claims *claim.Claims
+	// fleet is nil for a router that runs alone.
+	fleet     *fleet
+	engines   *upstream.Client
+	routes    *routes
+	admission *admission.Controller
+	server    *http.Server
+	admin     *http.Server
+	holder    record.HolderID
 	// started is the time at which the process was set up.
 	started  time.Time
 	ready    atomic.Bool
@@ -43,43 +53,73 @@
 }
 
 // New returns a router that keeps what must last in the given log.
-func New(cfg settings.Daemon, log logstream.Log, logger logrus.FieldLogger) *Daemon {
-	holder := record.HolderID(cfg.VM + "/" + uuid.NewString())
+func New(cfg settings.Daemon, log logstream.Log, logger logrus.FieldLogger) (*Daemon, error) {
+	incarnation := uuid.NewString()
 	d := &Daemon{
 		cfg: cfg, logger: logger, config: configsync.NewFollower(log, logger),
-		holder: holder, started: time.Now(), drain: make(chan struct{}),
+		holder:  record.HolderID(cfg.VM + "/" + incarnation),
+		started: time.Now(), drain: make(chan struct{}),
 	}
-	d.budget = budget.NewManager(budget.Config{
-		Holder: holder, Partitions: cfg.LedgerPartitions, BillBuffer: cfg.BillBuffer,
-		FlushInterval: cfg.FlushInterval, GrantSize: cfg.GrantSize,
+	budgetConfig := newBudgetConfig(cfg, d.holder)
+	if cfg.PeerListen != "" {
+		var err error
+		if d.fleet, err = newFleet(cfg, incarnation, d.configStatus, logger); err != nil {
+			return nil, err
+		}
+		budgetConfig.Peers = d.fleet
+	}
+	d.budget = budget.NewManager(budgetConfig, log, logger)
+	d.claims = claim.New(claim.Config{
+		Partitions: cfg.ClaimPartitions, Interval: cfg.ClaimInterval, Retention: cfg.ClaimRetention,
 	}, log, logger)
-	d.api = newAPI(cfg, holder, d.config, d.budget, log, logger)
+	d.engines = upstream.New()
+	d.routes = newRoutes(routing.New(routing.Config{
+		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers, Notify: routing.LogChanges(logger),
+	}), d.config)
+	d.admission = admission.New(admission.Config{
+		Now: time.Now, Capacity: d.capacity, Parts: equalParts{d.place},
+	})
+	d.api = d.newAPI()
+	if d.fleet != nil {
+		d.fleet.serveBudget(d.budget)
+		d.fleet.serveRequests(d.api)
+		d.api.Remote = d.fleet
+	}
 	d.server = &http.Server{
 		Handler: d.api.Handler(), ReadHeaderTimeout: cfg.ReadTimeout,
 		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
 	}
 	d.admin = &http.Server{Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: cfg.ReadTimeout}
-	return d
+	return d, nil
+}
+
+func newBudgetConfig(cfg settings.Daemon, holder record.HolderID) budget.Config {
+	policy := budget.DefaultPolicy()
+	policy.Horizon = cfg.BudgetHorizon
+	policy.ReservePercent = cfg.BudgetReserve
+	policy.WaitInteractive = cfg.WaitInteractive
+	policy.WaitQueued = cfg.WaitQueued
+	return budget.Config{
+		Holder: holder, Partitions: cfg.LedgerPartitions, BillBuffer: cfg.BillBuffer,
+		FlushInterval: cfg.FlushInterval, GrantSize: cfg.GrantSize, Policy: policy,
+	}
 }
 
 // newAPI wires the callers' API.
-func newAPI(
-	cfg settings.Daemon, holder record.HolderID, config httpapi.Configuration, spending httpapi.Budget,
-	log logstream.Log, logger logrus.FieldLogger,
-) *httpapi.API {
-	client := upstream.New()
+func (d *Daemon) newAPI() *httpapi.API {
+	cfg := d.cfg
 	return &httpapi.API{
-		Config: config, Budget: spending, Engines: client, Services: client,
-		Admission: localAdmission{}, Routing: &localRouting{config: config, open: make(map[string]int)},
-		Retry: newLocalRetryBudget(), Claims: newLocalClaims(log, cfg.LedgerPartitions),
+		Config: d.config, Budget: d.budget, Engines: d.engines, Services: d.engines,
+		Admission: admitter{d.admission}, Routing: d.routes,
+		Retry: &routing.RetryBudget{}, Claims: claims{d.claims},
 		Requests: request.NewTable(request.Config{
 			Retention: cfg.RequestRetention, MaxFinished: cfg.RequestsKept,
 			MaxAnswerBytes: cfg.AnswerMemory, Now: time.Now,
 		}),
 		Unknown: &httpapi.Resolver{
-			Budget: spending, Engines: client, Delay: cfg.UnknownBillDelay, Logger: logger, Now: time.Now,
+			Budget: d.budget, Engines: d.engines, Delay: cfg.UnknownBillDelay, Logger: d.logger, Now: time.Now,
 		},
-		Holder: holder, Logger: logger, Now: time.Now,
+		Holder: d.holder, Logger: d.logger, Now: time.Now,
 		Limits: httpapi.Limits{
 			MaxBodyBytes: cfg.MaxBodyBytes, BodyTimeout: cfg.ReadTimeout, WriteTimeout: cfg.WriteTimeout,
 			RequestTimeout: cfg.RequestTimeout, AttemptTimeout: cfg.AttemptTimeout, ResumeTimeout: cfg.ResumeTimeout,
@@ -89,6 +129,39 @@
 	}
 }
 
+// place returns this router's rank among the live routers, and their number.
+func (d *Daemon) place() (index, routers int) {
+	if d.fleet == nil {
+		return 0, 1
+	}
+	return d.fleet.place()
+}
+
+func (d *Daemon) routers() int {
+	_, n := d.place()
+	return n
+}
+
+// capacitySlack lets a router that gets more than its part of the traffic use
+// what the others leave; the upstreams queue what comes together.
+const capacitySlack = 2
+
+// capacity returns how many requests this router may have at a pool at a time.
+func (d *Daemon) capacity(pool string) int {
+	all, routers := d.routes.Capacity(pool), d.routers()
+	if routers == 1 {
+		return all
+	}
+	return min(all, (all*capacitySlack+routers-1)/routers)
+}
+
+// configStatus is what heartbeats say of this router's configuration.
+func (d *Daemon) configStatus() peerapi.ConfigStatus {
+	return peerapi.ConfigStatus{
+		Version: d.config.Current().Version, HeardMillis: time.Since(d.config.LastRead()).Milliseconds(),
+	}
+}
+
 // Status describes the process for /admin/status.
 func (d *Daemon) Status() httpapi.Status {
 	return httpapi.Status{
@@ -131,6 +204,13 @@
 	var loops conc.WaitGroup
 	loops.Go(func() { d.config.Run(background) })
 	loops.Go(func() { d.budget.Run(background) })
+	loops.Go(func() { d.claims.Run(background) })
+	loops.Go(func() { d.advanceAdmission(background) })
+	if d.fleet != nil {
+		if err := d.fleet.start(background, &loops, d); err != nil {
+			return err
+		}
+	}
 	var resolver conc.WaitGroup
 	resolver.Go(func() { d.api.Unknown.Run(background) })
 	loops.Go(func() { _ = d.server.Serve(netutil.LimitListener(public, d.cfg.MaxConnections)) })
@@ -149,6 +229,23 @@
 	return err
 }
 
+// admissionInterval is the time between two looks at requests that wait for a
+// rate limit; requests that wait for a slot are admitted when one gets free.
+const admissionInterval = 50 * time.Millisecond
+
+func (d *Daemon) advanceAdmission(ctx context.Context) {
+	ticker := time.NewTicker(admissionInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.admission.Advance()
+		}
+	}
+}
+
 // handBackTimeout bounds the time to write the last bills and hand back shares.
 const handBackTimeout = 30 * time.Second
 
--- a/internal/daemon/overhead_test.go
+++ b/internal/daemon/overhead_test.go
@@ -148,7 +148,10 @@
 	topUp(b, dev, cfg.LedgerPartitions)
 	public, admin := listen(b), listen(b)
 	done := make(chan error, 1)
-	d := New(cfg, dev.Log, logger)
+	d, err := New(cfg, dev.Log, logger)
+	if err != nil {
+		b.Fatal(err)
+	}
 	go func() { done <- d.Run(ctx, public, admin) }()
 	for !d.ready.Load() {
 		time.Sleep(time.Millisecond)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"net/url"
 	"reflect"
 	"slices"
@@ -13,7 +14,7 @@
 )
 
 // mayBeZero names the numbers and durations for which 0 has a meaning.
-var mayBeZero = []string{"drain-delay", "attempt-timeout"}
+var mayBeZero = []string{"drain-delay", "attempt-timeout", "budget-reserve"}
 
 // check returns every finding about values that could be read.
 func (d Daemon) check() []Finding {
@@ -30,6 +31,10 @@
 	if !d.Dev && !isHTTP(d.LogURL) {
 		c.found("log-url", "must be an http or https URL; only --dev runs without one")
 	}
+	d.checkPeers(c)
+	if d.BudgetReserve > maxPercent {
+		c.found("budget-reserve", "must be at most 100")
+	}
 	c.oneOf("log-format", "text", "json")
 	c.oneOf("trace-exporter", "none", "stdout", "otlp")
 	if d.TraceExporter == "otlp" && !isHTTP(d.TraceEndpoint) {
@@ -44,6 +49,36 @@
 	return c.findings
 }
 
+const maxPercent = 100
+
+// minPeerKeyBytes is the output size of the hash that the key is used with.
+const minPeerKeyBytes = 32
+
+// checkPeers reports a router that is neither alone nor a member of a fleet.
+func (d Daemon) checkPeers(c *checker) {
+	if d.PeerListen == "" {
+		return
+	}
+	if _, err := netip.ParseAddrPort(d.PeerListen); err != nil {
+		c.found("peer-listen", "must be an IP number and a port, as 10.0.0.7:9090")
+	}
+	if len(d.PeerKey) < minPeerKeyBytes {
+		c.found("peer-key", "must have at least 32 bytes")
+	}
+	if !isHTTP(d.VMListURL) {
+		c.found("vm-list-url", "must be an http or https URL when there are peers")
+	}
+	files := 0
+	for _, file := range []string{d.PeerTLSCert, d.PeerTLSKey, d.PeerTLSCA} {
+		if file != "" {
+			files++
+		}
+	}
+	if files != 0 && files != 3 {
+		c.found("peer-tls-cert", "certificate, key and CA file must be set together")
+	}
+}
+
 func isHTTP(text string) bool {
 	u, err := url.Parse(text)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,21 @@
 	Region           string        `long:"region" env:"DOTTERELTHREAD_REGION" default:"region-1" description:"region of this VM"`
 	LogURL           string        `long:"log-url" env:"DOTTERELTHREAD_LOG_URL" description:"base URL of the platform's log"`
 	LedgerPartitions int           `long:"ledger-partitions" env:"DOTTERELTHREAD_LEDGER_PARTITIONS" default:"8" description:"number of ledger streams, the same in the whole fleet"`
+	PeerListen       string        `long:"peer-listen" env:"DOTTERELTHREAD_PEER_LISTEN" description:"address for the other routers, an IP number and a port; without it the router is alone"`
+	PeerKey          string        `long:"peer-key" env:"DOTTERELTHREAD_PEER_KEY" description:"key shared by the routers, at least 32 bytes; set it in the environment, not on the command line"`
+	PeerTLSCert      string        `long:"peer-tls-cert" env:"DOTTERELTHREAD_PEER_TLS_CERT" description:"certificate file for connections between routers; without it they are not encrypted"`
+	PeerTLSKey       string        `long:"peer-tls-key" env:"DOTTERELTHREAD_PEER_TLS_KEY" description:"key file of the certificate"`
+	PeerTLSCA        string        `long:"peer-tls-ca" env:"DOTTERELTHREAD_PEER_TLS_CA" description:"CA file for the certificates of the other routers"`
+	VMListURL        string        `long:"vm-list-url" env:"DOTTERELTHREAD_VM_LIST_URL" description:"base URL of the platform's VM list"`
+	ClaimPartitions  int           `long:"claim-partitions" env:"DOTTERELTHREAD_CLAIM_PARTITIONS" default:"16" description:"number of claim streams, the same in the whole fleet"`
+	ClaimInterval    time.Duration `long:"claim-interval" env:"DOTTERELTHREAD_CLAIM_INTERVAL" default:"250ms" description:"least time between two appends to a claim stream"`
+	ClaimRetention   time.Duration `long:"claim-retention" env:"DOTTERELTHREAD_CLAIM_RETENTION" default:"24h" description:"time for which an idempotency key of a non-idempotent request is kept, the same in the whole fleet"`
+	LogRetention     time.Duration `long:"log-retention" env:"DOTTERELTHREAD_LOG_RETENTION" default:"24h" description:"time for which the log keeps records; snapshots are written within half of it"`
+	LogRetainRecords uint64        `long:"log-retain-records" env:"DOTTERELTHREAD_LOG_RETAIN_RECORDS" default:"0" description:"records that the log keeps per stream; 0 when only the age counts"`
+	BudgetHorizon    time.Duration `long:"budget-horizon" env:"DOTTERELTHREAD_BUDGET_HORIZON" default:"1h" description:"time for which a share should last at the present demand"`
+	BudgetReserve    int64         `long:"budget-reserve" env:"DOTTERELTHREAD_BUDGET_RESERVE" default:"0" description:"part of an entry's free budget that only the home may take, in percent"`
+	WaitInteractive  time.Duration `long:"wait-interactive" env:"DOTTERELTHREAD_WAIT_INTERACTIVE" default:"2s" description:"longest wait of an interactive request before it is refused for budget"`
+	WaitQueued       time.Duration `long:"wait-queued" env:"DOTTERELTHREAD_WAIT_QUEUED" default:"10s" description:"longest wait of a queued request before it is refused for budget"`
 	BillBuffer       int           `long:"bill-buffer" env:"DOTTERELTHREAD_BILL_BUFFER" default:"100000" description:"bills kept in memory while the log is down"`
 	FlushInterval    time.Duration `long:"flush-interval" env:"DOTTERELTHREAD_FLUSH_INTERVAL" default:"500ms" description:"time between two appends of bills and settles"`
 	GrantSize        int64         `long:"grant-size" env:"DOTTERELTHREAD_GRANT_SIZE" default:"20000" description:"smallest share asked from the log, in tokens"`
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -56,6 +56,8 @@
 	// Tokens is the upper bound of the request.
 	Tokens int64
 	Limits catalogue.Limits
+	// Pool is the model or the service whose upstreams the request needs.
+	Pool string
 }
 
 // Ticket is the admission of one request.
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -173,6 +173,7 @@
 func (x *exchange) admit() *APIError {
 	ticket, err := x.api.Admission.Admit(x.ctx, AdmitRequest{
 		Entry: x.entry.Key, Team: x.entry.Team, Class: x.entry.Class, Tokens: x.bound, Limits: x.entry.Limits,
+		Pool: x.pick.Model + x.pick.Service,
 	})
 	if err != nil {
 		return x.stopped(admissionError(err))
