--- /dev/null
+++ b/internal/coordination/budget/reclaim_test.go
@@ -0,0 +1,215 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
+
+var testKey = record.EntryKey{Name: "bench", Generation: 1}
+
+// testLog is one ledger partition and the members stream for hand-driven nodes.
+type testLog struct {
+	t       *testing.T
+	now     time.Time
+	ledger  []logstream.Record
+	members []logstream.Record
+}
+
+func newTestLog(t *testing.T, prepaid int64) *testLog {
+	l := &testLog{t: t, now: time.Unix(1000, 0)}
+	l.append(&l.ledger, record.Item{Adjust: &record.Adjust{Entry: testKey, ID: "first", Delta: prepaid}})
+	return l
+}
+
+func (l *testLog) append(stream *[]logstream.Record, items ...record.Item) uint64 {
+	l.t.Helper()
+	data, err := record.Encode(items)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	*stream = append(*stream, logstream.Record{Offset: uint64(len(*stream) + 1), Data: data})
+	return uint64(len(*stream))
+}
+
+func (l *testLog) node(name record.HolderID) *Node {
+	return NewNode(DefaultPolicy(), name, 1, 100)
+}
+
+// sync appends what is due of a node and reads both streams to their ends.
+func (l *testLog) sync(n *Node) {
+	l.now = l.now.Add(time.Second)
+	if bills := n.NextBills(0); len(bills) > 0 {
+		n.BillsDone(0, true)
+	}
+	if d := n.NextDeclaration(); d != nil {
+		l.append(&l.members, record.Item{Backup: d})
+	}
+	if items := n.NextAppend(l.now, 0); len(items) > 0 {
+		n.AppendDone(l.now, 0, l.append(&l.ledger, items...), nil)
+	}
+	l.read(n)
+}
+
+func (l *testLog) read(n *Node) {
+	l.now = l.now.Add(time.Second)
+	n.Folded(l.now, 0, page(l.ledger, n.ReadFrom(0)))
+	n.MembersFolded(l.now, page(l.members, n.MembersFrom()))
+}
+
+func page(records []logstream.Record, from uint64) logstream.Page {
+	return logstream.Page{Records: records[from-1:], First: 1, Next: uint64(len(records) + 1)}
+}
+
+// grant gives the node a share of its own.
+func (l *testLog) grant(n *Node, amount int64) {
+	l.read(n)
+	n.plan(n.entry(testKey), amount)
+	l.sync(n)
+}
+
+func reserveOne(n *Node, id string, amount int64) Reservation {
+	res := n.Reservation(ReserveRequest{RequestID: id, Entry: testKey, Amount: amount})
+	if _, ok := n.Reserve(res); !ok {
+		panic("the share does not cover " + id)
+	}
+	return res
+}
+
+func copyTo(n, backup *Node) {
+	for {
+		batch, _ := n.NextCopies()
+		if batch == nil {
+			return
+		}
+		if err := backup.ServeCopies(*batch); err != nil {
+			panic(err)
+		}
+		n.CopiesDone(batch)
+	}
+}
+
+func billFor(res Reservation, charged int64) record.Bill {
+	return record.Bill{RequestID: res.RequestID, Entry: res.Entry, Holder: res.Holder, Charged: charged}
+}
+
+// copied returns a holder of 100 tokens, its backup with copies, and the log.
+// The holder has settled 10 of a request and has 30 and 20 in flight; the 20
+// were reserved before it had a backup.
+func copied(t *testing.T) (l *testLog, holder, backup *Node) {
+	l = newTestLog(t, 1000)
+	holder, backup = l.node("a/1"), l.node("b/1")
+	l.grant(holder, 100)
+	reserveOne(holder, "before", 20)
+	holder.SetBackup("b/1")
+	l.sync(holder)
+	copyTo(holder, backup)
+	settled := reserveOne(holder, "settled", 15)
+	reserveOne(holder, "running", 30)
+	holder.SettleOwn(settled, billFor(settled, 10))
+	copyTo(holder, backup)
+	return l, holder, backup
+}
+
+func (l *testLog) proof(h *Node) Proof { return Proof{Kind: ProofListed, Holder: h.Self(), Since: l.now} }
+
+// Guards against budget that is returned although requests in flight may spend
+// it, and against a close before the dead holder's bills are in the log.
+func TestReclaimCountsRequestsInFlight(t *testing.T) {
+	is := is.New(t)
+	l, holder, backup := copied(t)
+	proof := l.proof(holder)
+	is.Equal(backup.Reclaim(l.now, proof, nil), ReclaimNotReady) // the streams are not read after the proof
+	l.read(backup)
+	is.Equal(backup.Reclaim(l.now, proof, nil), ReclaimRunning)
+	is.Equal(backup.NextAppend(l.now, 0), nil) // no close before the bills are durable
+	is.Equal(len(backup.NextBills(0)), 2)      // settled and running
+	backup.BillsDone(0, true)
+	l.sync(backup)
+	is.Equal(backup.Reclaim(l.now, proof, nil), ReclaimDone)
+	s := backup.account(testKey).Shares["a/1"]
+	is.Equal(s.Spent, int64(10+30+20)) // settled, running at its bound, unnamed at its bound
+	is.Equal(backup.account(testKey).Free, int64(1000-60))
+}
+
+// Guards against counting a request at its bound when its upstream reports less.
+func TestReclaimUsesUpstreamReport(t *testing.T) {
+	is := is.New(t)
+	l, holder, backup := copied(t)
+	proof := l.proof(holder)
+	l.read(backup)
+	backup.Reclaim(l.now, proof, func(id string) (int64, bool) { return 5, id == "running" })
+	l.sync(backup)
+	l.sync(backup)
+	is.Equal(backup.account(testKey).Shares["a/1"].Spent, int64(10+5+20))
+}
+
+// Guards against a former backup that closes a share from an old copy: the
+// holder may have dispatched without it since its next declaration.
+func TestFormerBackupDoesNotReclaim(t *testing.T) {
+	is := is.New(t)
+	l, holder, backup := copied(t)
+	holder.SetBackup("")
+	l.sync(holder)
+	reserveOne(holder, "uncopied", 20)
+	proof := l.proof(holder)
+	l.read(backup)
+	is.Equal(backup.Reclaim(l.now, proof, nil), ReclaimNoCopy)
+}
+
+// Guards against dispatch without a copy while a backup could close the share.
+func TestReservationWaitsForCopy(t *testing.T) {
+	is := is.New(t)
+	_, holder, backup := copied(t)
+	ticket, ok := holder.Reserve(holder.Reservation(ReserveRequest{RequestID: "new", Entry: testKey, Amount: 5}))
+	is.True(ok)
+	is.True(!holder.Copied(ticket))
+	copyTo(holder, backup)
+	is.True(holder.Copied(ticket))
+}
+
+// Guards against a grant that counts twice when the answer to its append is
+// lost and the append is repeated.
+func TestGrantCountsOnceAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t, 1000)
+	n := l.node("a/1")
+	l.read(n)
+	n.plan(n.entry(testKey), 100)
+	for range 3 {
+		l.now = l.now.Add(time.Second)
+		l.append(&l.ledger, n.NextAppend(l.now, 0)...)
+		n.AppendDone(l.now, 0, 0, logstream.ErrOutcomeUnknown)
+	}
+	l.now = l.now.Add(time.Second)
+	l.sync(n)
+	is.Equal(n.Shares().Get(testKey).Counters().Granted, int64(100))
+	is.Equal(n.account(testKey).Free, int64(900))
+}
+
+// Guards against a share that is stuck because its entry was removed, and
+// against one account for two lives of an entry.
+func TestRemovedEntryAndItsNextLife(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t, 1000)
+	n := l.node("a/1")
+	l.grant(n, 100)
+	res := reserveOne(n, "r1", 40)
+	l.append(&l.ledger, record.Item{Remove: &record.Remove{Entry: testKey}})
+	l.read(n)
+	n.SettleOwn(res, billFor(res, 25))
+	n.ServeReturn(testKey)
+	l.sync(n)
+	is.Equal(n.account(testKey).Shares["a/1"].Outstanding(), int64(0)) // settles as usual
+	is.Equal(n.account(testKey).Spent(), int64(25))
+	a := n.Begin(l.now, ReserveRequest{RequestID: "r2", Entry: testKey, Amount: 1}, false)
+	l.now = a.Deadline()
+	step := n.Next(l.now, a, n.Self())
+	is.Equal(step.Kind, StepRefuse)
+	next := record.EntryKey{Name: testKey.Name, Generation: 2}
+	is.Equal(n.Shares().Get(next).Counters().Free(), int64(0)) // the next life starts without a share
+}
