--- a/internal/coordination/budget/copylog.go
+++ b/internal/coordination/budget/copylog.go
@@ -169,11 +169,14 @@
 // safe for concurrent use.
 func (n *Node) Copied(t Ticket) bool { return n.copies.copied(t) }
 
-// Backup returns the chosen backup, or "".
-func (n *Node) Backup() record.HolderID {
+// ChooseBackup takes the candidate when no backup is chosen or declared.
+func (n *Node) ChooseBackup(candidate record.HolderID) {
 	n.copies.mu.RLock()
-	defer n.copies.mu.RUnlock()
-	return n.copies.wanted
+	free := n.copies.wanted == "" && n.copies.declared == ""
+	n.copies.mu.RUnlock()
+	if free && candidate != "" {
+		n.SetBackup(candidate)
+	}
 }
 
 // SetBackup chooses the backup. The change holds from the moment the node has
@@ -220,12 +223,14 @@
 }
 
 // NextCopies returns the next batch for the declared backup and its holder ID,
-// or nil. It is the same batch until CopiesDone.
+// or nil. It is the same batch until CopiesDone. A backup that is to be replaced
+// gets copies until the fold has the new declaration: it may be back before the
+// log is.
 func (n *Node) NextCopies() (*CopyBatch, record.HolderID) {
 	c := n.copies
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.declared == "" || c.declared != c.wanted {
+	if c.declared == "" {
 		return nil, ""
 	}
 	if c.sent != nil {
--- a/internal/coordination/budget/peering.go
+++ b/internal/coordination/budget/peering.go
@@ -88,9 +88,7 @@
 // declareBackup keeps a backup chosen and its declaration folded.
 func (m *Manager) declareBackup(ctx context.Context) error {
 	m.mu.Lock()
-	if m.node.Backup() == "" {
-		m.node.SetBackup(m.peers.Backup())
-	}
+	m.node.ChooseBackup(m.peers.Backup())
 	d := m.node.NextDeclaration()
 	from, reclaiming := m.node.MembersFrom(), len(m.dead) > 0
 	m.mu.Unlock()
--- a/internal/coordination/budget/reclaim_test.go
+++ b/internal/coordination/budget/reclaim_test.go
@@ -115,7 +115,9 @@
 	return l, holder, backup
 }
 
-func (l *testLog) proof(h *Node) Proof { return Proof{Kind: ProofListed, Holder: h.Self(), Since: l.now} }
+func (l *testLog) proof(h *Node) Proof {
+	return Proof{Kind: ProofListed, Holder: h.Self(), Since: l.now}
+}
 
 // Guards against budget that is returned although requests in flight may spend
 // it, and against a close before the dead holder's bills are in the log.
--- a/internal/coordination/budget/sim/fleet.go
+++ b/internal/coordination/budget/sim/fleet.go
@@ -346,6 +346,7 @@
 }
 
 func (f *Fleet) pumpCopies(p *Proc) {
+	p.Node.ChooseBackup(f.backupFor(p))
 	if d := p.Node.NextDeclaration(); d != nil {
 		f.appendAs(p, record.MembersStream, []record.Item{{Backup: d}})
 	}
@@ -358,9 +359,6 @@
 func (f *Fleet) sendCopies(p *Proc) {
 	batch, to := p.Node.NextCopies()
 	if batch == nil {
-		if to == "" && p.Node.Backup() == "" {
-			p.Node.SetBackup(f.backupFor(p))
-		}
 		return
 	}
 	backup := f.proc(to)
