Make the warm path free of allocations and idle entries free of work

Cause: reserve plus settle through the manager took 1362 ns and 2 allocations, and a second of background work over 60000 idle entries took 60 ms of a core.

Change: the bill is copied to the heap only for a backup or a lender, the bill buffer keeps its storage, and an idle entry leaves the node's table until its next request.

--- a/internal/coordination/budget/bills.go
+++ b/internal/coordination/budget/bills.go
@@ -69,8 +69,9 @@
 	if !durable {
 		return nil
 	}
-	written := b.pending[p][:n:n]
-	b.pending[p] = slices.Clone(b.pending[p][n:])
+	written := slices.Clone(b.pending[p][:n])
+	// The storage is kept, so that a settle seldom allocates.
+	b.pending[p] = slices.Delete(b.pending[p], 0, n)
 	b.used.Add(-int64(n))
 	return written
 }
--- a/internal/coordination/budget/copylog.go
+++ b/internal/coordination/budget/copylog.go
@@ -106,34 +106,40 @@
 }
 
 func (c *copyLog) settle(s *share.Share, res Reservation, bill record.Bill) {
-	c.end(s, res.Amount, bill.Charged, func() CopyOp {
-		return CopyOp{Kind: CopyEnd, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount, Bill: &bill}
-	})
+	if c.endUncopied(s, res.Amount, bill.Charged) {
+		return
+	}
+	copied := bill // Moves to the heap only here, off the path without copies.
+	c.end(s, res, bill.Charged, CopyEnd, &copied)
 }
 
 func (c *copyLog) release(s *share.Share, res Reservation) {
-	c.end(s, res.Amount, 0, func() CopyOp {
-		return CopyOp{Kind: CopyRelease, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount}
-	})
+	if c.endUncopied(s, res.Amount, 0) {
+		return
+	}
+	c.end(s, res, 0, CopyRelease, nil)
 }
 
-// end settles the share and queues the op in one step, so that a full state
-// never contains one without the other.
-func (c *copyLog) end(s *share.Share, amount, used int64, op func() CopyOp) {
+// endUncopied settles the share if no backup was ever chosen.
+func (c *copyLog) endUncopied(s *share.Share, amount, used int64) bool {
 	c.mu.RLock()
-	if c.inFlight == nil {
-		defer c.mu.RUnlock()
-		s.Settle(amount, used)
-		return
+	defer c.mu.RUnlock()
+	if c.inFlight != nil {
+		return false
 	}
-	c.mu.RUnlock()
+	s.Settle(amount, used)
+	return true
+}
+
+// end settles the share and queues the op in one step, so that a full state
+// never contains one without the other.
+func (c *copyLog) end(s *share.Share, res Reservation, used int64, kind CopyKind, bill *record.Bill) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.Settle(amount, used)
-	o := op()
-	delete(c.inFlight, o.RequestID)
+	s.Settle(res.Amount, used)
+	delete(c.inFlight, res.RequestID)
 	if c.guarded {
-		c.push(o)
+		c.push(CopyOp{Kind: kind, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount, Bill: bill})
 	}
 }
 
--- a/internal/coordination/budget/manager.go
+++ b/internal/coordination/budget/manager.go
@@ -209,7 +209,8 @@
 	if res.Holder == m.cfg.Holder {
 		m.node.SettleOwn(res, bill)
 	} else {
-		m.owe(res, &bill)
+		owed := bill // Moves to the heap only here, off the path of an own share.
+		m.owe(res, &owed)
 	}
 	return m.Balance(res.Entry)
 }
--- a/internal/coordination/budget/manager_test.go
+++ b/internal/coordination/budget/manager_test.go
@@ -169,6 +169,22 @@
 	return len(page.Records)
 }
 
+// Guards against allocations on the path of every request. Bills are kept in
+// storage that grows now and then, which the average rounds away.
+func TestWarmShareDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	m := warmManager(t)
+	ctx, req := context.Background(), request("r", 100)
+	allocs := testing.AllocsPerRun(10000, func() {
+		res, err := m.Reserve(ctx, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Settle(res, Settlement{Charged: 60})
+	})
+	is.Equal(allocs, 0.0)
+}
+
 // Guards against one append per waiting request, and against a lone process
 // that needs peers to serve or to prove exhaustion.
 func TestConcurrentMissesShareAppends(t *testing.T) {
--- a/internal/coordination/budget/node.go
+++ b/internal/coordination/budget/node.go
@@ -116,6 +116,9 @@
 	e := part.entries[key]
 	if e == nil {
 		e = &entry{key: key}
+		if own := n.ownShare(key); own != nil {
+			e.billed = own.Spent
+		}
 		part.entries[key] = e
 	}
 	return e
@@ -147,12 +150,24 @@
 		return
 	}
 	for p, part := range n.parts {
-		for _, e := range part.entries {
+		for key, e := range part.entries {
 			n.tickEntry(e, elapsed, home(p))
+			if n.idle(e) {
+				delete(part.entries, key)
+			}
 		}
 	}
 }
 
+// idle reports whether everything known of the entry is in the fold and nothing
+// can be reserved from its share, so that the entry costs no work until its next
+// request.
+func (n *Node) idle(e *entry) bool {
+	c := n.shares.Get(e.key).Counters()
+	return e.demand.rate < minRate && e.pending == nil && e.waiting == 0 && c.Free() == 0 && c.Reserved == 0 &&
+		e.billed == c.Spent && !n.unreported(e)
+}
+
 func (n *Node) tickEntry(e *entry, elapsed time.Duration, home record.HolderID) {
 	s := n.shares.Get(e.key)
 	e.demand = n.policy.nextDemand(e.demand, s, elapsed)
--- a/internal/coordination/budget/sim/compare_test.go
+++ b/internal/coordination/budget/sim/compare_test.go
@@ -1,16 +1,19 @@
 package sim
 
 import (
+	"flag"
 	"testing"
 
 	"github.com/matryer/is"
 )
 
+var compareSeed = flag.Int64("compare.seed", Seed, "seed of the comparison")
+
 // Guards against overspend and against a rise of false refusals on the seeded
 // schedules. go test -v prints the table of docs/measurements.md.
 func TestComparison(t *testing.T) {
 	is := is.New(t)
-	rows := Compare(Seed)
+	rows := Compare(*compareSeed)
 	t.Log("\n" + Table(rows))
 	for _, row := range rows {
 		is.Equal(row.Shares.Overspend, int64(0)) // no schedule may overspend
