--- a/internal/coordination/budget/policy.go
+++ b/internal/coordination/budget/policy.go
@@ -48,9 +48,9 @@
 	// lowWaterFraction is the part of the target share that is used before more is
 	// fetched.
 	lowWaterFraction = 4
-	// surplusFactor is the multiple of the target above which a share goes back.
-	// The gap to lowWaterFraction prevents alternating grants and returns.
-	surplusFactor = 2
+	// surplusFraction is the part above the target from which a share goes back.
+	// The gap to the low-water mark prevents alternating grants and returns.
+	surplusFraction = 4
 	// hotRequests is the number of requests per horizon from which a node holds
 	// a share of its own instead of asking the home.
 	hotRequests = 8
@@ -184,7 +184,7 @@
 // surplus returns the part of a share that its demand does not justify.
 func (p Policy) surplus(d demand, s supply, shareFree int64) int64 {
 	keep := max(p.fairTarget(d, s), d.maxBound)
-	if shareFree <= surplusFactor*keep && d.rate >= minRate {
+	if shareFree <= keep+keep/surplusFraction+d.maxBound && d.rate >= minRate {
 		return 0
 	}
 	if d.rate < minRate {
