--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -32,18 +32,30 @@
 	parent        *options
 	FirstToken    time.Duration `long:"first-token" env:"DOTTERELSTANDIN_FIRST_TOKEN" default:"0s" description:"time until the first token"`
 	TokenInterval time.Duration `long:"token-interval" env:"DOTTERELSTANDIN_TOKEN_INTERVAL" default:"0s" description:"time between two tokens"`
+	ExportTo      string        `long:"export-to" env:"DOTTERELSTANDIN_EXPORT_TO" description:"base URL of an engine that gets a copy of each stream"`
 }
 
 // Execute serves a model engine.
 func (c *engineCommand) Execute([]string) error {
-	engine := &standin.Engine{FirstToken: c.FirstToken, TokenInterval: c.TokenInterval}
+	engine := &standin.Engine{FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
 	return serve(c.parent.Listen, engine.Handler())
 }
 
+type vmListCommand struct {
+	parent *options
+	Lag    time.Duration `long:"lag" env:"DOTTERELSTANDIN_LAG" default:"0s" description:"time until readers see a change of the list"`
+}
+
+// Execute serves the platform's VM list.
+func (c *vmListCommand) Execute([]string) error {
+	return serve(c.parent.Listen, standin.NewVMList(c.Lag, nil).Handler())
+}
+
 func main() {
 	var opts options
 	parser := flags.NewParser(&opts, flags.Default)
 	addCommand(parser, "log", "platform log", &logCommand{parent: &opts})
+	addCommand(parser, "vmlist", "platform VM list", &vmListCommand{parent: &opts})
 	addCommand(parser, "engine", "model engine", &engineCommand{parent: &opts})
 	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -78,13 +78,19 @@
 }
 
 func startStandin(t *testing.T, args ...string) string {
+	t.Helper()
+	_, url := startStandinProcess(t, args...)
+	return url
+}
+
+func startStandinProcess(t *testing.T, args ...string) (*process, string) {
 	t.Helper()
 	p := start(t, "dotterelstandin", args...)
 	address, ok := strings.CutPrefix(<-p.lines, "listening on ")
 	if !ok {
 		t.Fatal("the stand-in printed no address")
 	}
-	return "http://" + address
+	return p, "http://" + address
 }
 
 type router struct {
@@ -93,12 +99,13 @@
 	admin string
 }
 
-func startRouter(t *testing.T, vm, logURL string) *router {
+func startRouter(t *testing.T, vm, logURL string, more ...string) *router {
 	t.Helper()
 	public, admin := freeAddress(t), freeAddress(t)
 	r := &router{url: "http://" + public, admin: "http://" + admin}
-	r.process = start(t, "dotterelthread", "--vm", vm, "--listen", public, "--admin-listen", admin,
-		"--log-url", logURL, "--flush-interval", "20ms", "--log-level", "warn")
+	args := []string{"--vm", vm, "--listen", public, "--admin-listen", admin,
+		"--log-url", logURL, "--flush-interval", "20ms", "--log-level", "warn"}
+	r.process = start(t, "dotterelthread", append(args, more...)...)
 	waitFor(t, func() bool {
 		resp, err := http.Get(r.admin + "/readyz")
 		if err != nil {
@@ -134,20 +141,31 @@
 const (
 	testSecret  = "secret-1"
 	testModel   = "model-1"
+	testService = "orders"
 	testPrepaid = 10000
 )
 
-func publishSample(t *testing.T, logURL, engineURL string) record.EntryKey {
+func publishSample(t *testing.T, logURL string, engineURLs ...string) record.EntryKey {
+	t.Helper()
+	var upstreams []catalogue.Upstream
+	for i, url := range engineURLs {
+		upstreams = append(upstreams, catalogue.Upstream{
+			Name: fmt.Sprintf("e%d", i+1), Kind: catalogue.KindEngine, Address: url, Models: []string{testModel},
+		})
+	}
+	return publishUpstreams(t, logURL, upstreams)
+}
+
+func publishUpstreams(t *testing.T, logURL string, upstreams []catalogue.Upstream) record.EntryKey {
 	t.Helper()
 	log := logclient.New(logURL)
 	data, err := json.Marshal(configsync.Publish{ID: "p1", Upserts: catalogue.Catalogue{
 		Entries: []catalogue.Entry{{
 			Name: "bench", Owner: "ops", Team: "setters", Class: catalogue.ClassInteractive,
-			Models: []string{testModel}, Credentials: []string{catalogue.HashCredential(testSecret)},
-		}},
-		Upstreams: []catalogue.Upstream{{
-			Name: "e1", Kind: catalogue.KindEngine, Address: engineURL, Models: []string{testModel},
+			Models: []string{testModel}, Services: []string{testService},
+			Credentials: []string{catalogue.HashCredential(testSecret)},
 		}},
+		Upstreams: upstreams,
 	}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/protocol/record/record.go
+++ b/internal/protocol/record/record.go
@@ -108,6 +108,18 @@
 	RequestID string   `cbor:"4,keyasint"`
 	Holder    HolderID `cbor:"5,keyasint"`
 	UnixMilli int64    `cbor:"6,keyasint"`
+	// Token tells apart two attempts that carry the same request ID, so that at
+	// most one of them dispatches. Package claim sets it.
+	Token string `cbor:"7,keyasint,omitempty"`
+}
+
+// Release takes back a claim whose request was refused as not run, so that the
+// key can be used again. Only the router that placed the claim writes it, after
+// it has given up the claim's token.
+type Release struct {
+	Entry EntryKey `cbor:"1,keyasint"`
+	Key   string   `cbor:"2,keyasint"`
+	Token string   `cbor:"3,keyasint"`
 }
 
 // Backup declares, on the members stream, which process keeps the copies of a
@@ -121,14 +133,15 @@
 
 // Item is one record of a batch; exactly one field is set.
 type Item struct {
-	Adjust *Adjust `cbor:"1,keyasint,omitempty"`
-	Grant  *Grant  `cbor:"2,keyasint,omitempty"`
-	Settle *Settle `cbor:"3,keyasint,omitempty"`
-	Close  *Close  `cbor:"4,keyasint,omitempty"`
-	Remove *Remove `cbor:"5,keyasint,omitempty"`
-	Bill   *Bill   `cbor:"6,keyasint,omitempty"`
-	Claim  *Claim  `cbor:"7,keyasint,omitempty"`
-	Backup *Backup `cbor:"8,keyasint,omitempty"`
+	Adjust  *Adjust  `cbor:"1,keyasint,omitempty"`
+	Grant   *Grant   `cbor:"2,keyasint,omitempty"`
+	Settle  *Settle  `cbor:"3,keyasint,omitempty"`
+	Close   *Close   `cbor:"4,keyasint,omitempty"`
+	Remove  *Remove  `cbor:"5,keyasint,omitempty"`
+	Bill    *Bill    `cbor:"6,keyasint,omitempty"`
+	Claim   *Claim   `cbor:"7,keyasint,omitempty"`
+	Release *Release `cbor:"8,keyasint,omitempty"`
+	Backup  *Backup  `cbor:"9,keyasint,omitempty"`
 }
 
 // Batch is the content of one append.
@@ -158,18 +171,29 @@
 	return data, errors.Wrap(err, "encode batch")
 }
 
-// Decode parses one append. Items that name no record are left out and counted
-// in skipped, so that a newer writer's records do not stop an older reader.
+// rawBatch decodes the items of a batch one by one.
+type rawBatch struct {
+	Version uint64            `cbor:"1,keyasint"`
+	Items   []cbor.RawMessage `cbor:"2,keyasint"`
+}
+
+// Decode parses one append. Items that fail Check are left out and counted in
+// skipped, so that neither a newer writer's records nor one bad record of a
+// batch stops a reader. Every reader skips the same items.
 func Decode(data []byte) (items []Item, skipped int, err error) {
 	var batch Batch
 	if err := decMode.Unmarshal(data, &batch); err != nil {
-		return nil, 0, errors.Mark(errors.Wrap(err, "decode batch"), ErrMalformed)
+		batch, skipped, err = decodeEach(data)
+		if err != nil {
+			return nil, 0, errors.Mark(errors.Wrap(err, "decode batch"), ErrMalformed)
+		}
 	}
 	if batch.Version != formatVersion {
 		return nil, 0, errors.Mark(errors.Newf("batch version %d is not supported", batch.Version), ErrMalformed)
 	}
+	items = batch.Items[:0]
 	for _, item := range batch.Items {
-		if item.kinds() != 1 {
+		if item.Check() != nil {
 			skipped++
 			continue
 		}
@@ -178,11 +202,29 @@
 	return items, skipped, nil
 }
 
+// decodeEach decodes a batch of which some items have fields of a wrong type.
+func decodeEach(data []byte) (batch Batch, skipped int, err error) {
+	var raw rawBatch
+	if err := decMode.Unmarshal(data, &raw); err != nil {
+		return Batch{}, 0, err
+	}
+	batch.Version = raw.Version
+	for _, part := range raw.Items {
+		var item Item
+		if decMode.Unmarshal(part, &item) != nil {
+			skipped++
+			continue
+		}
+		batch.Items = append(batch.Items, item)
+	}
+	return batch, skipped, nil
+}
+
 func (i Item) kinds() int {
 	n := 0
 	for _, set := range []bool{
 		i.Adjust != nil, i.Grant != nil, i.Settle != nil, i.Close != nil,
-		i.Remove != nil, i.Bill != nil, i.Claim != nil, i.Backup != nil,
+		i.Remove != nil, i.Bill != nil, i.Claim != nil, i.Release != nil, i.Backup != nil,
 	} {
 		if set {
 			n++
--- a/internal/transport/logclient/logclient.go
+++ b/internal/transport/logclient/logclient.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -83,12 +84,16 @@
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, errors.Mark(errors.Wrap(err, "append"), logstream.ErrOutcomeUnknown)
+		return 0, errors.Mark(errors.Wrap(err, "append"), sendOutcome(err))
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return 0, errors.Mark(statusError(resp), logstream.ErrUnavailable)
 	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		// Another 5xx may come from a hop that lost the service's answer.
+		return 0, errors.Mark(statusError(resp), logstream.ErrOutcomeUnknown)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return 0, statusError(resp)
 	}
@@ -96,9 +101,21 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&out); err != nil {
 		return 0, errors.Mark(errors.Wrap(err, "append answer"), logstream.ErrOutcomeUnknown)
 	}
+	if out.Offset == 0 {
+		return 0, errors.Mark(errors.New("append answer has no offset"), logstream.ErrOutcomeUnknown)
+	}
 	return out.Offset, nil
 }
 
+// sendOutcome tells an append that was never sent from one that may have been.
+func sendOutcome(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return logstream.ErrUnavailable
+	}
+	return logstream.ErrOutcomeUnknown
+}
+
 // Read implements logstream.Log.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
