--- a/internal/coordination/configsync/fold.go
+++ b/internal/coordination/configsync/fold.go
@@ -28,8 +28,15 @@
 type Removals struct {
 	Entries   []string `json:"entries,omitempty"`
 	Upstreams []string `json:"upstreams,omitempty"`
+	// EngineOrders are named like the entries.
+	EngineOrders []string `json:"engine_orders,omitempty"`
 }
 
+// maxResults bounds the outcomes that are kept to recognise a repeated publish:
+// 14 days at 1,100 changes a day. A publish that comes again later still cannot
+// be accepted twice, because its base is old by then.
+const maxResults = 16384
+
 // Outcome says what the fold did with a publish.
 type Outcome int
 
@@ -58,7 +65,10 @@
 	entries     map[string]catalogue.Entry
 	generations map[string]uint64
 	upstreams   map[string]catalogue.Upstream
+	orders      map[string]catalogue.EngineOrder
 	results     map[string]Result
+	// order lists the keys of results, oldest first.
+	order []string
 }
 
 // NewFold returns the state before the first publish.
@@ -68,6 +78,7 @@
 		entries:     make(map[string]catalogue.Entry),
 		generations: make(map[string]uint64),
 		upstreams:   make(map[string]catalogue.Upstream),
+		orders:      make(map[string]catalogue.EngineOrder),
 		results:     make(map[string]Result),
 	}
 }
@@ -99,15 +110,24 @@
 	}
 	if p.Base != f.version {
 		r := Result{Outcome: Conflict, Version: f.version}
-		f.results[p.ID] = r
+		f.remember(p.ID, r)
 		return r
 	}
 	f.accept(offset, p)
 	r := Result{Outcome: Accepted, Version: f.version}
-	f.results[p.ID] = r
+	f.remember(p.ID, r)
 	return r
 }
 
+func (f *Fold) remember(id string, r Result) {
+	f.results[id] = r
+	f.order = append(f.order, id)
+	if len(f.order) > maxResults {
+		delete(f.results, f.order[0])
+		f.order = f.order[1:]
+	}
+}
+
 func (f *Fold) accept(offset uint64, p Publish) {
 	f.version++
 	for _, name := range p.Removals.Entries {
@@ -117,6 +137,9 @@
 	for _, name := range p.Removals.Upstreams {
 		delete(f.upstreams, name)
 	}
+	for _, name := range p.Removals.EngineOrders {
+		delete(f.orders, name)
+	}
 	for _, e := range p.Upserts.Entries {
 		if _, exists := f.entries[e.Name]; !exists {
 			f.generations[e.Name] = offset
@@ -126,18 +149,16 @@
 	for _, u := range p.Upserts.Upstreams {
 		f.upstreams[u.Name] = u
 	}
+	for _, o := range p.Upserts.EngineOrders {
+		f.orders[o.Name] = o
+	}
 }
 
-// Catalogue returns a copy of the newest version.
+// Catalogue returns a copy of the newest version, sorted by name.
 func (f *Fold) Catalogue() catalogue.Catalogue {
-	var c catalogue.Catalogue
-	for _, e := range f.entries {
-		c.Entries = append(c.Entries, e)
-	}
-	for _, u := range f.upstreams {
-		c.Upstreams = append(c.Upstreams, u)
+	return catalogue.Catalogue{
+		Entries: sortedValues(f.entries), Upstreams: sortedValues(f.upstreams), EngineOrders: sortedValues(f.orders),
 	}
-	return c
 }
 
 // Snapshot returns the newest version, indexed.
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -129,7 +129,6 @@
 	for _, r := range hb.Changes {
 		m.hearsay(now, r, from.VM)
 	}
-	m.takeLogDown(now, hb)
 }
 
 // direct merges what a process says about itself.
@@ -146,9 +145,6 @@
 	}
 	e.heard, e.failures = now, 0
 	e.config, e.configAt = config, now
-	if config.LogUnreachable {
-		e.logDownAt = now
-	}
 	m.advance(e, r)
 	if len(e.reporters) > 0 || e.gone {
 		e.clearSuspicion()
@@ -241,6 +237,7 @@
 	e.id, e.seq, e.leaving = r.Incarnation, 0, false
 	e.zone, e.region, e.address = r.Zone, r.Region, r.Address
 	e.heard, e.failures, e.answered = time.Time{}, 0, false
+	e.config, e.configAt, e.logHeardAt, e.logDownAt = peerapi.ConfigStatus{}, time.Time{}, time.Time{}, time.Time{}
 	e.clearSuspicion()
 	m.Watch(r.VM, r.Incarnation, r.Address)
 	m.announce(e)
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -69,11 +69,13 @@
 	answered bool
 
 	config peerapi.ConfigStatus
-	// configAt is when config was received.
+	// configAt is when config was received; zero before.
 	configAt time.Time
-	// logDownAt is the newest known time at which the member reported that it
-	// cannot reach the log.
-	logDownAt time.Time
+	// logHeardAt is when the member had last heard the log; logDownAt when it
+	// had last reported that it cannot. Both come only from answers and count
+	// from the probe's sending: a message that came in may have waited while
+	// this process was paused, and would look fresh afterwards.
+	logHeardAt, logDownAt time.Time
 }
 
 // Machine is the membership state of one node. It is not safe for concurrent
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -15,13 +15,14 @@
 type Probe struct {
 	VM, Incarnation, Address string
 	event                    uint64
+	sent                     time.Time
 }
 
 // Probes returns the members to probe in this round. Members take turns in a
 // pseudorandom order that is drawn again after each turn, so every member is
 // probed once in a turn. At most half of a round goes to suspects. Members that
 // are gone stay in the order, because they may only have been cut off.
-func (m *Machine) Probes(time.Time) []Probe {
+func (m *Machine) Probes(now time.Time) []Probe {
 	m.event++
 	var chosen []string
 	for len(m.urgent) > 0 && len(chosen) < max(1, m.cfg.Probes/2) {
@@ -42,7 +43,7 @@
 	probes := make([]Probe, 0, len(chosen))
 	for _, vm := range chosen {
 		e := m.table[vm]
-		probes = append(probes, Probe{VM: vm, Incarnation: e.id, Address: e.address, event: m.event})
+		probes = append(probes, Probe{VM: vm, Incarnation: e.id, Address: e.address, event: m.event, sent: now})
 	}
 	return probes
 }
@@ -91,6 +92,13 @@
 		m.Failed(now, p)
 	}
 	m.take(now, from, answer, current)
+	if e := m.table[from.VM]; e != nil && e.id == from.Incarnation {
+		e.logHeardAt = p.sent.Add(-time.Duration(answer.Config.HeardMillis) * time.Millisecond)
+		if answer.Config.LogUnreachable {
+			e.logDownAt = p.sent
+		}
+	}
+	m.takeLogDown(p.sent, answer)
 }
 
 // report adds a reporter to a suspicion. The sender is who told this node.
--- a/internal/coordination/membership/status.go
+++ b/internal/coordination/membership/status.go
@@ -8,17 +8,17 @@
 
 // Report is what is known of a member's configuration and log.
 type Report struct {
-	VM string
+	VM, Address string
 	// Version and Next are of the member's last direct message; Known is false
 	// when none has come.
 	Known   bool
 	Version uint64
 	Next    uint64
-	// HeardAge is how long ago the log was last read to its end, by the member
-	// or by a node that it heard from.
+	// LogHeard is true when the member has answered a probe. HeardAge is how
+	// long ago the log was last read to its end, by the member or by a node that
+	// it heard from.
+	LogHeard bool
 	HeardAge time.Duration
-	// MessageAge is the age of the member's last direct message.
-	MessageAge time.Duration
 	// LogDown is true when the member has reported the log as unreachable, and
 	// LogDownAge ago for the last time, directly or through others.
 	LogDown    bool
@@ -36,11 +36,12 @@
 		if e == m.self {
 			continue
 		}
-		r := Report{VM: vm, Listed: e.listed, State: e.state(), Known: !e.configAt.IsZero()}
+		r := Report{VM: vm, Address: e.address, Listed: e.listed, State: e.state(), Known: !e.configAt.IsZero()}
 		if r.Known {
 			r.Version, r.Next = e.config.Version, e.config.Next
-			r.MessageAge = now.Sub(e.configAt)
-			r.HeardAge = time.Duration(e.config.HeardMillis)*time.Millisecond + r.MessageAge
+		}
+		if !e.logHeardAt.IsZero() {
+			r.LogHeard, r.HeardAge = true, now.Sub(e.logHeardAt)
 		}
 		if !e.logDownAt.IsZero() {
 			r.LogDown, r.LogDownAge = true, now.Sub(e.logDownAt)
--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -104,7 +104,9 @@
 func (c *Client) appendPublish(ctx context.Context, id string, base uint64, author string, d catalogue.Delta) error {
 	data, err := json.Marshal(configsync.Publish{
 		ID: id, Base: base, Author: author, Upserts: d.Upserts,
-		Removals: configsync.Removals{Entries: d.RemovedEntries, Upstreams: d.RemovedUpstreams},
+		Removals: configsync.Removals{
+			Entries: d.RemovedEntries, Upstreams: d.RemovedUpstreams, EngineOrders: d.RemovedEngineOrders,
+		},
 	})
 	if err != nil {
 		return errors.Wrap(err, "encode publish")
--- a/internal/protocol/record/streams.go
+++ b/internal/protocol/record/streams.go
@@ -8,6 +8,9 @@
 // ConfigStream carries the operators' publishes.
 const ConfigStream = "config"
 
+// ConfigSnapshotStream carries the snapshots of the configuration.
+const ConfigSnapshotStream = "config-snap"
+
 // MembersStream carries each incarnation's backup peer.
 const MembersStream = "members"
 
--- a/internal/state/catalogue/catalogue.go
+++ b/internal/state/catalogue/catalogue.go
@@ -82,6 +82,9 @@
 type Catalogue struct {
 	Entries   []Entry    `yaml:"entries" json:"entries"`
 	Upstreams []Upstream `yaml:"upstreams" json:"upstreams"`
+	// EngineOrders is left out of a publish without orders, so that a router of
+	// the version before, which refuses unknown keys, still takes it.
+	EngineOrders []EngineOrder `yaml:"engine_orders,omitempty" json:"engine_orders,omitempty"`
 }
 
 // HashCredential returns the form in which a credential is kept.
@@ -102,6 +105,7 @@
 	entries      map[string]*BoundEntry
 	byCredential map[string]*BoundEntry
 	upstreams    map[string]*Upstream
+	orders       []EngineOrder
 }
 
 // NewSnapshot indexes a version. generations maps entry names to generations.
@@ -111,6 +115,7 @@
 		entries:      make(map[string]*BoundEntry, len(c.Entries)),
 		byCredential: make(map[string]*BoundEntry, len(c.Entries)),
 		upstreams:    make(map[string]*Upstream, len(c.Upstreams)),
+		orders:       c.EngineOrders,
 	}
 	for _, e := range c.Entries {
 		bound := &BoundEntry{Entry: e, Key: record.EntryKey{Name: e.Name, Generation: generations[e.Name]}}
@@ -150,3 +155,10 @@
 		}
 	}
 }
+
+// Upstream returns the upstream of a name, or nil.
+func (s *Snapshot) Upstream(name string) *Upstream { return s.upstreams[name] }
+
+// EngineOrders returns the desired state of the engines by name. The caller
+// must not change the slice.
+func (s *Snapshot) EngineOrders() []EngineOrder { return s.orders }
--- a/internal/state/catalogue/diff.go
+++ b/internal/state/catalogue/diff.go
@@ -13,7 +13,7 @@
 type Change struct {
 	// Action is added, changed or removed.
 	Action string `json:"action"`
-	// Object is entry or upstream.
+	// Object is entry, upstream or engine order.
 	Object string `json:"object"`
 	Name   string `json:"name"`
 	Detail string `json:"detail,omitempty"`
@@ -30,10 +30,11 @@
 
 // Delta is what turns one catalogue into another.
 type Delta struct {
-	Upserts          Catalogue
-	RemovedEntries   []string
-	RemovedUpstreams []string
-	Changes          []Change
+	Upserts             Catalogue
+	RemovedEntries      []string
+	RemovedUpstreams    []string
+	RemovedEngineOrders []string
+	Changes             []Change
 }
 
 // Empty reports whether both catalogues are the same.
@@ -46,6 +47,8 @@
 		func(e Entry) string { return e.Name })
 	d.Upserts.Upstreams, d.RemovedUpstreams = diffList(&d, "upstream", from.Upstreams, to.Upstreams,
 		func(u Upstream) string { return u.Name })
+	d.Upserts.EngineOrders, d.RemovedEngineOrders = diffList(&d, "engine order", from.EngineOrders, to.EngineOrders,
+		func(o EngineOrder) string { return o.Name })
 	return d
 }
 
