--- a/internal/coordination/configsync/configsync_test.go
+++ b/internal/coordination/configsync/configsync_test.go
@@ -331,3 +331,36 @@
 		}
 	})
 }
+
+// Guards against a version that reverts when a node leaves its peers' records
+// because retention has dropped them, and starts from an older snapshot.
+func TestVersionStaysWhileTheFoldIsRebuilt(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	log := standin.NewLog()
+	n, other := newNode(log), newNode(log)
+	n.reach.cut = true
+	is.True(n.poll(ctx, 0) != nil)
+	for i := range 4 {
+		_, err := log.Append(ctx, record.ConfigStream, mustJSON(publishFor(fmt.Sprint("p", i), uint64(i), "x", "o")))
+		is.NoErr(err)
+		is.NoErr(other.CatchUp(ctx))
+		if i == 1 {
+			s, err := other.Snapshot()
+			is.NoErr(err)
+			parts, err := snapshot.Split(s, snapshot.PartBytes)
+			is.NoErr(err)
+			_, err = log.Append(ctx, record.ConfigSnapshotStream, parts[0])
+			is.NoErr(err)
+		}
+	}
+	is.Equal(fetch(t, n, other), 4)
+	log.SetFaults(standin.LogFaults{Retain: 2})
+	n.reach.cut = false
+	is.NoErr(n.poll(ctx, 0)) // restores the snapshot of version 2
+	is.Equal(n.Current().Version, uint64(4))
+	is.Equal(Lease(n.LeaseInput(time.Second, nil, 3)), LeaseLapsed)
+	is.NoErr(n.CatchUp(ctx))
+	is.Equal(n.Current().Version, uint64(4))
+	is.Equal(Lease(n.LeaseInput(time.Minute, nil, 3)), LeaseByLog)
+}
--- a/internal/protocol/record/check.go
+++ b/internal/protocol/record/check.go
@@ -59,6 +59,8 @@
 		return firstBad(i.Release.Entry, check{"key", validName(i.Release.Key)}, check{"token", validName(i.Release.Token)})
 	case i.Backup != nil:
 		return firstBackupFault(i.Backup)
+	case i.OrderLease != nil && (i.OrderLease.Epoch == 0 || !validName(string(i.OrderLease.Holder))):
+		return "order lease"
 	}
 	return ""
 }
--- a/internal/protocol/record/record.go
+++ b/internal/protocol/record/record.go
@@ -142,6 +142,8 @@
 	Claim   *Claim   `cbor:"7,keyasint,omitempty"`
 	Release *Release `cbor:"8,keyasint,omitempty"`
 	Backup  *Backup  `cbor:"9,keyasint,omitempty"`
+	// OrderLease is used only on the orders stream.
+	OrderLease *OrderLease `cbor:"10,keyasint,omitempty"`
 }
 
 // Batch is the content of one append.
@@ -224,7 +226,7 @@
 	n := 0
 	for _, set := range []bool{
 		i.Adjust != nil, i.Grant != nil, i.Settle != nil, i.Close != nil,
-		i.Remove != nil, i.Bill != nil, i.Claim != nil, i.Release != nil, i.Backup != nil,
+		i.Remove != nil, i.Bill != nil, i.Claim != nil, i.Release != nil, i.Backup != nil, i.OrderLease != nil,
 	} {
 		if set {
 			n++
