Add benchmarks of heartbeats, peer calls and the configuration

The messages of a node are the first thing that could pass 28 KB/s, and no figure existed.

Unused budget messages leave peerapi: the budget module has its own.

--- /dev/null
+++ b/internal/coordination/membership/bench_test.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
+)
+
+const benchTrace = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00"
+
+// throughCodec passes a message through the codec of the peers' protocol on both
+// sides, as JSON-RPC text and as a frame, and returns the frame's size.
+func throughCodec(b *testing.B, envelope json.Marshaler, decoded json.Unmarshaler) int {
+	text, err := json.Marshal(envelope)
+	if err != nil {
+		b.Fatal(err)
+	}
+	frame, err := peerapi.EncodeMessage(text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	back, err := peerapi.DecodeMessage(frame)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := json.Unmarshal(back, decoded); err != nil {
+		b.Fatal(err)
+	}
+	return len(frame) + 2 // the length before the frame
+}
+
+// exchange sends one heartbeat and its answer and returns the bytes of both.
+func exchange(b *testing.B, f *fleet, p *process, probe Probe, status peerapi.ConfigStatus) int {
+	target := f.current[probe.VM]
+	req, got := &jsonrpc2.Request{Method: peerapi.MethodHeartbeat, ID: jsonrpc2.ID{Num: 1000}}, &jsonrpc2.Request{}
+	_ = req.SetParams(p.machine.Heartbeat(f.now, status))
+	_ = req.SetMeta(benchTrace)
+	size := throughCodec(b, req, got)
+	var hb, answer peerapi.Heartbeat
+	if err := json.Unmarshal(*got.Params, &hb); err != nil {
+		b.Fatal(err)
+	}
+	resp, reply := &jsonrpc2.Response{ID: req.ID}, &jsonrpc2.Response{}
+	_ = resp.SetResult(target.machine.Receive(f.now, p.id, hb, status))
+	size += throughCodec(b, resp, reply)
+	if err := json.Unmarshal(*reply.Result, &answer); err != nil {
+		b.Fatal(err)
+	}
+	p.machine.Answered(f.now, probe, target.id, answer)
+	return size
+}
+
+// BenchmarkSecond runs one second of a whole fleet per iteration, with the
+// codec and without sockets. It reports processor time and bytes of one node,
+// which sends and answers the same number of heartbeats on average; bytes are
+// counted at both ends, so a node's bytes are those it sends and receives.
+func BenchmarkSecond(b *testing.B) {
+	for _, outage := range []bool{false, true} {
+		for _, n := range []int{3, 9, 32, 128, 380} {
+			b.Run(fmt.Sprintf("outage=%v/members=%d", outage, n), func(b *testing.B) { benchSecond(b, n, outage) })
+		}
+	}
+}
+
+func benchSecond(b *testing.B, n int, outage bool) {
+	f := newFleet(n)
+	// All tables are complete and no change is under way.
+	for _, p := range f.current {
+		p.machine.ObserveList(f.now, f.list())
+		for _, other := range f.current {
+			if other != p {
+				p.machine.hearsay(f.now, other.machine.self.record(), other.id.VM)
+			}
+		}
+		p.machine.queue.sent = nil
+	}
+	status := peerapi.ConfigStatus{Version: 1100, Next: 1300, HeardMillis: 812, LogUnreachable: outage}
+	bytes := 0
+	second := func() {
+		f.now = f.now.Add(time.Second)
+		list := f.list()
+		for i, vm := range f.vms() {
+			p := f.current[vm]
+			if i%2 == f.now.Second()%2 { // the list is read every 2 s
+				p.machine.ObserveList(f.now, list)
+			}
+			p.machine.Tick(f.now)
+			for _, probe := range p.machine.Probes(f.now) {
+				bytes += exchange(b, f, p, probe, status)
+			}
+			p.machine.View()
+			p.machine.Reports(f.now)
+		}
+	}
+	for range 5 {
+		second()
+	}
+	bytes = 0
+	b.ResetTimer()
+	for range b.N {
+		second()
+	}
+	perNode := float64(b.N) * float64(n)
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/perNode, "us/node-second")
+	b.ReportMetric(2*float64(bytes)/perNode, "bytes/node-second")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkHome is the cost of finding one home among 380 members.
+func BenchmarkHome(b *testing.B) {
+	f := newFleet(380)
+	p := f.current["vm-0"].machine
+	p.ObserveList(f.now, f.list())
+	view := p.View()
+	b.ReportAllocs()
+	for i := range b.N {
+		view.Home(i%64, "r")
+	}
+}
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -93,7 +93,7 @@
 func (m *Machine) tableHash() uint64 {
 	var sum uint64
 	for _, e := range m.table {
-		sum += mix(hashString(e.vm) ^ hashString(e.id) + e.seq)
+		sum += mix(e.vmHash ^ (e.idHash + e.seq))
 	}
 	return sum
 }
@@ -220,7 +220,7 @@
 	e := m.table[r.VM]
 	if e == nil {
 		e = &entry{vm: r.VM}
-		m.table[r.VM] = e
+		m.insert(e)
 	}
 	if e.id == r.Incarnation || r.Incarnation == "" {
 		return e
@@ -234,7 +234,7 @@
 	if e.id != "" {
 		m.ended[incarnation{e.vm, e.id}] = true
 	}
-	e.id, e.seq, e.leaving = r.Incarnation, 0, false
+	e.id, e.idHash, e.seq, e.leaving = r.Incarnation, hashString(r.Incarnation), 0, false
 	e.zone, e.region, e.address = r.Zone, r.Region, r.Address
 	e.heard, e.failures, e.answered = time.Time{}, 0, false
 	e.config, e.configAt, e.logHeardAt, e.logDownAt = peerapi.ConfigStatus{}, time.Time{}, time.Time{}, time.Time{}
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -52,6 +52,8 @@
 // entry is one VM in the table.
 type entry struct {
 	vm, id, zone, region, address string
+	// vmHash and idHash are the hashes of vm and id, which each message needs.
+	vmHash, idHash uint64
 	// seq is the member's own counter; it rises when it refutes a suspicion.
 	seq     uint64
 	leaving bool
@@ -97,13 +99,15 @@
 	refill int
 
 	view *View
+	// sorted caches the VM ids of the table in order, nil after a change.
+	sorted []string
 }
 
 // NewMachine returns a machine that knows only its own process.
 func NewMachine(cfg Config) *Machine {
 	self := &entry{
 		vm: cfg.Self.VM, id: cfg.Self.Incarnation, zone: cfg.Self.Zone, region: cfg.Self.Region,
-		address: cfg.Self.Address, seq: 1,
+		address: cfg.Self.Address, seq: 1, vmHash: hashString(cfg.Self.VM), idHash: hashString(cfg.Self.Incarnation),
 	}
 	m := &Machine{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), self: self,
@@ -131,8 +135,27 @@
 
 func (m *Machine) changed() { m.view = nil }
 
+// sortedVMs returns the VM ids of the table in order. The caller must not change
+// the slice.
 func (m *Machine) sortedVMs() []string {
-	return slices.SortedFunc(maps.Keys(m.table), cmp.Compare[string])
+	if m.sorted == nil {
+		m.sorted = slices.SortedFunc(maps.Keys(m.table), cmp.Compare[string])
+	}
+	return m.sorted
+}
+
+func (m *Machine) insert(e *entry) {
+	e.vmHash = hashString(e.vm)
+	m.table[e.vm] = e
+	m.sorted = nil
+	m.changed()
+}
+
+func (m *Machine) drop(vm string) {
+	delete(m.table, vm)
+	m.queue.remove(vm)
+	m.sorted = nil
+	m.changed()
 }
 
 func (e *entry) state() State {
@@ -172,11 +195,9 @@
 // depart removes a VM that the list had and no longer has.
 func (m *Machine) depart(vm string) {
 	m.departed[vm] = true
-	delete(m.table, vm)
+	m.drop(vm)
 	delete(m.evidence.known, vm)
 	maps.DeleteFunc(m.ended, func(key incarnation, _ bool) bool { return key.vm == vm })
-	m.queue.remove(vm)
-	m.changed()
 }
 
 func (m *Machine) list(_ time.Time, vm vmlist.VM) {
@@ -186,8 +207,7 @@
 	e := m.table[vm.ID]
 	if e == nil {
 		e = &entry{vm: vm.ID, zone: vm.Zone, region: vm.Region, address: m.peerAddress(vm.Address)}
-		m.table[vm.ID] = e
-		m.changed()
+		m.insert(e)
 	}
 	e.listed = true
 	if leaving := vm.State == vmlist.StateLeaving; e.listLeaving != leaving {
@@ -216,9 +236,7 @@
 			m.changed()
 		}
 		if e.gone && !e.listed && now.Sub(e.goneSince) >= m.cfg.ForgetAfter {
-			delete(m.table, vm)
-			m.queue.remove(vm)
-			m.changed()
+			m.drop(vm)
 		}
 	}
 }
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -34,7 +34,7 @@
 			if turns++; turns > 1 {
 				break
 			}
-			m.order = m.sortedVMs()
+			m.order = slices.Clone(m.sortedVMs())
 			m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
 		}
 		chosen = m.choose(chosen, m.order[0])
@@ -124,10 +124,10 @@
 // for the suspect, which is the same set on every node.
 func (m *Machine) isConfirmer(suspect string) bool {
 	target := hashString(suspect)
-	weight := func(vm string) uint64 { return mix(hashString(vm) ^ target) }
-	own, ahead := weight(m.self.vm), 0
+	weight := func(e *entry) uint64 { return mix(e.vmHash ^ target) }
+	own, ahead := weight(m.self), 0
 	for vm, e := range m.table {
-		if vm != suspect && e.state() == StateAlive && weight(vm) > own {
+		if vm != suspect && e.state() == StateAlive && weight(e) > own {
 			ahead++
 		}
 	}
--- a/internal/coordination/membership/status.go
+++ b/internal/coordination/membership/status.go
@@ -60,7 +60,7 @@
 func (m *Machine) logDown(now time.Time) (ages []byte, vmHash uint64) {
 	ages = make([]byte, 0, len(m.table))
 	for _, vm := range m.sortedVMs() {
-		vmHash += mix(hashString(vm))
+		vmHash += mix(m.table[vm].vmHash)
 		age := now.Sub(m.table[vm].logDownAt)
 		if m.table[vm].logDownAt.IsZero() || age > maxLogDownAge {
 			ages = append(ages, 0)
--- a/internal/protocol/peerapi/messages.go
+++ b/internal/protocol/peerapi/messages.go
@@ -1,10 +1,6 @@
 package peerapi
 
-import (
-	"time"
-
-	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
-)
+import "time"
 
 // Identity names the process at the other end of an authenticated connection.
 type Identity struct {
@@ -78,37 +74,6 @@
 // LogDownUnit is the unit of the ages in Heartbeat.LogDown.
 const LogDownUnit = 100 * time.Millisecond
 
-// ReserveParams asks the home for a reservation.
-type ReserveParams struct {
-	Entry      string `json:"e"`
-	Generation uint64 `json:"g"`
-	RequestID  string `json:"r"`
-	Tokens     int64  `json:"t"`
-}
-
-// ReserveResult is the home's answer.
-type ReserveResult struct {
-	Granted bool            `json:"k"`
-	Holder  record.HolderID `json:"h,omitempty"`
-	Left    int64           `json:"l"`
-}
-
-// SettleParams reports the actual use of a reservation to the home.
-type SettleParams struct {
-	Entry      string `json:"e"`
-	Generation uint64 `json:"g"`
-	RequestID  string `json:"r"`
-	Input      int64  `json:"i"`
-	Output     int64  `json:"o"`
-	Target     string `json:"m"`
-	Outcome    string `json:"c"`
-}
-
-// JournalParams copies reservations to the backup, as a group.
-type JournalParams struct {
-	Items []ReserveParams `json:"d"`
-}
-
 // ConfigFetchParams asks a peer for accepted records of the config stream.
 type ConfigFetchParams struct {
 	// From is the offset of the first record wanted.
--- /dev/null
+++ b/internal/transport/peer/bench_test.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
+
+// shortReserve carries what budget.ReserveParams does under one-letter keys.
+type shortReserve struct {
+	Request string `json:"r"`
+	Entry   string `json:"e"`
+	Gen     uint64 `json:"g"`
+	Class   string `json:"c"`
+	Amount  int64  `json:"a"`
+}
+
+// BenchmarkCall measures calls over loopback: bytes on the connection as the
+// client counts them, and the processor time of both ends together.
+func BenchmarkCall(b *testing.B) {
+	const request, from = "0197a3c4-7b1e-7c55-9d02-5f6a1c2b3d4e", "vm-0123/0197a3c4-7b1e-7c55-9d02-5f6a1c2b3d4e"
+	key := record.EntryKey{Name: "bench-setting-assistant", Generation: 48211}
+	bill := record.Bill{
+		RequestID: request, Entry: key, Holder: from, Target: "setter-large", InputTokens: 512, OutputTokens: 730,
+		Charged: 1242, UnixMilli: 1796358000000, Outcome: "ok",
+	}
+	op := budget.CopyOp{RequestID: request, Entry: key, Amount: 2048}
+	cases := []struct {
+		name           string
+		params, result any
+	}{
+		{"reserve", budget.ReserveParams{From: from, RequestID: request, Entry: key, Class: "interactive", Amount: 2048}, budget.ReserveResult{Reserved: true}},
+		{"settle", budget.SettleParams{From: from, RequestID: request, Bill: &bill}, struct{}{}},
+		{"journal-1-op", budget.CopyBatch{Holder: from, Epoch: 3, Seq: 4711, Ops: []budget.CopyOp{op}}, struct{}{}},
+		{"journal-8-ops", budget.CopyBatch{Holder: from, Epoch: 3, Seq: 4711, Ops: []budget.CopyOp{op, op, op, op, op, op, op, op}}, struct{}{}},
+		{"reserve-short-keys", shortReserve{request, key.Name, key.Generation, "i", 2048}, struct {
+			Reserved bool `json:"k"`
+		}{true}},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) { benchCall(b, c.params, c.result) })
+	}
+}
+
+func benchCall(b *testing.B, params, result any) {
+	const method = peerapi.MethodReserve
+	s, err := NewServer(testConfig("b"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.Handle(method, func(_ context.Context, _ peerapi.Identity, got json.RawMessage) (any, error) {
+		return result, json.Unmarshal(got, new(map[string]any))
+	})
+	address, p := serve(b, s), newPool(b, testConfig("a"))
+	call := func() {
+		if err := p.Call(context.Background(), address, method, params, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+	call()
+	sent, received, used := obs.PeerClientSentBytes.Value(), obs.PeerClientReceivedBytes.Value(), processorTime(b)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		call()
+	}
+	n := float64(b.N)
+	b.ReportMetric(float64(obs.PeerClientSentBytes.Value()-sent)/n, "sent-bytes/call")
+	b.ReportMetric(float64(obs.PeerClientReceivedBytes.Value()-received)/n, "received-bytes/call")
+	b.ReportMetric(float64((processorTime(b)-used).Microseconds())/n, "cpu-us/call")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -46,6 +46,12 @@
 	s.Handle("large", func(context.Context, peerapi.Identity, json.RawMessage) (any, error) {
 		return strings.Repeat("x", cfg.MaxMessage), nil
 	})
+	return serve(t, s)
+}
+
+// serve runs a server until the test ends and returns its address.
+func serve(t testing.TB, s *Server) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -62,7 +68,7 @@
 	return listener.Addr().String()
 }
 
-func newPool(t *testing.T, cfg Config) *Pool {
+func newPool(t testing.TB, cfg Config) *Pool {
 	t.Helper()
 	p, err := NewPool(cfg)
 	if err != nil {
