Use the real admission, routing and claims

Change: adapters in internal/daemon, a loop that hands new configurations to routing and time to admission, and the real error types in the answers. Each call of Claim is a claim of its own, so the repeat of a refused request now keeps the claim with its record instead of claiming again. An upstream that refuses with X-Leaving gets no new work. API.Lease refuses while the configuration may be out of date; nothing sets it yet. The e2e test of a dying engine now makes sure that its stream was resumed, since routing may choose either engine.

Proof: seen to fail with a lost claim ignored, with the claim dropped after a refusal, with callers that left counted against the upstream, and with resume at the same engine only.

--- /dev/null
+++ b/internal/daemon/adapters.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
+)
+
+// admitter makes a controller an httpapi.Admission.
+type admitter struct{ *admission.Controller }
+
+// Admit implements httpapi.Admission.
+func (a admitter) Admit(ctx context.Context, req admission.Request) (httpapi.Ticket, error) {
+	ticket, err := a.Controller.Admit(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return ticket, nil
+}
+
+// chooser makes a router an httpapi.Routing.
+type chooser struct{ *routing.Router }
+
+// Pick implements httpapi.Routing.
+func (c chooser) Pick(req routing.Request) (httpapi.Attempt, error) {
+	attempt, err := c.Router.Pick(req)
+	if err != nil {
+		return nil, err
+	}
+	return attempt, nil
+}
+
+// newAdmission returns a controller for the capacity that the router sees.
+func newAdmission(router *routing.Router) *admission.Controller {
+	return admission.New(admission.Config{
+		Now: time.Now,
+		Capacity: func(pool string) int {
+			return router.Capacity(httpapi.PoolTarget(pool))
+		},
+	})
+}
+
+// advanceInterval is the time between two looks at a new configuration and at
+// requests that wait for a rate limit.
+const advanceInterval = 20 * time.Millisecond
+
+// advance keeps routing and admission up to date until the context ends.
+func (d *Daemon) advance(ctx context.Context) {
+	ticker := time.NewTicker(advanceInterval)
+	defer ticker.Stop()
+	current := d.config.Current()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			current = d.updateRouting(current)
+			d.admission.Advance()
+		}
+	}
+}
+
+// updateRouting takes over a configuration that is newer than the given one.
+func (d *Daemon) updateRouting(known *catalogue.Snapshot) *catalogue.Snapshot {
+	current := d.config.Current()
+	if current != known {
+		d.routing.Update(current)
+	}
+	return current
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,8 +14,11 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/claim"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
@@ -27,14 +30,17 @@
 
 // Daemon is one router process.
 type Daemon struct {
-	cfg    settings.Daemon
-	logger logrus.FieldLogger
-	config *configsync.Follower
-	api    *httpapi.API
-	budget *budget.Manager
-	server *http.Server
-	admin  *http.Server
-	holder record.HolderID
+	cfg       settings.Daemon
+	logger    logrus.FieldLogger
+	config    *configsync.Follower
+	api       *httpapi.API
+	routing   *routing.Router
+	admission *admission.Controller
+	claims    *claim.Claims
+	budget    *budget.Manager
+	server    *http.Server
+	admin     *http.Server
+	holder    record.HolderID
 	// started is the time at which the process was set up.
 	started  time.Time
 	ready    atomic.Bool
@@ -53,7 +59,15 @@
 		Holder: holder, Partitions: cfg.LedgerPartitions, BillBuffer: cfg.BillBuffer,
 		FlushInterval: cfg.FlushInterval, GrantSize: cfg.GrantSize,
 	}, log, logger)
-	d.api = newAPI(cfg, holder, d.config, d.budget, log, logger)
+	d.routing = routing.New(routing.Config{
+		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Notify: routing.LogChanges(logger),
+	})
+	d.admission = newAdmission(d.routing)
+	d.claims = claim.New(claim.Config{
+		Partitions: claim.DefaultPartitions, Interval: claim.DefaultInterval, Queue: claim.DefaultQueue,
+		MaxWait: claim.DefaultMaxWait, Retention: cfg.ClaimRetention,
+	}, log, logger)
+	d.api = d.newAPI()
 	d.server = &http.Server{
 		Handler: d.api.Handler(), ReadHeaderTimeout: cfg.ReadTimeout,
 		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
@@ -63,23 +77,19 @@
 }
 
 // newAPI wires the callers' API.
-func newAPI(
-	cfg settings.Daemon, holder record.HolderID, config httpapi.Configuration, spending httpapi.Budget,
-	log logstream.Log, logger logrus.FieldLogger,
-) *httpapi.API {
-	client := upstream.New()
+func (d *Daemon) newAPI() *httpapi.API {
+	client, cfg := upstream.New(), d.cfg
 	return &httpapi.API{
-		Config: config, Budget: spending, Engines: client, Services: client,
-		Admission: localAdmission{}, Routing: &localRouting{config: config, open: make(map[string]int)},
-		Retry: newLocalRetryBudget(), Claims: newLocalClaims(log, cfg.LedgerPartitions),
+		Config: d.config, Budget: d.budget, Engines: client, Services: client,
+		Admission: admitter{d.admission}, Routing: chooser{d.routing}, Retry: &routing.RetryBudget{}, Claims: d.claims,
 		Requests: request.NewTable(request.Config{
 			Retention: cfg.RequestRetention, MaxFinished: cfg.RequestsKept,
 			MaxAnswerBytes: cfg.AnswerMemory, Now: time.Now,
 		}),
 		Unknown: &httpapi.Resolver{
-			Budget: spending, Engines: client, Delay: cfg.UnknownBillDelay, Logger: logger, Now: time.Now,
+			Budget: d.budget, Engines: client, Delay: cfg.UnknownBillDelay, Logger: d.logger, Now: time.Now,
 		},
-		Holder: holder, Logger: logger, Now: time.Now,
+		Holder: d.holder, Logger: d.logger, Now: time.Now,
 		Limits: httpapi.Limits{
 			MaxBodyBytes: cfg.MaxBodyBytes, BodyTimeout: cfg.ReadTimeout, WriteTimeout: cfg.WriteTimeout,
 			RequestTimeout: cfg.RequestTimeout, AttemptTimeout: cfg.AttemptTimeout, ResumeTimeout: cfg.ResumeTimeout,
@@ -130,6 +140,9 @@
 	defer stopBackground()
 	var loops conc.WaitGroup
 	loops.Go(func() { d.config.Run(background) })
+	d.routing.Update(d.config.Current())
+	loops.Go(func() { d.advance(background) })
+	loops.Go(func() { d.claims.Run(background) })
 	loops.Go(func() { d.budget.Run(background) })
 	var resolver conc.WaitGroup
 	resolver.Go(func() { d.api.Unknown.Run(background) })
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -20,6 +20,8 @@
 	devCredential = "dev-secret"
 	devModel      = "demo-model"
 	devTokens     = 100000
+	// devConcurrency is high, since the stand-in engine has no limit.
+	devConcurrency = 1024
 )
 
 // Dev is the in-process platform of --dev.
@@ -53,6 +55,7 @@
 			}},
 			Upstreams: []catalogue.Upstream{{
 				Name: "engine-1", Kind: catalogue.KindEngine, Address: engine, Models: []string{devModel},
+				Concurrency: devConcurrency,
 			}},
 		},
 	}
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -129,6 +129,13 @@
 	<-broken.begun
 	is.NoErr(engine.cmd.Process.Kill())
 	checkWhole(t, broken.wait(t), req)
+	var metrics struct {
+		Router struct {
+			Resumed int `json:"streams_resumed_total"`
+		} `json:"dotterelthread"`
+	}
+	getJSON(t, r.admin+"/debug/vars", &metrics)
+	is.Equal(metrics.Router.Resumed, 1)
 	whole := beginAsk(t, r.url, req, "").wait(t)
 	is.Equal(broken.events(), whole.events())
 	r.stop(t)
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -149,8 +149,10 @@
 	t.Helper()
 	var upstreams []catalogue.Upstream
 	for i, url := range engineURLs {
+		// Routers are in region-1, so that the first engine is preferred.
 		upstreams = append(upstreams, catalogue.Upstream{
 			Name: fmt.Sprintf("e%d", i+1), Kind: catalogue.KindEngine, Address: url, Models: []string{testModel},
+			Region: fmt.Sprintf("region-%d", i+1),
 		})
 	}
 	return publishUpstreams(t, logURL, upstreams)
--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -14,6 +14,10 @@
 // 409 and stops nothing. A POST with the id and body of a stream that the engine
 // holds attaches to it and does not run again.
 
+// HeaderLeaving is set by an upstream that refuses a request because it takes no
+// new work.
+const HeaderLeaving = "X-Leaving"
+
 // HeaderDeadline is the time that is left for the request, in milliseconds.
 const HeaderDeadline = "X-Deadline-Ms"
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	ResumeTimeout    time.Duration `long:"resume-timeout" env:"DOTTERELTHREAD_RESUME_TIMEOUT" default:"10s" description:"longest time without progress of a broken stream"`
 	RepeatWait       time.Duration `long:"repeat-wait" env:"DOTTERELTHREAD_REPEAT_WAIT" default:"30s" description:"longest wait of a repeated idempotency key for the request that runs"`
 	UnknownBillDelay time.Duration `long:"unknown-bill-delay" env:"DOTTERELTHREAD_UNKNOWN_BILL_DELAY" default:"10m" description:"time after which a request with an unknown outcome is billed at its upper bound"`
+	ClaimRetention   time.Duration `long:"claim-retention" env:"DOTTERELTHREAD_CLAIM_RETENTION" default:"24h" description:"time for which the claim of a request that may not run twice is kept, the same in the whole fleet"`
 	RequestRetention time.Duration `long:"request-retention" env:"DOTTERELTHREAD_REQUEST_RETENTION" default:"10m" description:"time for which a finished request can be asked for"`
 	RequestsKept     int           `long:"requests-kept" env:"DOTTERELTHREAD_REQUESTS_KEPT" default:"20000" description:"largest number of finished requests kept"`
 	AnswerMemory     int           `long:"answer-memory" env:"DOTTERELTHREAD_ANSWER_MEMORY" default:"33554432" description:"memory for answers kept for their idempotency key, in bytes"`
--- a/internal/state/request/request.go
+++ b/internal/state/request/request.go
@@ -44,7 +44,7 @@
 	ErrTransition = errors.New("transition is not allowed")
 	// ErrStaleAttempt reports an answer to an attempt that was replaced. It is
 	// also an ErrTransition.
-	ErrStaleAttempt = errors.Mark(errors.New("answer belongs to a replaced attempt"), ErrTransition)
+	ErrStaleAttempt = errors.Wrap(ErrTransition, "answer belongs to a replaced attempt")
 )
 
 // MaxAttempts bounds the attempts of one request.
@@ -99,6 +99,9 @@
 	answer  *Answer
 	ended   bool
 	retired bool
+	// claimed is true once the request has the right to run, for requests that
+	// may not run twice.
+	claimed bool
 }
 
 // ID returns the request id.
@@ -259,6 +262,21 @@
 	}
 }
 
+// SetClaimed records that the request won its claim.
+func (r *Request) SetClaimed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claimed = true
+}
+
+// Claimed reports whether the request won its claim, or took it over from a
+// refused request with the same key.
+func (r *Request) Claimed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.claimed
+}
+
 // State returns the current state.
 func (r *Request) State() State {
 	r.mu.Lock()
--- a/internal/state/request/table.go
+++ b/internal/state/request/table.go
@@ -72,12 +72,14 @@
 
 // Begin adds a request. A request with a key that is already known is returned
 // with repeated set; the caller waits for it or replays its answer. A key whose
-// request was refused is free again, since nothing ran.
+// request was refused is free again, since nothing ran; the same request then
+// keeps its id and its claim.
 func (t *Table) Begin(p Params) (r *Request, repeated bool, err error) {
 	t.expire()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := keyID{p.Team, p.Key}
+	claimed := false
 	if p.Key != "" {
 		if known := t.byKey[key]; known != nil && known.State() != Refused {
 			if known.params.Entry != p.Entry || !bytes.Equal(known.params.BodyHash, p.BodyHash) {
@@ -86,10 +88,10 @@
 			return known, true, nil
 		} else if known != nil && known.params.Entry == p.Entry && bytes.Equal(known.params.BodyHash, p.BodyHash) {
 			// The claim of the refused request still holds for its id.
-			p.ID = known.params.ID
+			p.ID, claimed = known.params.ID, known.Claimed()
 		}
 	}
-	r = &Request{table: t, params: p, started: t.cfg.Now(), done: make(chan struct{})}
+	r = &Request{table: t, params: p, started: t.cfg.Now(), done: make(chan struct{}), claimed: claimed}
 	t.byID[p.ID] = r
 	if p.Key != "" {
 		t.byKey[key] = r
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -11,7 +11,9 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
@@ -48,62 +50,31 @@
 	Call(ctx context.Context, call upstream.ServiceCall) (upstream.ServiceAnswer, error)
 }
 
-// AdmitRequest asks to run a request now.
-type AdmitRequest struct {
-	Entry record.EntryKey
-	Team  string
-	Class catalogue.Class
-	// Tokens is the upper bound of the request.
-	Tokens int64
-	Limits catalogue.Limits
-}
-
 // Ticket is the admission of one request.
 type Ticket interface {
 	// Done ends the request. It is called exactly once.
 	Done()
 }
 
-// Admission limits and orders the requests. Admit may wait. It fails with a
-// RateLimitedError or an OverloadedError.
+// Admission limits and orders the requests. Admit may wait. It fails with an
+// admission.RateLimitedError or an admission.OverloadedError.
 type Admission interface {
-	Admit(ctx context.Context, req AdmitRequest) (Ticket, error)
-}
-
-// Result is how an attempt ended.
-type Result int
-
-// The results of an attempt.
-const (
-	ResultOK Result = iota
-	ResultRefused
-	ResultFailed
-	// ResultCrashed means that the connection broke after the request was sent.
-	ResultCrashed
-)
-
-// PickRequest asks for an upstream. Model or Service is set.
-type PickRequest struct {
-	Model   string
-	Service string
-	// PrefixHashes name the beginnings of the prompt, shortest first.
-	PrefixHashes []uint64
-	Class        catalogue.Class
-	// Exclude names upstreams that were tried.
-	Exclude     []string
-	Fingerprint [32]byte
+	Admit(ctx context.Context, req admission.Request) (Ticket, error)
 }
 
 // Attempt is the choice of an upstream for one attempt.
 type Attempt interface {
 	Upstream() *catalogue.Upstream
+	// Priority is the engine's priority; lower runs first.
+	Priority() int
 	// Done reports how the attempt ended. It is called exactly once.
-	Done(result Result)
+	Done(result routing.Result)
 }
 
-// Routing chooses upstreams. Pick fails with ErrNoUpstream or ErrQuarantined.
+// Routing chooses upstreams. Pick fails with a routing.NoUpstreamError or a
+// routing.QuarantinedError.
 type Routing interface {
-	Pick(req PickRequest) (Attempt, error)
+	Pick(req routing.Request) (Attempt, error)
 }
 
 // RetryBudget bounds the retries to a part of the traffic.
@@ -117,7 +88,8 @@
 // Claims decides which router runs a non-idempotent request.
 type Claims interface {
 	// Claim returns the first claim of the key in log order. An error means that
-	// the claim is not known to have won, and nothing may be sent.
+	// nothing may be sent; it is a claim.ConflictError for a key that was used
+	// with another body.
 	Claim(ctx context.Context, c record.Claim) (winner record.Claim, won bool, err error)
 }
 
@@ -174,7 +146,9 @@
 	Retry     RetryBudget
 	Claims    Claims
 	// Remote may be nil.
-	Remote   Remote
+	Remote Remote
+	// Lease fails while the configuration at hand may be out of date. It may be nil.
+	Lease    func() error
 	Requests *request.Table
 	Unknown  *Resolver
 	Holder   record.HolderID
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
@@ -28,14 +29,6 @@
 // broken stream.
 const resumePause = 50 * time.Millisecond
 
-// priority returns the engine's priority of a class; lower runs first.
-func priority(c catalogue.Class) int {
-	if c == catalogue.ClassQueued {
-		return 1
-	}
-	return 0
-}
-
 func (x *exchange) parseChat() *APIError {
 	req, err := chat.Parse(x.body)
 	if err != nil {
@@ -46,7 +39,10 @@
 	}
 	x.bound = req.Bound()
 	x.idempotent = true
-	x.pick = PickRequest{Model: req.Model, PrefixHashes: req.PrefixHashes(), Class: x.entry.Class, Fingerprint: x.hash}
+	x.pick = routing.Request{
+		Model: req.Model, PrefixHashes: req.PrefixHashes(), Class: x.entry.Class,
+		Fingerprint: routing.FingerprintOf(x.entry.Name, req.Model, x.body),
+	}
 	if req.Stream {
 		x.job = streamJob{model: req.Model}
 	} else {
--- a/internal/transport/httpapi/errors.go
+++ b/internal/transport/httpapi/errors.go
@@ -8,8 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/claim"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -44,28 +48,6 @@
 	CodeClaimed                  Code = "request_claimed"
 )
 
-// Errors of the interfaces that this package uses.
-var (
-	// ErrNoUpstream reports that no upstream can take the request now.
-	ErrNoUpstream = errors.New("no upstream can take the request")
-	// ErrQuarantined reports a request that crashed the upstreams that ran it.
-	ErrQuarantined = errors.New("request is quarantined")
-	// ErrConfigurationExpired reports that the configuration lease has ended.
-	ErrConfigurationExpired = errors.New("configuration lease has ended")
-)
-
-// RateLimitedError reports a limit of the entry or the team.
-type RateLimitedError struct{ RetryAfter time.Duration }
-
-// Error implements error.
-func (e *RateLimitedError) Error() string { return "a limit of the entry or team is reached" }
-
-// OverloadedError reports that the request's class is shed.
-type OverloadedError struct{ RetryAfter time.Duration }
-
-// Error implements error.
-func (e *OverloadedError) Error() string { return "the upstreams are at capacity" }
-
 // errCallerGone reports that the caller does not take its answer.
 var errCallerGone = errors.New("caller does not read the answer")
 
@@ -141,8 +123,8 @@
 }
 
 func admissionError(err error) *APIError {
-	var limited *RateLimitedError
-	var overloaded *OverloadedError
+	var limited *admission.RateLimitedError
+	var overloaded *admission.OverloadedError
 	switch {
 	case errors.As(err, &limited):
 		return refuse(http.StatusTooManyRequests, CodeRateLimited, limited.Error()).after(limited.RetryAfter)
@@ -154,15 +136,37 @@
 	}
 }
 
+func claimError(err error) *APIError {
+	var conflict *claim.ConflictError
+	var unavailable *claim.UnavailableError
+	switch {
+	case errors.As(err, &conflict):
+		return refuse(http.StatusUnprocessableEntity, CodeKeyConflict, request.ErrKeyConflict.Error())
+	case errors.Is(err, claim.ErrInvalid):
+		return refuse(http.StatusBadRequest, CodeBadRequest, err.Error())
+	case errors.As(err, &unavailable):
+		return refuse(http.StatusServiceUnavailable, CodeClaimUnavailable,
+			"the right to run the request could not be recorded").after(unavailable.RetryAfter)
+	default:
+		return refuse(http.StatusServiceUnavailable, CodeClaimUnavailable,
+			"the right to run the request could not be recorded").after(defaultRetryAfter)
+	}
+}
+
 // notRunError maps the last error of a request that provably did not run.
 func notRunError(err error) *APIError {
 	var refused *upstream.RefusedError
+	var quarantined *routing.QuarantinedError
+	var none *routing.NoUpstreamError
 	switch {
-	case errors.Is(err, ErrQuarantined):
+	case errors.As(err, &quarantined):
 		return refuse(http.StatusUnprocessableEntity, CodeQuarantined,
 			"this request crashed the upstreams that ran it and is stopped")
 	case errors.As(err, &refused) && !refused.Temporary():
 		return refuse(http.StatusBadRequest, CodeUpstreamRejected, refused.Message)
+	case errors.As(err, &none):
+		return refuse(http.StatusServiceUnavailable, CodeUpstreamUnavailable,
+			"no upstream can take the request now").after(none.RetryAfter)
 	default:
 		return refuse(http.StatusServiceUnavailable, CodeUpstreamUnavailable,
 			"no upstream took the request").after(defaultRetryAfter)
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -16,7 +16,9 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
@@ -44,7 +46,7 @@
 	// hash identifies entry, method, path and body.
 	hash [sha256.Size]byte
 	job  job
-	pick PickRequest
+	pick routing.Request
 	// bound is the most that the request can cost, in tokens.
 	bound      int64
 	idempotent bool
@@ -103,6 +105,10 @@
 	if open > x.api.Limits.MaxOpen {
 		return refuse(http.StatusServiceUnavailable, CodeOverloaded, "too many open requests").after(defaultRetryAfter)
 	}
+	if x.api.Lease != nil && x.api.Lease() != nil {
+		return refuse(http.StatusServiceUnavailable, CodeConfigurationUnavailable,
+			"the router does not know the configuration in force").after(defaultRetryAfter)
+	}
 	if e := x.authorize(); e != nil {
 		return e
 	}
@@ -170,9 +176,29 @@
 	return nil
 }
 
+// servicePool begins the names of the admission pools of plain services.
+const servicePool = "service "
+
+// PoolOf names the admission pool of a model or a service.
+func PoolOf(model, service string) string {
+	if service != "" {
+		return servicePool + service
+	}
+	return model
+}
+
+// PoolTarget returns the model or the service of an admission pool.
+func PoolTarget(pool string) (model, service string) {
+	if service, ok := strings.CutPrefix(pool, servicePool); ok {
+		return "", service
+	}
+	return pool, ""
+}
+
 func (x *exchange) admit() *APIError {
-	ticket, err := x.api.Admission.Admit(x.ctx, AdmitRequest{
+	ticket, err := x.api.Admission.Admit(x.ctx, admission.Request{
 		Entry: x.entry.Key, Team: x.entry.Team, Class: x.entry.Class, Tokens: x.bound, Limits: x.entry.Limits,
+		Pool: PoolOf(x.pick.Model, x.pick.Service),
 	})
 	if err != nil {
 		return x.stopped(admissionError(err))
--- a/internal/transport/httpapi/repeat.go
+++ b/internal/transport/httpapi/repeat.go
@@ -99,7 +99,7 @@
 // claim takes the right to run a request that may not run twice. It comes last
 // before the dispatch, so that a refusal leaves no claim behind.
 func (x *exchange) claim() *APIError {
-	if x.idempotent {
+	if x.idempotent || x.record.Claimed() {
 		return nil
 	}
 	winner, won, err := x.api.Claims.Claim(x.ctx, record.Claim{
@@ -108,12 +108,10 @@
 	})
 	switch {
 	case err != nil:
-		return x.stopped(refuse(http.StatusServiceUnavailable, CodeClaimUnavailable,
-			"the right to run the request could not be recorded").after(defaultRetryAfter))
+		return x.stopped(claimError(err))
 	case won:
+		x.record.SetClaimed()
 		return nil
-	case string(winner.BodyHash) != string(x.hash[:]):
-		return refuse(http.StatusUnprocessableEntity, CodeKeyConflict, request.ErrKeyConflict.Error())
 	default:
 		return x.claimedElsewhere(winner)
 	}
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
@@ -62,12 +63,12 @@
 	target := attempt.Upstream()
 	n, err := x.record.Dispatch()
 	if err != nil {
-		attempt.Done(ResultRefused)
+		attempt.Done(routing.ResultRefused)
 		return err
 	}
 	x.tries++
 	call := upstream.Call{
-		Address: target.Address, RequestID: x.id, Attempt: x.attemptID(n), Priority: priority(x.entry.Class), Body: x.body,
+		Address: target.Address, RequestID: x.id, Attempt: x.attemptID(n), Priority: attempt.Priority(), Body: x.body,
 	}
 	x.calls = append(x.calls, call)
 	ctx, span := obs.StartSpan(x.ctx, obs.SpanAttempt, x.id)
@@ -83,7 +84,7 @@
 	}
 	if x.moved {
 		// The engine that was chosen did not come back.
-		attempt.Done(ResultCrashed)
+		attempt.Done(routing.ResultCrashed)
 	} else {
 		attempt.Done(result(err))
 	}
@@ -102,18 +103,21 @@
 
 // result tells the routing how an attempt ended. A caller that left and an
 // answer that was delivered say nothing against the upstream.
-func result(err error) Result {
+func result(err error) routing.Result {
+	var refused *upstream.RefusedError
 	switch {
 	case errors.Is(err, errReplaced):
-		return ResultFailed
+		return routing.ResultFailed
 	case err == nil, errors.IsAny(err, errCallerGone, context.Canceled):
-		return ResultOK
+		return routing.ResultOK
+	case errors.As(err, &refused) && refused.Leaving:
+		return routing.ResultLeaving
 	case errors.Is(err, upstream.ErrRefused):
-		return ResultRefused
+		return routing.ResultRefused
 	case errors.IsAny(err, upstream.ErrNotSent, context.DeadlineExceeded, upstream.ErrMismatch):
-		return ResultFailed
+		return routing.ResultFailed
 	default:
-		return ResultCrashed
+		return routing.ResultCrashed
 	}
 }
 
--- a/internal/transport/httpapi/services.go
+++ b/internal/transport/httpapi/services.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
@@ -45,7 +46,10 @@
 			"a call that may not be repeated needs the header "+HeaderIdempotencyKey)
 	}
 	x.bound, x.idempotent = price, idempotent
-	x.pick = PickRequest{Service: name, Class: x.entry.Class, Fingerprint: x.hash}
+	x.pick = routing.Request{
+		Service: name, Class: x.entry.Class,
+		Fingerprint: routing.FingerprintOf(x.entry.Name, name, x.hash[:]),
+	}
 	x.job = serviceJob{service: name, path: "/" + path}
 	return nil
 }
--- a/internal/transport/upstream/service.go
+++ b/internal/transport/upstream/service.go
@@ -52,7 +52,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusTooManyRequests {
-		return ServiceAnswer{}, &RefusedError{Status: resp.StatusCode, Message: message(resp)}
+		return ServiceAnswer{}, newRefusedError(resp)
 	}
 	if err := checkIdentity(resp, call.Call); err != nil {
 		return ServiceAnswer{}, err
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -40,6 +40,8 @@
 type RefusedError struct {
 	Status  int
 	Message string
+	// Leaving is true when the upstream takes no new work at all.
+	Leaving bool
 }
 
 // Error implements error.
@@ -50,6 +52,12 @@
 // Unwrap makes the error an ErrRefused.
 func (e *RefusedError) Unwrap() error { return ErrRefused }
 
+func newRefusedError(resp *http.Response) *RefusedError {
+	return &RefusedError{
+		Status: resp.StatusCode, Message: message(resp), Leaving: resp.Header.Get(chat.HeaderLeaving) != "",
+	}
+}
+
 // Temporary reports whether another upstream may accept the same request.
 func (e *RefusedError) Temporary() bool {
 	return e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable
@@ -210,7 +218,7 @@
 		return checkIdentity(resp, call)
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusRequestEntityTooLarge,
 		http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return &RefusedError{Status: resp.StatusCode, Message: message(resp)}
+		return newRefusedError(resp)
 	default:
 		return errors.Newf("upstream answered %s", resp.Status)
 	}
