--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -98,26 +98,32 @@
 
 // decode takes the known fields and counts the length of the others.
 func (r *Request) decode(fields map[string]json.RawMessage) error {
-	maxCompletion := r.MaxTokens
-	known := map[string]any{
-		"model": &r.Model, "messages": &r.Messages, "max_tokens": &r.MaxTokens, "stream": &r.Stream, "n": &r.N,
-		"max_completion_tokens": &maxCompletion,
-	}
+	var maxCompletion int64
 	for name, raw := range fields {
-		target, ok := known[name]
-		if !ok || name == "messages" {
+		var err error
+		switch name {
+		case "model":
+			err = json.Unmarshal(raw, &r.Model)
+		case "messages":
+			r.inputBytes += int64(len(name) + len(raw))
+			err = json.Unmarshal(raw, &r.Messages)
+		case "max_tokens":
+			err = json.Unmarshal(raw, &r.MaxTokens)
+		case "max_completion_tokens":
+			err = json.Unmarshal(raw, &maxCompletion)
+		case "stream":
+			err = json.Unmarshal(raw, &r.Stream)
+		case "n":
+			err = json.Unmarshal(raw, &r.N)
+		case "best_of":
+			err = errors.New("is not supported")
+		default:
 			r.inputBytes += int64(len(name) + len(raw))
 		}
-		if !ok {
-			continue
-		}
-		if err := json.Unmarshal(raw, target); err != nil {
+		if err != nil {
 			return errors.Wrapf(err, "field %s", name)
 		}
 	}
-	if fields["best_of"] != nil {
-		return errors.New("best_of is not supported")
-	}
 	if maxCompletion > r.MaxTokens {
 		return errors.New("max_completion_tokens is over max_tokens")
 	}
