--- a/internal/transport/httpapi/repeat.go
+++ b/internal/transport/httpapi/repeat.go
@@ -31,18 +31,23 @@
 	if key != "" && x.idempotent {
 		x.id = x.keyedID(key)
 	}
-	r, repeated, err := x.api.Requests.Begin(request.Params{
-		ID: x.id, Entry: x.entry.Key, Team: x.entry.Team, Key: key, BodyHash: x.hash[:],
-	})
-	if err != nil {
-		return refuse(http.StatusUnprocessableEntity, CodeKeyConflict, err.Error())
-	}
-	x.id = r.ID()
-	if repeated {
-		return x.repeat(r)
+	for {
+		r, repeated, err := x.api.Requests.Begin(request.Params{
+			ID: x.id, Entry: x.entry.Key, Team: x.entry.Team, Key: key, BodyHash: x.hash[:],
+		})
+		if err != nil {
+			return refuse(http.StatusUnprocessableEntity, CodeKeyConflict, err.Error())
+		}
+		if !repeated {
+			x.id, x.record = r.ID(), r
+			return nil
+		}
+		if info := x.waitFor(r); info.State != request.Refused {
+			x.id = r.ID()
+			return x.repeat(r, info)
+		}
+		// The request that it repeats did not run, so its key is free.
 	}
-	x.record = r
-	return nil
 }
 
 // keyedID returns the id of an idempotent request with a key. Every router makes
@@ -53,10 +58,8 @@
 	return uuid.NewSHA1(keyNamespace, []byte(name)).String()
 }
 
-// repeat answers a repeat with the outcome of the request that its key names. It
-// waits for it for a bounded time.
-func (x *exchange) repeat(r *request.Request) *APIError {
-	obs.RepeatsTotal.Add(1)
+// waitFor waits for another request for a bounded time.
+func (x *exchange) waitFor(r *request.Request) request.Info {
 	timer := time.NewTimer(x.api.Limits.RepeatWait)
 	defer timer.Stop()
 	select {
@@ -64,13 +67,15 @@
 	case <-timer.C:
 	case <-x.ctx.Done():
 	}
-	info := r.Info()
+	return r.Info()
+}
+
+// repeat answers a repeat with the outcome of the request that its key names.
+func (x *exchange) repeat(r *request.Request, info request.Info) *APIError {
+	obs.RepeatsTotal.Add(1)
 	switch {
 	case !info.State.Terminal():
 		return ran(http.StatusConflict, CodeInProgress, "the request with this key still runs").after(defaultRetryAfter)
-	case info.State == request.Refused:
-		return refuse(http.StatusServiceUnavailable, Code(info.Outcome),
-			"the request with this key did not run").after(defaultRetryAfter)
 	case info.State == request.Unknown:
 		return ran(http.StatusBadGateway, CodeOutcomeUnknown, "the outcome of the request with this key is not known")
 	}
--- a/internal/transport/httpapi/repeat_test.go
+++ b/internal/transport/httpapi/repeat_test.go
@@ -111,3 +111,30 @@
 	is.Equal(r.body, "ran POST /post o1")
 	is.Equal(service.Calls("POST", "/post", "o1"), 1)
 }
+
+// TestRepeatOfRefusedRequestRuns guards against a repeat that gets the refusal of
+// another call although it could run itself.
+func TestRepeatOfRefusedRequestRuns(t *testing.T) {
+	is := is.New(t)
+	engine, handler := engineAndHandler()
+	engine.SetFaults(standin.EngineFaults{Refuse: 1})
+	arrived, proceed := make(chan struct{}, 10), make(chan struct{})
+	f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		arrived <- struct{}{}
+		<-proceed
+		handler.ServeHTTP(w, req)
+	}))
+	replies := make([]reply, 2)
+	var callers sync.WaitGroup
+	callers.Go(func() { replies[0] = f.chat(false, "a b", HeaderIdempotencyKey, "k") })
+	<-arrived
+	callers.Go(func() { replies[1] = f.chat(false, "a b", HeaderIdempotencyKey, "k") })
+	for f.api.Open() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(proceed)
+	callers.Wait()
+	is.Equal(replies[0].problem().Code, CodeUpstreamUnavailable)
+	is.Equal(replies[1].status, 200)
+	is.Equal(engine.Runs.Load(), int64(1))
+}
