--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,7 +40,7 @@
 	// fleet is nil for a router that runs alone.
 	fleet     *fleet
 	engines   *upstream.Client
-	routes    *routes
+	routing   *routing.Router
 	admission *admission.Controller
 	server    *http.Server
 	admin     *http.Server
@@ -70,15 +70,14 @@
 	}
 	d.budget = budget.NewManager(budgetConfig, log, logger)
 	d.claims = claim.New(claim.Config{
-		Partitions: cfg.ClaimPartitions, Interval: cfg.ClaimInterval, Retention: cfg.ClaimRetention,
+		Partitions: cfg.ClaimPartitions, Interval: cfg.ClaimInterval, Queue: claim.DefaultQueue,
+		MaxWait: claim.DefaultMaxWait, Retention: cfg.ClaimRetention,
 	}, log, logger)
 	d.engines = upstream.New()
-	d.routes = newRoutes(routing.New(routing.Config{
+	d.routing = routing.New(routing.Config{
 		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers, Notify: routing.LogChanges(logger),
-	}), d.config)
-	d.admission = admission.New(admission.Config{
-		Now: time.Now, Capacity: d.capacity, Parts: equalParts{d.place},
 	})
+	d.admission = d.newAdmission()
 	d.api = d.newAPI()
 	if d.fleet != nil {
 		d.fleet.serveBudget(d.budget)
@@ -110,8 +109,8 @@
 	cfg := d.cfg
 	return &httpapi.API{
 		Config: d.config, Budget: d.budget, Engines: d.engines, Services: d.engines,
-		Admission: admitter{d.admission}, Routing: d.routes,
-		Retry: &routing.RetryBudget{}, Claims: claims{d.claims},
+		Admission: admitter{d.admission}, Routing: chooser{d.routing},
+		Retry: &routing.RetryBudget{}, Claims: d.claims,
 		Requests: request.NewTable(request.Config{
 			Retention: cfg.RequestRetention, MaxFinished: cfg.RequestsKept,
 			MaxAnswerBytes: cfg.AnswerMemory, Now: time.Now,
@@ -142,19 +141,6 @@
 	return n
 }
 
-// capacitySlack lets a router that gets more than its part of the traffic use
-// what the others leave; the upstreams queue what comes together.
-const capacitySlack = 2
-
-// capacity returns how many requests this router may have at a pool at a time.
-func (d *Daemon) capacity(pool string) int {
-	all, routers := d.routes.Capacity(pool), d.routers()
-	if routers == 1 {
-		return all
-	}
-	return min(all, (all*capacitySlack+routers-1)/routers)
-}
-
 // configStatus is what heartbeats say of this router's configuration.
 func (d *Daemon) configStatus() peerapi.ConfigStatus {
 	return peerapi.ConfigStatus{
@@ -203,9 +189,10 @@
 	defer stopBackground()
 	var loops conc.WaitGroup
 	loops.Go(func() { d.config.Run(background) })
+	d.routing.Update(d.config.Current())
 	loops.Go(func() { d.budget.Run(background) })
 	loops.Go(func() { d.claims.Run(background) })
-	loops.Go(func() { d.advanceAdmission(background) })
+	loops.Go(func() { d.advance(background) })
 	if d.fleet != nil {
 		if err := d.fleet.start(background, &loops, d); err != nil {
 			return err
@@ -229,23 +216,6 @@
 	return err
 }
 
-// admissionInterval is the time between two looks at requests that wait for a
-// rate limit; requests that wait for a slot are admitted when one gets free.
-const admissionInterval = 50 * time.Millisecond
-
-func (d *Daemon) advanceAdmission(ctx context.Context) {
-	ticker := time.NewTicker(admissionInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			d.admission.Advance()
-		}
-	}
-}
-
 // handBackTimeout bounds the time to write the last bills and hand back shares.
 const handBackTimeout = 30 * time.Second
 
