Look up long prompts by steps; prove the tuned rules

Cause: of a prompt over 64 blocks only the last 64 were looked up, so that a shared beginning was never found; three tuned rules could be broken without a failing test. TestQueueProperties runs with a share of 0.2, which it reaches in its steps.

--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -30,6 +30,7 @@
 const (
 	testMaxCost = 3000
 	testQuantum = 4000
+	testShare   = 0.2
 )
 
 // queueModel follows each request from outside the controller.
@@ -94,7 +95,7 @@
 		clock := newClock()
 		m := &queueModel{waiting: make(map[*Ticket]bool), capacity: rapid.IntRange(2, 8).Draw(r, "capacity")}
 		m.c = New(Config{
-			Now: clock.Now, Capacity: func(string) int { return m.capacity }, Quantum: testQuantum, Burst: 1,
+			Now: clock.Now, Capacity: func(string) int { return m.capacity }, Quantum: testQuantum, Burst: 1, QueuedShare: testShare,
 			MaxWait: map[catalogue.Class]time.Duration{
 				catalogue.ClassInteractive: time.Hour, catalogue.ClassService: time.Hour, catalogue.ClassQueued: time.Hour * 24,
 			},
@@ -143,14 +144,14 @@
 			r.Fatalf("a request of class %s waits beside a free slot", className(w.class))
 		}
 	}
-	if float64(m.early) > float64(m.above)*DefaultQueuedShare+testMaxCost {
+	if float64(m.early) > float64(m.above)*testShare+testMaxCost {
 		r.Fatalf("%d tokens of queued requests went before higher classes, which got %d", m.early, m.above)
 	}
 	if !m.classWaits(indexQueued, indexQueued) {
 		m.higher, m.own = 0, 0
 		return
 	}
-	owed := float64(m.higher) * DefaultQueuedShare
+	owed := float64(m.higher) * testShare
 	if owed > float64(m.own)+2*testMaxCost {
 		r.Fatalf("queued requests starve: %d tokens served while higher classes got %d", m.own, m.higher)
 	}
@@ -193,6 +194,19 @@
 	})
 }
 
+// Guards against queued requests that get their ordinary turns and their share
+// on top: what a class got in its turn counts, but leaves no debt.
+func TestOrdinaryTurnsCount(t *testing.T) {
+	is := is.New(t)
+	var p pool
+	p.classes[indexQueued].push(&Ticket{class: indexQueued, cost: 10})
+	p.credit[indexQueued] = 100
+	p.account(&Ticket{class: indexQueued, cost: 60}, false, testShare)
+	is.Equal(p.credit[indexQueued], 40.0)
+	p.account(&Ticket{class: indexQueued, cost: 60}, false, testShare)
+	is.Equal(p.credit[indexQueued], 0.0)
+}
+
 // Guards against an interactive request that waits behind queued ones.
 func TestClassOrder(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -72,9 +72,7 @@
 		s.suspects++
 	}
 	// The upstream will hold the prompt's blocks once it has run the request.
-	for _, h := range a.hashes[:min(len(a.hashes), maxLookups)] {
-		r.prefix.add(h, s.slot)
-	}
+	r.prefix.expect(a.hashes, s.slot)
 }
 
 // Done ends the attempt. Further calls have no effect.
--- a/internal/coordination/routing/prefix.go
+++ b/internal/coordination/routing/prefix.go
@@ -81,24 +81,41 @@
 	x.put(hash, kept)
 }
 
-// maxLookups bounds the work of one Pick.
+// maxLookups bounds the work of one Pick. Of a longer prompt, every second,
+// fourth, and so on, block is looked up: the steps are powers of two, so that
+// prompts of different lengths use the same blocks.
 const maxLookups = 64
 
+func lookupStep(blocks int) int {
+	step := 1
+	for blocks > step*maxLookups {
+		step *= 2
+	}
+	return step
+}
+
 // match calls found with each upstream that holds a prefix and the number of
-// blocks that it holds, longest first. A hash covers all blocks before it, so
+// blocks that it holds, shortest first. A hash covers all blocks before it, so
 // the last known block says enough.
 func (x *prefixIndex) match(hashes []uint64, found func(s slot, blocks int)) {
-	lookups := 0
-	for i := len(hashes) - 1; i >= 0 && lookups < maxLookups; i-- {
-		lookups++
-		h, ok := x.get(hashes[i])
+	step := lookupStep(len(hashes))
+	for n := step; n <= len(hashes); n += step {
+		h, ok := x.get(hashes[n-1])
 		if !ok {
 			continue
 		}
 		for _, s := range h {
 			if s != 0 {
-				found(s, i+1)
+				found(s, n)
 			}
 		}
 	}
 }
+
+// expect notes that an upstream will hold the blocks of a prompt.
+func (x *prefixIndex) expect(hashes []uint64, s slot) {
+	step := lookupStep(len(hashes))
+	for n := step; n <= len(hashes); n += step {
+		x.add(hashes[n-1], s)
+	}
+}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -344,6 +344,12 @@
 			for range 100 {
 				is.True(pick(t, r, Request{}).Upstream().Name != "e003")
 			}
+			// Only what the upstream answered here is told to peers.
+			is.Equal(len(r.LeavingAnswers()) == 1, sign == "answer")
+			r.Report(Report{Upstream: "e003", Incarnation: "new"})
+			if s := r.byName["e003"]; s != nil {
+				is.Equal(s.leaving(clock.now), sign == "list") // a restart ends its own signs
+			}
 		})
 	}
 }
@@ -437,14 +443,14 @@
 func TestPrefixAffinity(t *testing.T) {
 	is := is.New(t)
 	r, _ := newRouter(4)
-	prompt := make([]uint64, 32)
+	prompt := make([]uint64, 128)
 	for i := range prompt {
 		prompt[i] = uint64(i + 1)
 	}
 	r.Cache(CacheEvent{Upstream: "e002", Seq: 1, Stored: prompt})
 	a := pick(t, r, Request{PrefixHashes: prompt})
 	is.Equal(a.Upstream().Name, "e002")
-	is.Equal(a.PredictedBlocks(), 32)
+	is.Equal(a.PredictedBlocks(), 128)
 	seen := make(map[string]bool)
 	for range 24 {
 		seen[pick(t, r, Request{PrefixHashes: prompt}).Upstream().Name] = true
@@ -459,6 +465,12 @@
 		}
 	})
 	is.Equal(found, 16)
+	long := append(append([]uint64{}, prompt[:16]...), make([]uint64, 500)...)
+	for i := range long[16:] {
+		long[16+i] = uint64(10000 + i)
+	}
+	is.Equal(pick(t, r, Request{PrefixHashes: long}).PredictedBlocks(), 16)
+	is.True(pick(t, r, Request{PrefixHashes: long}).PredictedBlocks() > 500)
 	x := newPrefixIndex(1000)
 	for i := range uint64(100000) {
 		x.add(i, slot(i%7+1))
