--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
@@ -226,6 +227,7 @@
 	now := c.cfg.Now()
 	t := c.newTicket(req, now)
 	if err := c.checkRates(t, now); err != nil {
+		obs.RateLimitedTotal.Add(1)
 		return nil, err
 	}
 	if t.pool.waiting() == 0 && c.eligible(t, now) && t.pool.inFlight < c.slots(t.pool, t.class) {
--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -372,3 +373,41 @@
 		})
 	}
 }
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkTeamHeap reports the heap per team with limits on the team and one
+// entry, and per waiting request.
+func BenchmarkTeamHeap(b *testing.B) {
+	const teams, each = 610, 10
+	limits := catalogue.Limits{TokensPerSecond: 1e12, Concurrency: 1 << 20}
+	for b.Loop() {
+		c := New(Config{Capacity: func(string) int { return 1 }, Burst: 1, TeamLimits: func(string) catalogue.Limits { return limits }})
+		before := heapInUse()
+		offer := func(i int, class catalogue.Class) *Ticket {
+			req := request("entry", "team", class, 1000)
+			req.Entry.Name, req.Team, req.Limits = fmt.Sprint("entry-", i), fmt.Sprint("team-", i), limits
+			ticket, err := c.Offer(req, func() {})
+			if err != nil {
+				b.Fatal(err)
+			}
+			return ticket
+		}
+		for i := range teams {
+			offer(i, catalogue.ClassInteractive).Done()
+		}
+		idle := heapInUse()
+		for i := range teams * each {
+			offer(i%teams, catalogue.ClassQueued)
+		}
+		full := heapInUse()
+		b.ReportMetric(float64(idle-before)/teams, "heapB/team")
+		b.ReportMetric(float64(full-idle)/(teams*each), "heapB/waiting")
+		runtime.KeepAlive(c)
+	}
+}
--- a/internal/coordination/admission/pool.go
+++ b/internal/coordination/admission/pool.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
@@ -164,12 +165,14 @@
 // checkQueue refuses a request that has to wait and would wait too long.
 func (c *Controller) checkQueue(t *Ticket, now time.Time) error {
 	if err := t.checkQueueLimits(c.retryAfter(t, now)); err != nil {
+		obs.RateLimitedTotal.Add(1)
 		return err
 	}
 	wait := t.pool.estimate(t, now, c.cfg.QueuedShare)
 	if c.waiting < c.queueBound(t.class) && wait <= c.maxWait[t.class] {
 		return nil
 	}
+	obs.OverloadedTotal.Add(1)
 	return &OverloadedError{Class: className(t.class), Wait: wait, RetryAfter: c.retryAfter(t, now)}
 }
 
--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -124,6 +124,11 @@
 	}
 	s.epoch++
 	r.cfg.Evidence.Merge(observations...)
+	for _, o := range observations {
+		if r.cfg.Evidence.Quarantined(o.Fingerprint) {
+			r.notify(Change{Kind: ChangeQuarantined, Upstream: s.upstream.Name, Fingerprint: o.Fingerprint})
+		}
+	}
 	r.notify(Change{Kind: ChangeCrashed, Upstream: s.upstream.Name})
 	r.newSlot(s)
 	r.eject(s, crashPause, now)
@@ -172,10 +177,13 @@
 	ChangeEjected ChangeKind = iota
 	ChangeLeaving
 	ChangeCrashed
+	ChangeQuarantined
 )
 
 // Change is something that an operator may want to know of.
 type Change struct {
 	Kind     ChangeKind
 	Upstream string
+	// Fingerprint is set for ChangeQuarantined.
+	Fingerprint Fingerprint
 }
--- a/internal/coordination/routing/notify.go
+++ b/internal/coordination/routing/notify.go
@@ -19,6 +19,9 @@
 		case ChangeCrashed:
 			obs.UpstreamCrashesTotal.Add(1)
 			obs.EventUpstreamCrashed.Log(logger, fields)
+		case ChangeQuarantined:
+			fields["fingerprint"] = c.Fingerprint.String()
+			obs.EventRequestQuarantined.Log(logger, fields)
 		}
 	}
 }
--- a/internal/coordination/routing/retry.go
+++ b/internal/coordination/routing/retry.go
@@ -1,6 +1,10 @@
 package routing
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+)
 
 // Retry budget, in units of a thousandth of an attempt.
 const (
@@ -34,6 +38,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.level < retryUnit {
+		obs.RetriesDeniedTotal.Add(1)
 		return false
 	}
 	b.level -= retryUnit
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
@@ -267,6 +268,7 @@
 	if tracked {
 		v = r.cfg.Evidence.verdict(req.Fingerprint)
 		if v.blames >= blamesToQuarantine {
+			obs.QuarantinedTotal.Add(1)
 			return nil, &QuarantinedError{Fingerprint: req.Fingerprint}
 		}
 	}
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -12,8 +12,6 @@
 		"The requests in flight are suspects until they run cleanly. See docs/operations/overload.md.")
 	EventRequestQuarantined = register(1503, logrus.ErrorLevel, "request quarantined",
 		"A request has crashed two upstreams as the only suspect; it is refused everywhere for an hour. Tell its owner.")
-	EventLoadShed = register(1504, logrus.WarnLevel, "requests are refused for overload",
-		"The estimated wait is above what the class accepts. Add upstreams or lower the load.")
 )
 
 // Counters of routing and admission.
