Tune admission for loads far past saturation

Change: higher classes go over the node's part by a quarter, interactive requests wait at most an estimated 1 s, a lower class is owed 3% of the tokens.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -79,17 +79,17 @@
 	// the capacity. The other nodes are then usually below theirs, and engines
 	// serve urgent requests first; a strict part made interactive requests wait
 	// while other nodes had free slots.
-	DefaultBurst = 1.5
+	DefaultBurst = 1.25
 	// DefaultQueuedShare is the part of the tokens that a waiting lower class
 	// gets while higher classes use up the capacity. Queued requests are long,
 	// so that they occupy about twice this part of the slots.
-	DefaultQueuedShare = 0.05
+	DefaultQueuedShare = 0.03
 )
 
 // Longest estimated wait that is still accepted, per class. Interactive callers
 // give up after a few seconds, and a request that is shed early costs nothing.
 const (
-	maxWaitInteractive = 2 * time.Second
+	maxWaitInteractive = time.Second
 	maxWaitService     = 5 * time.Second
 	maxWaitQueued      = 30 * time.Minute
 )
