--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -100,7 +100,9 @@
 	Now func() time.Time
 	// Capacity returns how many requests this node may have dispatched to a
 	// pool at the same time. Values below 1 count as 1, so that the router
-	// can report that no upstream is available.
+	// can report that no upstream is available. It is called for each request
+	// with the controller's lock held, so it returns a value kept from the
+	// last fraction of a second and does not call the controller.
 	Capacity func(pool string) int
 	// Parts supplies this node's part of fleet-wide limits; nil means all.
 	Parts Parts
--- a/internal/coordination/admission/parts_test.go
+++ b/internal/coordination/admission/parts_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -153,6 +154,34 @@
 func (f fixedPart) Fraction(Scope) float64       { return f.span.fraction() }
 func (f fixedPart) Count(_ Scope, limit int) int { return f.span.count(limit) }
 
+// Guards against a node that confirms a smaller part while it still uses more:
+// it conforms only when its requests in flight fit.
+func TestConforms(t *testing.T) {
+	is := is.New(t)
+	part := &fixedPart{Span{From: 0, To: units}}
+	c := New(Config{Now: newClock().Now, Parts: part})
+	req := request("e", "t", catalogue.ClassInteractive, 1)
+	req.Limits = catalogue.Limits{Concurrency: 2}
+	first, err := c.Offer(req, nil)
+	is.NoErr(err)
+	_, err = c.Offer(req, nil)
+	is.NoErr(err)
+	part.span.To = units / 2
+	e := Scope{Kind: ScopeEntry, Name: "e"}
+	is.True(!c.Conforms(e))
+	is.True(!c.Conforms(Scope{}))
+	is.True(c.Conforms(Scope{Kind: ScopeEntry, Name: "other"}))
+	first.Done()
+	is.True(c.Conforms(e))
+
+	// Without a part, an urgent request is refused at once instead of waiting.
+	part.span.To = 0
+	_, err = c.Offer(req, nil)
+	var rate *RateLimitedError
+	is.True(errors.As(err, &rate))
+	is.Equal(rate.Limit, limitConcurrency)
+}
+
 // Guards against controllers that together admit more than the limits of an
 // entry: requests in flight at any time, and tokens in any run of seconds.
 func TestFleetLimits(t *testing.T) {
