--- a/internal/coordination/budget/copylog.go
+++ b/internal/coordination/budget/copylog.go
@@ -106,34 +106,40 @@
 }
 
 func (c *copyLog) settle(s *share.Share, res Reservation, bill record.Bill) {
-	c.end(s, res.Amount, bill.Charged, func() CopyOp {
-		return CopyOp{Kind: CopyEnd, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount, Bill: &bill}
-	})
+	if c.endUncopied(s, res.Amount, bill.Charged) {
+		return
+	}
+	copied := bill // Moves to the heap only here, off the path without copies.
+	c.end(s, res, bill.Charged, CopyEnd, &copied)
 }
 
 func (c *copyLog) release(s *share.Share, res Reservation) {
-	c.end(s, res.Amount, 0, func() CopyOp {
-		return CopyOp{Kind: CopyRelease, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount}
-	})
+	if c.endUncopied(s, res.Amount, 0) {
+		return
+	}
+	c.end(s, res, 0, CopyRelease, nil)
 }
 
-// end settles the share and queues the op in one step, so that a full state
-// never contains one without the other.
-func (c *copyLog) end(s *share.Share, amount, used int64, op func() CopyOp) {
+// endUncopied settles the share if no backup was ever chosen.
+func (c *copyLog) endUncopied(s *share.Share, amount, used int64) bool {
 	c.mu.RLock()
-	if c.inFlight == nil {
-		defer c.mu.RUnlock()
-		s.Settle(amount, used)
-		return
+	defer c.mu.RUnlock()
+	if c.inFlight != nil {
+		return false
 	}
-	c.mu.RUnlock()
+	s.Settle(amount, used)
+	return true
+}
+
+// end settles the share and queues the op in one step, so that a full state
+// never contains one without the other.
+func (c *copyLog) end(s *share.Share, res Reservation, used int64, kind CopyKind, bill *record.Bill) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.Settle(amount, used)
-	o := op()
-	delete(c.inFlight, o.RequestID)
+	s.Settle(res.Amount, used)
+	delete(c.inFlight, res.RequestID)
 	if c.guarded {
-		c.push(o)
+		c.push(CopyOp{Kind: kind, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount, Bill: bill})
 	}
 }
 
@@ -169,11 +175,14 @@
 // safe for concurrent use.
 func (n *Node) Copied(t Ticket) bool { return n.copies.copied(t) }
 
-// Backup returns the chosen backup, or "".
-func (n *Node) Backup() record.HolderID {
+// ChooseBackup takes the candidate when no backup is chosen or declared.
+func (n *Node) ChooseBackup(candidate record.HolderID) {
 	n.copies.mu.RLock()
-	defer n.copies.mu.RUnlock()
-	return n.copies.wanted
+	free := n.copies.wanted == "" && n.copies.declared == ""
+	n.copies.mu.RUnlock()
+	if free && candidate != "" {
+		n.SetBackup(candidate)
+	}
 }
 
 // SetBackup chooses the backup. The change holds from the moment the node has
@@ -220,12 +229,14 @@
 }
 
 // NextCopies returns the next batch for the declared backup and its holder ID,
-// or nil. It is the same batch until CopiesDone.
+// or nil. It is the same batch until CopiesDone. A backup that is to be replaced
+// gets copies until the fold has the new declaration: it may be back before the
+// log is.
 func (n *Node) NextCopies() (*CopyBatch, record.HolderID) {
 	c := n.copies
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.declared == "" || c.declared != c.wanted {
+	if c.declared == "" {
 		return nil, ""
 	}
 	if c.sent != nil {
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -15,13 +15,14 @@
 type Probe struct {
 	VM, Incarnation, Address string
 	event                    uint64
+	sent                     time.Time
 }
 
 // Probes returns the members to probe in this round. Members take turns in a
 // pseudorandom order that is drawn again after each turn, so every member is
 // probed once in a turn. At most half of a round goes to suspects. Members that
 // are gone stay in the order, because they may only have been cut off.
-func (m *Machine) Probes(time.Time) []Probe {
+func (m *Machine) Probes(now time.Time) []Probe {
 	m.event++
 	var chosen []string
 	for len(m.urgent) > 0 && len(chosen) < max(1, m.cfg.Probes/2) {
@@ -33,7 +34,7 @@
 			if turns++; turns > 1 {
 				break
 			}
-			m.order = m.sortedVMs()
+			m.order = slices.Clone(m.sortedVMs())
 			m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
 		}
 		chosen = m.choose(chosen, m.order[0])
@@ -42,7 +43,7 @@
 	probes := make([]Probe, 0, len(chosen))
 	for _, vm := range chosen {
 		e := m.table[vm]
-		probes = append(probes, Probe{VM: vm, Incarnation: e.id, Address: e.address, event: m.event})
+		probes = append(probes, Probe{VM: vm, Incarnation: e.id, Address: e.address, event: m.event, sent: now})
 	}
 	return probes
 }
@@ -91,6 +92,13 @@
 		m.Failed(now, p)
 	}
 	m.take(now, from, answer, current)
+	if e := m.table[from.VM]; e != nil && e.id == from.Incarnation {
+		e.logHeardAt = p.sent.Add(-time.Duration(answer.Config.HeardMillis) * time.Millisecond)
+		if answer.Config.LogUnreachable {
+			e.logDownAt = p.sent
+		}
+	}
+	m.takeLogDown(p.sent, answer)
 }
 
 // report adds a reporter to a suspicion. The sender is who told this node.
@@ -116,10 +124,10 @@
 // for the suspect, which is the same set on every node.
 func (m *Machine) isConfirmer(suspect string) bool {
 	target := hashString(suspect)
-	weight := func(vm string) uint64 { return mix(hashString(vm) ^ target) }
-	own, ahead := weight(m.self.vm), 0
+	weight := func(e *entry) uint64 { return mix(e.vmHash ^ target) }
+	own, ahead := weight(m.self), 0
 	for vm, e := range m.table {
-		if vm != suspect && e.state() == StateAlive && weight(vm) > own {
+		if vm != suspect && e.state() == StateAlive && weight(e) > own {
 			ahead++
 		}
 	}
