--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -21,6 +21,9 @@
 	ResultCrashed
 	// ResultLeaving is an upstream's answer that it takes no new work.
 	ResultLeaving
+	// ResultAbandoned is an attempt that the caller gave up. It says nothing
+	// about the upstream and does not clear a suspect.
+	ResultAbandoned
 )
 
 // Attempt is one request at one upstream.
@@ -69,9 +72,7 @@
 		s.suspects++
 	}
 	// The upstream will hold the prompt's blocks once it has run the request.
-	for _, h := range a.hashes[:min(len(a.hashes), maxLookups)] {
-		r.prefix.add(h, s.slot)
-	}
+	r.prefix.expect(a.hashes, s.slot)
 }
 
 // Done ends the attempt. Further calls have no effect.
@@ -102,6 +103,7 @@
 	case ResultFailed:
 		r.failed(s, now)
 	case ResultLeaving:
+		s.answeredHere = true
 		r.markLeaving(s)
 	}
 }
@@ -122,6 +124,11 @@
 	}
 	s.epoch++
 	r.cfg.Evidence.Merge(observations...)
+	for _, o := range observations {
+		if r.cfg.Evidence.Quarantined(o.Fingerprint) {
+			r.notify(Change{Kind: ChangeQuarantined, Upstream: s.upstream.Name, Fingerprint: o.Fingerprint})
+		}
+	}
 	r.notify(Change{Kind: ChangeCrashed, Upstream: s.upstream.Name})
 	r.newSlot(s)
 	r.eject(s, crashPause, now)
@@ -170,10 +177,13 @@
 	ChangeEjected ChangeKind = iota
 	ChangeLeaving
 	ChangeCrashed
+	ChangeQuarantined
 )
 
 // Change is something that an operator may want to know of.
 type Change struct {
 	Kind     ChangeKind
 	Upstream string
+	// Fingerprint is set for ChangeQuarantined.
+	Fingerprint Fingerprint
 }
