--- a/internal/coordination/budget/holders.go
+++ b/internal/coordination/budget/holders.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
 )
 
 // Holders returns the other processes that the log shows with an open share, in
@@ -36,3 +37,19 @@
 	defer m.mu.Unlock()
 	return m.node.InFlightOf(holder)
 }
+
+// LedgerSnapshot returns the fold of a partition for its snapshot stream.
+func (m *Manager) LedgerSnapshot(p int) (snapshot.Snapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.node.parts[p].ledger
+	data, err := l.Encode()
+	return snapshot.Snapshot{Next: l.Next(), Data: data}, err
+}
+
+// LedgerNext returns the offset of the next record of a partition to fold.
+func (m *Manager) LedgerNext(p int) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.parts[p].ledger.Next()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
-	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/settings"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
@@ -40,6 +39,8 @@
 	// fleet is nil for a router that runs alone.
 	fleet     *fleet
 	engines   *upstream.Client
+	leases    leaseCache
+	snapshots *snapshotWriters
 	routing   *routing.Router
 	admission *admission.Controller
 	server    *http.Server
@@ -63,7 +64,7 @@
 	budgetConfig := newBudgetConfig(cfg, d.holder)
 	if cfg.PeerListen != "" {
 		var err error
-		if d.fleet, err = newFleet(cfg, incarnation, d.configStatus, logger); err != nil {
+		if d.fleet, err = newFleet(cfg, incarnation, d.config, d.configStatus, logger); err != nil {
 			return nil, err
 		}
 		budgetConfig.Peers = d.fleet
@@ -79,6 +80,7 @@
 	})
 	d.admission = d.newAdmission()
 	d.api = d.newAPI()
+	d.snapshots = d.newSnapshotWriters(log)
 	if d.fleet != nil {
 		d.fleet.serveBudget(d.budget)
 		d.fleet.serveRequests(d.api)
@@ -118,7 +120,7 @@
 		Unknown: &httpapi.Resolver{
 			Budget: d.budget, Engines: d.engines, Delay: cfg.UnknownBillDelay, Logger: d.logger, Now: time.Now,
 		},
-		Holder: d.holder, Logger: d.logger, Now: time.Now,
+		Lease: d.lease, Holder: d.holder, Logger: d.logger, Now: time.Now,
 		Limits: httpapi.Limits{
 			MaxBodyBytes: cfg.MaxBodyBytes, BodyTimeout: cfg.ReadTimeout, WriteTimeout: cfg.WriteTimeout,
 			RequestTimeout: cfg.RequestTimeout, AttemptTimeout: cfg.AttemptTimeout, ResumeTimeout: cfg.ResumeTimeout,
@@ -141,13 +143,6 @@
 	return n
 }
 
-// configStatus is what heartbeats say of this router's configuration.
-func (d *Daemon) configStatus() peerapi.ConfigStatus {
-	return peerapi.ConfigStatus{
-		Version: d.config.Current().Version, HeardMillis: time.Since(d.config.LastRead()).Milliseconds(),
-	}
-}
-
 // Status describes the process for /admin/status.
 func (d *Daemon) Status() httpapi.Status {
 	return httpapi.Status{
@@ -192,6 +187,7 @@
 	d.routing.Update(d.config.Current())
 	loops.Go(func() { d.budget.Run(background) })
 	loops.Go(func() { d.claims.Run(background) })
+	loops.Go(func() { d.snapshots.run(background, d.cfg.LogRetention) })
 	loops.Go(func() { d.advance(background) })
 	if d.fleet != nil {
 		if err := d.fleet.start(background, &loops, d); err != nil {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/membership"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
@@ -28,7 +29,8 @@
 }
 
 func newFleet(
-	cfg settings.Daemon, incarnation string, status func() peerapi.ConfigStatus, logger logrus.FieldLogger,
+	cfg settings.Daemon, incarnation string, config *configsync.Follower, status func() peerapi.ConfigStatus,
+	logger logrus.FieldLogger,
 ) (*fleet, error) {
 	self := peerapi.Identity{
 		VM: cfg.VM, Incarnation: incarnation, Zone: cfg.Zone, Region: cfg.Region, Address: cfg.PeerListen,
@@ -57,6 +59,7 @@
 	memberConfig.PeerPort = port
 	members := membership.New(memberConfig, logclient.New(cfg.VMListURL), pool, status, logger)
 	server.Handle(peerapi.MethodHeartbeat, members.HandleHeartbeat)
+	server.Handle(peerapi.MethodConfigFetch, config.HandleFetch)
 	return &fleet{self: self, members: members, pool: pool, server: server}, nil
 }
 
--- /dev/null
+++ b/internal/daemon/snapshots.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/membership"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
+)
+
+// maxSnapshotInterval bounds the time between two looks at whether a snapshot
+// is due. A writer writes one at a quarter of the retention.
+const maxSnapshotInterval = time.Minute
+
+// snapshotRetentionParts is how often within the retention the writers look.
+const snapshotRetentionParts = 20
+
+// snapshotWriters writes the snapshots of the streams whose home this router is.
+type snapshotWriters struct {
+	home    func(partition int) bool
+	ledgers []*follow.Writer
+	claims  []*follow.Writer
+	config  *follow.Writer
+	logger  logrus.FieldLogger
+}
+
+func (d *Daemon) newSnapshotWriters(log logstream.Log) *snapshotWriters {
+	w := &snapshotWriters{home: d.writesSnapshots, logger: d.logger}
+	for p := range d.cfg.LedgerPartitions {
+		w.ledgers = append(w.ledgers, d.newWriter(log, record.LedgerSnapshotStream(p),
+			func() (snapshot.Snapshot, error) { return d.budget.LedgerSnapshot(p) },
+			func() uint64 { return d.budget.LedgerNext(p) }))
+	}
+	for p := range d.cfg.ClaimPartitions {
+		w.claims = append(w.claims, d.claims.SnapshotWriter(log, p, d.cfg.LogRetention, d.cfg.LogRetainRecords))
+	}
+	w.config = d.newWriter(log, record.ConfigSnapshotStream, d.config.Snapshot, func() uint64 { return d.config.Status(nil).Next })
+	return w
+}
+
+func (d *Daemon) newWriter(
+	log logstream.Log, stream string, encode func() (snapshot.Snapshot, error), next func() uint64,
+) *follow.Writer {
+	return follow.NewWriter(log, follow.WriterConfig{
+		SnapshotStream: stream, Retention: d.cfg.LogRetention, RetainRecords: d.cfg.LogRetainRecords,
+		Encode: encode, Next: next,
+	})
+}
+
+// writesSnapshots reports whether this router is the home of a partition in the
+// first region. A second writer does no harm: equal parts are shared.
+func (d *Daemon) writesSnapshots(partition int) bool {
+	if d.fleet == nil {
+		return true
+	}
+	view := d.fleet.members.View()
+	home, ok := view.Home(partition, firstRegion(view.Members()))
+	return ok && home.VM == d.cfg.VM
+}
+
+func firstRegion(members []membership.Member) string {
+	first := ""
+	for _, m := range members {
+		if m.State <= membership.StateSuspect && (first == "" || m.Region < first) {
+			first = m.Region
+		}
+	}
+	return first
+}
+
+// run writes what is due until the context ends.
+func (w *snapshotWriters) run(ctx context.Context, retention time.Duration) {
+	ticker := time.NewTicker(min(maxSnapshotInterval, max(time.Millisecond, retention/snapshotRetentionParts)))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			w.step(ctx)
+		}
+	}
+}
+
+func (w *snapshotWriters) step(ctx context.Context) {
+	for p, writer := range w.ledgers {
+		w.write(ctx, p, "ledger", writer)
+	}
+	for p, writer := range w.claims {
+		w.write(ctx, p, "claims", writer)
+	}
+	w.write(ctx, 0, "config", w.config)
+}
+
+func (w *snapshotWriters) write(ctx context.Context, partition int, kind string, writer *follow.Writer) {
+	if !w.home(partition) {
+		return
+	}
+	if _, err := writer.Step(ctx); err != nil && ctx.Err() == nil {
+		obs.EventSnapshotDelayed.Log(w.logger, logrus.Fields{"kind": kind, "partition": partition, "error": err.Error()})
+	}
+}
--- a/internal/obs/events_daemon.go
+++ b/internal/obs/events_daemon.go
@@ -36,6 +36,8 @@
 var (
 	EventLedgerUnreachable = register(1300, logrus.WarnLevel, "ledger stream cannot be read",
 		"The log is down or cut off. Spending goes on from shares.")
+	EventSnapshotDelayed = register(1302, logrus.WarnLevel, "snapshot cannot be written",
+		"The log refuses appends or reads. The next look tries again; snapshots must be complete before the retention has passed.")
 	EventBillsDelayed = register(1301, logrus.WarnLevel, "bills cannot be written",
 		"The log refuses appends. Bills stay in memory up to --bill-buffer; then requests are refused.")
 )
