Decide claims only at the end of the stream; follow only streams in use

Cause: a router that starts judged a claim by the past. Every node kept the claims of every stream.

Change: nothing is decided or appended before the table has reached the end of its stream. A follower that is not caught up reads without waiting. A claim stream is followed from its first claim or from Follow on.

--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -91,7 +91,8 @@
 	partitions []*partition
 }
 
-// New returns claims that have read nothing; Run keeps them up to date.
+// New returns claims that have read nothing. Run follows a stream from the first
+// claim that is placed on it, or from Follow on.
 func New(cfg Config, log Log, logger logrus.FieldLogger) *Claims {
 	c := &Claims{cfg: cfg, logger: logger}
 	for p := range cfg.Partitions {
@@ -104,8 +105,7 @@
 func (c *Claims) Run(ctx context.Context) {
 	var loops conc.WaitGroup
 	for _, p := range c.partitions {
-		loops.Go(func() { p.follower.Run(ctx) })
-		loops.Go(func() { p.appendLoop(ctx) })
+		loops.Go(func() { p.run(ctx) })
 	}
 	loops.Wait()
 }
@@ -141,9 +141,16 @@
 	return winner, false, nil
 }
 
-// Ready returns nil once every stream was read to its end.
+// Follow makes Run follow a stream before its first claim. The home of a
+// partition calls it, so that other routers' claims find the stream read.
+func (c *Claims) Follow(p int) { c.partitions[p].start() }
+
+// Ready returns nil once every followed stream was read to its end.
 func (c *Claims) Ready() error {
 	for _, p := range c.partitions {
+		if !p.started() {
+			continue
+		}
 		if err := p.follower.Ready(); err != nil {
 			return err
 		}
@@ -155,6 +162,7 @@
 // partition in the first region calls its Step.
 func (c *Claims) SnapshotWriter(log Log, p int, retention time.Duration, retainRecords uint64) *follow.Writer {
 	part := c.partitions[p]
+	part.start()
 	return follow.NewWriter(log, follow.WriterConfig{
 		SnapshotStream: record.ClaimSnapshotStream(p), Retention: retention, RetainRecords: retainRecords,
 		Encode: part.encode, Next: part.next,
--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -239,6 +239,7 @@
 	log := standin.NewLog()
 	slow := &pausable{Log: log}
 	holder, other := start(t, slow), start(t, log)
+	readToEnd(holder, record.Partition("orders", 2))
 	wake := slow.pause()
 	var won bool
 	var claiming conc.WaitGroup
@@ -266,6 +267,7 @@
 	log := standin.NewLog()
 	slow := &pausable{Log: log}
 	holder, other := start(t, slow), start(t, log)
+	readToEnd(holder, record.Partition("orders", 2))
 	wake := slow.pause()
 	ctx, cancel := context.WithCancel(context.Background())
 	var claiming conc.WaitGroup
@@ -317,6 +319,53 @@
 	is.Equal(winner.RequestID, "request-of-vm-1")
 }
 
+// Guards against a false "claimed elsewhere" from a router that starts: while it
+// reads the past, a key has winners that were released or have expired since.
+func TestJoiningRouterJudgesByTheEnd(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	at := time.Unix(1000, 0)
+	log := standin.NewLogAt(func() time.Time { return at })
+	write := func(items ...record.Item) {
+		data, err := record.Encode(items)
+		is.NoErr(err)
+		_, err = log.Append(ctx, stream(), data)
+		is.NoErr(err)
+	}
+	expired, released, held := claimOf("expired", "vm-1"), claimOf("released", "vm-1"), claimOf("held", "vm-1")
+	released.Token = "t"
+	write(record.Item{Claim: &expired})
+	at = at.Add(time.Hour)
+	write(record.Item{Claim: &released}, record.Item{Claim: &held})
+	write(record.Item{Release: &record.Release{Entry: released.Entry, Key: released.Key, Token: released.Token}})
+	for key, free := range map[string]bool{"expired": true, "released": true, "held": false} {
+		_, won, err := start(t, log).Claim(ctx, claimOf(key, "vm-2"))
+		is.NoErr(err)
+		is.Equal(won, free)
+	}
+}
+
+// Guards against a node that keeps the claims of streams it has no use for, and
+// against a node that waits for such streams before it is ready.
+func TestUnusedStreamIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	router := start(t, standin.NewLog())
+	_, _, err := router.Claim(context.Background(), claimOf("k", "vm-1"))
+	is.NoErr(err)
+	used := record.Partition("orders", 2)
+	is.NoErr(router.Ready())
+	is.True(router.partitions[1-used].follower.AsOf().IsZero())
+	readToEnd(router, 1-used)
+}
+
+// readToEnd waits until a router has read a stream to its end.
+func readToEnd(router *Claims, p int) {
+	router.Follow(p)
+	for router.partitions[p].follower.Ready() != nil {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against one append per claim: claims of one interval share an append.
 func TestClaimsShareAppends(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/claim/partition.go
+++ b/internal/coordination/claim/partition.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
@@ -26,6 +27,10 @@
 	log      Log
 	logger   logrus.FieldLogger
 	follower *follow.Follower
+	// needed is closed when the stream is to be followed. A node that neither
+	// places claims on a stream nor is its home keeps nothing of it.
+	needed    chan struct{}
+	startOnce sync.Once
 	// wake has a token when the queue may hold calls.
 	wake chan struct{}
 
@@ -33,6 +38,10 @@
 	// not held across I/O.
 	mu    sync.Mutex
 	table *claims.Table
+	// live is set while the table has reached the end of the stream. While it
+	// reads the past, a key may have a winner that was released or has expired
+	// since, so nothing is decided or appended.
+	live bool
 	// queue holds the calls to append, in order of arrival.
 	queue []*call
 	// waiting holds all undecided calls.
@@ -60,11 +69,11 @@
 
 func newPartition(n int, cfg Config, log Log, logger logrus.FieldLogger) *partition {
 	p := &partition{
-		cfg: cfg, stream: record.ClaimStream(n), log: log, logger: logger, wake: make(chan struct{}, 1),
+		cfg: cfg, stream: record.ClaimStream(n), log: log, logger: logger, wake: make(chan struct{}, 1), needed: make(chan struct{}),
 		table: claims.New(cfg.Retention), waiting: make(map[claims.ID][]*call),
 	}
 	p.follower = follow.New(log, follow.Config{
-		Stream: p.stream, SnapshotStream: record.ClaimSnapshotStream(n), Apply: p.apply, Decode: p.decode,
+		Stream: p.stream, SnapshotStream: record.ClaimSnapshotStream(n), Apply: p.apply, Decode: p.decode, OnEnd: p.goLive,
 		OnError: func(err error) {
 			obs.EventClaimsUnreadable.Log(logger, logrus.Fields{"stream": p.stream, "error": err.Error()})
 		},
@@ -72,9 +81,34 @@
 	return p
 }
 
+func (p *partition) start() { p.startOnce.Do(func() { close(p.needed) }) }
+
+func (p *partition) started() bool {
+	select {
+	case <-p.needed:
+		return true
+	default:
+		return false
+	}
+}
+
+// run follows the stream and appends claims once it is needed.
+func (p *partition) run(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.needed:
+	}
+	var loops conc.WaitGroup
+	loops.Go(func() { p.follower.Run(ctx) })
+	loops.Go(func() { p.appendLoop(ctx) })
+	loops.Wait()
+}
+
 // decide returns the winner of a claim. After an error the claim is given up:
 // if its append takes effect later, nobody uses it.
 func (p *partition) decide(ctx context.Context, claim record.Claim) (record.Claim, error) {
+	p.start()
 	c := &call{id: claims.IDOf(&claim), claim: claim, winner: make(chan record.Claim, 1)}
 	winner, known, err := p.submit(c)
 	if known || err != nil {
@@ -95,7 +129,7 @@
 func (p *partition) submit(c *call) (winner record.Claim, known bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if winner, known := p.table.Winner(&c.claim); known {
+	if winner, known := p.table.Winner(&c.claim); known && p.live {
 		return winner, true, nil
 	}
 	if p.open >= p.cfg.Queue {
@@ -161,16 +195,38 @@
 	for _, r := range records {
 		for _, id := range p.table.ApplyRecord(r) {
 			touched[id] = true
-			p.resolve(id)
+			if p.live {
+				p.resolve(id)
+			}
 		}
 	}
 	for _, c := range p.abandoned {
-		if touched[c.id] {
+		if p.live && touched[c.id] {
 			p.releaseIfWon(c)
 		}
 	}
 }
 
+// goLive decides what the past has decided and appends the rest. A claim that
+// was appended before a gap in the reading is appended again.
+func (p *partition) goLive() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.live {
+		return
+	}
+	p.live = true
+	p.queue = nil
+	for id := range p.waiting {
+		p.resolve(id)
+		p.queue = append(p.queue, p.waiting[id]...)
+	}
+	for _, c := range p.abandoned {
+		p.releaseIfWon(c)
+	}
+	p.signal()
+}
+
 // resolve tells the calls of an ID who won.
 func (p *partition) resolve(id claims.ID) {
 	for _, c := range p.waiting[id] {
@@ -199,12 +255,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.table = table
-		for id := range p.waiting {
-			p.resolve(id)
-		}
-		for _, c := range p.abandoned {
-			p.releaseIfWon(c)
-		}
+		p.live = false
 	}, nil
 }
 
@@ -241,6 +292,9 @@
 func (p *partition) take() ([]*call, []record.Release) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.live {
+		return nil, nil
+	}
 	releases := p.releases
 	p.releases = nil
 	n := min(maxBatch, len(p.queue))
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -38,6 +38,9 @@
 	// by it. Records between the old state and the snapshot are never passed to
 	// Apply.
 	Decode func(snapshot.Snapshot) (install func(), err error)
+	// OnEnd is called, like Apply, after each read that reached the end of the
+	// stream; nil ignores it.
+	OnEnd func()
 	// OnError learns of the first failed read after a good one; nil ignores it.
 	OnError func(error)
 	// Now and Sleep default to the system's clock.
@@ -116,7 +119,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if err := f.poll(ctx, pollWait); err != nil && ctx.Err() == nil {
+		if err := f.poll(ctx, f.pollWait()); err != nil && ctx.Err() == nil {
 			f.cfg.Sleep(ctx, backoff+rand.N(backoff/2))
 			backoff = min(2*backoff, maxBackoff)
 			continue
@@ -125,6 +128,15 @@
 	}
 }
 
+// pollWait returns how long the next read waits for a record. A follower that
+// does not know the end of the stream must not wait there to learn it.
+func (f *Follower) pollWait() time.Duration {
+	if f.Ready() != nil {
+		return 0
+	}
+	return pollWait
+}
+
 // CatchUp reads until it has seen the end of the stream as of a time after the
 // call began.
 func (f *Follower) CatchUp(ctx context.Context) error {
@@ -256,6 +268,9 @@
 	if f.next >= page.Next {
 		f.caughtUp = true
 		f.asOf = begin
+		if f.cfg.OnEnd != nil {
+			f.cfg.OnEnd()
+		}
 	}
 	return nil
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -307,3 +307,27 @@
 	is.NoErr(f.CatchUp(context.Background()))
 	is.True(!f.Failing())
 }
+
+// waits notes how long reads wait for a record.
+type waits struct {
+	Log
+	last time.Duration
+}
+
+func (w *waits) Read(ctx context.Context, stream string, from uint64, max int, wait time.Duration) (logstream.Page, error) {
+	w.last = wait
+	return w.Log.Read(ctx, stream, from, max, 0)
+}
+
+// Guards against a node that waits for a record of a quiet stream before it
+// becomes ready.
+func TestJoiningDoesNotWaitForRecords(t *testing.T) {
+	is := is.New(t)
+	log := &waits{Log: standin.NewLog()}
+	f := New(log, Config{Stream: testStream})
+	for _, want := range []time.Duration{0, pollWait} {
+		is.NoErr(f.poll(context.Background(), f.pollWait()))
+		is.Equal(log.last, want)
+		is.NoErr(f.Ready())
+	}
+}
