--- a/internal/coordination/budget/holders.go
+++ b/internal/coordination/budget/holders.go
@@ -53,3 +53,16 @@
 	defer m.mu.Unlock()
 	return m.node.parts[p].ledger.Next()
 }
+
+// Backup returns the peer whose copies of this process's reservations are
+// complete, or "". Without one the whole outstanding share stays counted as
+// spent if this process dies.
+func (m *Manager) Backup() record.HolderID {
+	c := m.node.copies
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if !c.guarded || c.acked < c.queued {
+		return ""
+	}
+	return c.declared
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,7 +148,7 @@
 	return httpapi.Status{
 		VM: d.cfg.VM, Zone: d.cfg.Zone, Region: d.cfg.Region, Holder: string(d.holder),
 		Ready: d.ready.Load(), Draining: d.draining.Load(), ConfigVersion: d.config.Current().Version,
-		OpenRequests: d.api.Open(), UnknownRequests: d.api.Unknown.Len(), RequestStates: d.api.Requests.Count(),
+		Backup: string(d.budget.Backup()), Routers: d.routers(), ConfigLease: d.lease() == nil, OpenRequests: d.api.Open(), UnknownRequests: d.api.Unknown.Len(), RequestStates: d.api.Requests.Count(),
 		Started: d.started,
 	}
 }
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -109,11 +109,25 @@
 // stop ends a router by SIGTERM, which writes its bills.
 func (r *router) stop(t *testing.T) {
 	t.Helper()
-	is := is.New(t)
-	is.NoErr(r.cmd.Process.Signal(syscall.SIGTERM))
-	is.NoErr(r.cmd.Wait())
+	if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- r.cmd.Wait() }()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(stopTimeout):
+		_ = r.cmd.Process.Signal(syscall.SIGQUIT)
+		t.Fatal("the router did not stop in time; its goroutines are on standard error")
+	}
 }
 
+// stopTimeout bounds a planned stop. Its requests end within seconds.
+const stopTimeout = 40 * time.Second
+
 // TestStreamOutlivesItsEngine guards against a caller that sees a part twice or
 // not at all when the engine process is killed in the middle of a stream and
 // another engine holds a copy of the stream.
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -35,6 +35,19 @@
 	if err != nil {
 		panic(err)
 	}
+	// The test runner keeps a result until a file that the test has looked at
+	// changes. The processes under test are built from these files.
+	sources, err := filepath.Glob("../../*/*/*/*.go")
+	if err != nil {
+		panic(err)
+	}
+	for _, pattern := range []string{"../../cmd/*/*.go", "../../internal/*/*.go"} {
+		more, _ := filepath.Glob(pattern)
+		sources = append(sources, more...)
+	}
+	for _, file := range sources {
+		_, _ = os.Stat(file)
+	}
 	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
--- a/internal/state/request/request.go
+++ b/internal/state/request/request.go
@@ -4,6 +4,7 @@
 package request
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,16 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(stateNames[:], string(text))
+	if i < 0 {
+		return errors.Newf("state %q does not exist", text)
+	}
+	*s = State(i)
+	return nil
+}
+
 // Terminal reports whether the caller's answer is decided.
 func (s State) Terminal() bool { return s >= Settled }
 
--- a/internal/transport/httpapi/admin.go
+++ b/internal/transport/httpapi/admin.go
@@ -11,13 +11,20 @@
 
 // Status describes a router process to operators.
 type Status struct {
-	VM              string         `json:"vm"`
-	Zone            string         `json:"zone"`
-	Region          string         `json:"region"`
-	Holder          string         `json:"holder"`
-	Ready           bool           `json:"ready"`
-	Draining        bool           `json:"draining"`
-	ConfigVersion   uint64         `json:"config_version"`
+	VM       string `json:"vm"`
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	Holder   string `json:"holder"`
+	Ready    bool   `json:"ready"`
+	Draining bool   `json:"draining"`
+	// Routers is the number of live routers that this one knows, itself included.
+	Routers int `json:"routers"`
+	// Backup is the process that has copies of all reservations, if any.
+	Backup        string `json:"backup,omitempty"`
+	ConfigVersion uint64 `json:"config_version"`
+	// ConfigLease is false while the router refuses because it hears neither the
+	// log nor a peer that has.
+	ConfigLease     bool           `json:"config_lease"`
 	OpenRequests    int64          `json:"open_requests"`
 	UnknownRequests int            `json:"unknown_requests"`
 	RequestStates   map[string]int `json:"request_states"`
