--- a/internal/coordination/budget/cycle.go
+++ b/internal/coordination/budget/cycle.go
@@ -8,7 +8,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/ledger"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
 )
 
 // cycle is the state of one partition's log traffic. Manager.mu guards it.
@@ -180,6 +183,12 @@
 		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		page, err := m.log.Read(readCtx, record.LedgerStream(p), from, readBatch, 0)
 		cancel()
+		if errors.Is(err, logstream.ErrTrimmed) {
+			err = errors.CombineErrors(m.loadSnapshot(ctx, p), m.notBefore(p, from+1))
+			if err == nil {
+				continue
+			}
+		}
 		m.mu.Lock()
 		if err != nil {
 			m.node.LogFailed(m.cfg.Now(), p)
@@ -194,9 +203,44 @@
 	}
 }
 
-// CatchUp reads every partition to its end once.
+// loadSnapshot replaces the fold of a partition by its newest snapshot.
+func (m *Manager) loadSnapshot(ctx context.Context, p int) error {
+	accept := func(s snapshot.Snapshot) error {
+		_, err := ledger.Decode(s.Data)
+		return err
+	}
+	s, err := snapshot.Load(ctx, m.log, record.LedgerSnapshotStream(p), record.LedgerStream(p), accept)
+	if err != nil {
+		return err
+	}
+	l, err := ledger.Decode(s.Data)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.node.LoadLedger(p, l)
+	return nil
+}
+
+// notBefore returns an error when the fold of a partition has not reached the
+// offset. It ends a read that a snapshot did not take further.
+func (m *Manager) notBefore(p int, offset uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.node.ReadFrom(p) < offset {
+		return snapshot.ErrTooOld
+	}
+	return nil
+}
+
+// CatchUp reads every partition to its end once, from its newest snapshot when
+// there is one.
 func (m *Manager) CatchUp(ctx context.Context) error {
 	for p := range m.cycles {
+		if err := m.loadSnapshot(ctx, p); err != nil && !errors.IsAny(err, snapshot.ErrNone, snapshot.ErrTooOld) {
+			return err
+		}
 		if err := m.readLedger(ctx, p); err != nil {
 			return err
 		}
--- a/internal/coordination/budget/manager_test.go
+++ b/internal/coordination/budget/manager_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/standin"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
 )
 
 // fakeNet connects managers in one process. Its first manager is the home.
@@ -243,6 +244,38 @@
 	is.NoErr(err)
 }
 
+// Guards against a manager that is stuck when the log has dropped records that
+// it has not read: at its start, and after it was paused.
+func TestSnapshotReplacesTrimmedRecords(t *testing.T) {
+	is := is.New(t)
+	log := prepaidLog(t, 1000)
+	p := record.Partition(testKey.Name, 2)
+	m := startManager(t, log, nil, "a/1", nil)
+	res, err := m.Reserve(context.Background(), request("r1", 100))
+	is.NoErr(err)
+	m.Settle(res, Settlement{Charged: 100})
+	late := NewManager(Config{Holder: "c/1", Partitions: 2, BillBuffer: 10}, log, quiet())
+	is.NoErr(late.CatchUp(context.Background()))
+	is.NoErr(m.Close(context.Background()))
+	state, err := m.node.Ledger(p).Encode()
+	is.NoErr(err)
+	parts, err := snapshot.Split(snapshot.Snapshot{Next: m.node.ReadFrom(p), Data: state}, 1<<20)
+	is.NoErr(err)
+	for _, part := range parts {
+		_, err := log.Append(context.Background(), record.LedgerSnapshotStream(p), part)
+		is.NoErr(err)
+	}
+	data, err := record.Encode([]record.Item{{Adjust: &record.Adjust{Entry: testKey, ID: "second", Delta: 50}}})
+	is.NoErr(err)
+	_, err = log.Append(context.Background(), record.LedgerStream(p), data)
+	is.NoErr(err)
+	log.SetFaults(standin.LogFaults{Retain: 1})
+	for _, reader := range []*Manager{late, NewManager(late.cfg, log, quiet())} {
+		is.NoErr(reader.CatchUp(context.Background()))
+		is.Equal(reader.Balance(testKey).Remaining, int64(950))
+	}
+}
+
 // Guards against a dropped bill: when the buffer is full, requests are refused
 // and the places of requests in flight count.
 func TestFullBillBufferRefuses(t *testing.T) {
--- a/internal/coordination/budget/node_log.go
+++ b/internal/coordination/budget/node_log.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/ledger"
 	"github.com/dotterelthread/dotterelthread/internal/state/share"
 )
 
@@ -135,6 +136,27 @@
 	return true
 }
 
+// LoadLedger takes over a fold that was read from a snapshot, unless the node's
+// own fold is as new. It serves when the log no longer has the next record.
+func (n *Node) LoadLedger(p int, l *ledger.Ledger) {
+	part := n.parts[p]
+	if l.Next() <= part.ledger.Next() {
+		return
+	}
+	part.ledger = l
+	l.Accounts(func(key record.EntryKey, a *ledger.Account) bool {
+		if own := a.Shares[n.self]; own != nil {
+			n.adoptGrant(key)
+			n.giveUp(key)
+		}
+		return true
+	})
+	for _, e := range part.entries {
+		n.resolvePending(part, e)
+	}
+	n.dropDoneCloses(part)
+}
+
 // adopt takes over what a folded record says about this node's shares: a grant
 // is usable only from here on.
 func (n *Node) adopt(data []byte) {
