Bill a retried request once; survive a paused peer without refusals

Cause: after a router died in mid-stream and its caller retried through another one, both the second router and the dead one's backup charged the run (62 tokens spent for a request of 31; TestRetryAfterDeathIsBilledOnce failed). Ruled out: paying by the attempt that started the run, because a starter without peers that dies would leave the run unbilled. Change: engines tell the last attempt that attached to a run before it was complete, and only that process pays; copies name the dispatcher of a lent reservation; the backup waits for runs that go on. Calls to a peer take a third of the time that is left, a copy 300 ms. Conclusion: one bill per run, whichever router ends it.

--- a/internal/coordination/budget/attempt.go
+++ b/internal/coordination/budget/attempt.go
@@ -88,7 +88,9 @@
 
 // Reservation returns the reservation of a request in this node's share.
 func (n *Node) Reservation(req ReserveRequest) Reservation {
-	return Reservation{RequestID: req.RequestID, Entry: req.Entry, Holder: n.self, Amount: req.Amount}
+	return Reservation{
+		RequestID: req.RequestID, Entry: req.Entry, Holder: n.self, Amount: req.Amount, Dispatcher: req.Dispatcher,
+	}
 }
 
 // ShareOnly reserves from the share at hand and reports whether it covers the
--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -37,6 +37,8 @@
 	Class     catalogue.Class
 	// Amount is the upper bound in tokens, at least 1.
 	Amount int64
+	// Dispatcher is the process that sends the request when it is not the holder.
+	Dispatcher record.HolderID
 }
 
 // Reservation is budget taken for one request. Its owner settles or releases
@@ -47,6 +49,8 @@
 	Holder    record.HolderID
 	// Amount is in tokens.
 	Amount int64
+	// Dispatcher is the process that sends the request when it is not the holder.
+	Dispatcher record.HolderID
 }
 
 // Settlement is what a request used.
--- a/internal/coordination/budget/copies.go
+++ b/internal/coordination/budget/copies.go
@@ -28,11 +28,17 @@
 	spent int64
 	// lump is the part reserved before the epoch began, by unknown requests.
 	lump     int64
-	inFlight map[string]int64
+	inFlight map[string]copiedReservation
 	// bills are settled and not known to be durable.
 	bills map[string]record.Bill
 }
 
+// copiedReservation is a reservation in flight; an empty dispatcher is the holder.
+type copiedReservation struct {
+	bound      int64
+	dispatcher record.HolderID
+}
+
 // NewCopies returns an empty set of copies.
 func NewCopies() *Copies { return &Copies{holders: make(map[record.HolderID]*holderCopy)} }
 
@@ -69,7 +75,7 @@
 func (h *holderCopy) entry(key record.EntryKey) *entryCopy {
 	e := h.entries[key]
 	if e == nil {
-		e = &entryCopy{inFlight: make(map[string]int64), bills: make(map[string]record.Bill)}
+		e = &entryCopy{inFlight: make(map[string]copiedReservation), bills: make(map[string]record.Bill)}
 		h.entries[key] = e
 	}
 	return e
@@ -78,7 +84,7 @@
 func (e *entryCopy) apply(op CopyOp) {
 	switch op.Kind {
 	case CopyStart:
-		e.inFlight[op.RequestID] = op.Amount
+		e.inFlight[op.RequestID] = copiedReservation{bound: op.Amount, dispatcher: op.Dispatcher}
 	case CopyEnd:
 		e.end(op)
 		e.spent += op.Bill.Charged
--- a/internal/coordination/budget/copylog.go
+++ b/internal/coordination/budget/copylog.go
@@ -29,6 +29,8 @@
 	Entry     record.EntryKey `json:"entry"`
 	Amount    int64           `json:"amount,omitempty"`
 	Bill      *record.Bill    `json:"bill,omitempty"`
+	// Dispatcher is the process that sends the request when it is not the holder.
+	Dispatcher record.HolderID `json:"dispatcher,omitempty"`
 }
 
 // EntryCopy is the state of one entry at the start of an epoch. Reserved is a
@@ -96,7 +98,9 @@
 	if !s.Reserve(res.Amount) {
 		return Ticket{}, false
 	}
-	op := CopyOp{Kind: CopyStart, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount}
+	op := CopyOp{
+		Kind: CopyStart, RequestID: res.RequestID, Entry: res.Entry, Amount: res.Amount, Dispatcher: res.Dispatcher,
+	}
 	c.inFlight[res.RequestID] = op
 	if !c.guarded {
 		return Ticket{}, true
--- a/internal/coordination/budget/holders.go
+++ b/internal/coordination/budget/holders.go
@@ -32,7 +32,7 @@
 
 // InFlightOf returns the requests in flight of a holder that this process knows
 // of, for the caller to ask the upstreams about before it reports the holder dead.
-func (m *Manager) InFlightOf(holder record.HolderID) []string {
+func (m *Manager) InFlightOf(holder record.HolderID) []InFlight {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.node.InFlightOf(holder)
--- a/internal/coordination/budget/peering.go
+++ b/internal/coordination/budget/peering.go
@@ -13,13 +13,22 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/share"
 )
 
+// peerPart bounds one call to a peer to a part of the time that is left before
+// the refusal. A peer that is paused takes calls without an answer; the rest of
+// the time is for the log and the other holders.
+const peerPart = 3
+
+func (m *Manager) peerTimeout(a *Attempt) time.Duration {
+	return max(0, a.Deadline().Sub(m.cfg.Now())/peerPart)
+}
+
 // ask asks another holder to reserve for the attempt.
 func (m *Manager) ask(ctx context.Context, a *Attempt, step Step) (Reservation, bool) {
 	lender := step.Holders[0]
 	res := Reservation{
 		RequestID: a.Request.RequestID, Entry: a.Request.Entry, Holder: lender, Amount: a.Request.Amount,
 	}
-	callCtx, cancel := context.WithTimeout(ctx, max(0, a.Deadline().Sub(m.cfg.Now())))
+	callCtx, cancel := context.WithTimeout(ctx, m.peerTimeout(a))
 	defer cancel()
 	result, err := m.peers.Reserve(callCtx, lender, ReserveParams{
 		From: m.cfg.Holder, RequestID: a.Request.RequestID, Entry: a.Request.Entry, Class: a.Request.Class,
@@ -42,7 +51,7 @@
 	if m.peers == nil {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, max(0, a.Deadline().Sub(m.cfg.Now())))
+	callCtx, cancel := context.WithTimeout(ctx, m.peerTimeout(a))
 	defer cancel()
 	var calls conc.WaitGroup
 	for _, h := range holders {
@@ -117,8 +126,10 @@
 	}
 }
 
-// copyTimeout bounds a call to the backup, which requests wait for.
-const copyTimeout = time.Second
+// copyTimeout bounds a call to the backup, which requests wait for. It leaves an
+// interactive request the time to go on with another backup; the round trip is
+// 3 ms between availability zones today.
+const copyTimeout = 300 * time.Millisecond
 
 func (m *Manager) sendCopies(ctx context.Context) {
 	for {
@@ -227,7 +238,7 @@
 }
 
 func (m *Manager) reserveForPeer(ctx context.Context, p ReserveParams) error {
-	req := ReserveRequest{RequestID: p.RequestID, Entry: p.Entry, Class: p.Class, Amount: p.Amount}
+	req := ReserveRequest{RequestID: p.RequestID, Entry: p.Entry, Class: p.Class, Amount: p.Amount, Dispatcher: p.From}
 	m.mu.Lock()
 	a := m.node.Begin(m.cfg.Now(), req, true)
 	covered := p.ShareOnly && a.ShareOnly(m.node)
--- a/internal/coordination/budget/reclaim.go
+++ b/internal/coordination/budget/reclaim.go
@@ -36,6 +36,18 @@
 // It reports false while they do not know.
 type Resolve func(requestID string) (charged int64, known bool)
 
+// NotCharged, as the charge of a request, says that another router pays for the
+// run: the reservation ends without a bill.
+const NotCharged int64 = -1
+
+func (r Resolve) notCharged(id string) bool {
+	if r == nil {
+		return false
+	}
+	charged, known := r(id)
+	return known && charged == NotCharged
+}
+
 // Outcomes of bills for requests whose router died.
 const (
 	outcomeReclaimed = "reclaimed"
@@ -80,24 +92,31 @@
 	ReclaimDone
 )
 
+// InFlight is a request whose outcome the upstreams may know.
+type InFlight struct {
+	RequestID string
+	// Dispatcher is the process that sent the request.
+	Dispatcher record.HolderID
+}
+
 // InFlightOf returns the requests in flight that this node has copies of or has
 // lent to the holder, for the driver to ask the upstreams about.
-func (n *Node) InFlightOf(holder record.HolderID) []string {
-	var ids []string
+func (n *Node) InFlightOf(holder record.HolderID) []InFlight {
+	var list []InFlight
 	if h := n.kept.holders[holder]; h != nil {
 		for _, e := range h.entries {
-			for id := range e.inFlight {
-				ids = append(ids, id)
+			for id, r := range e.inFlight {
+				list = append(list, InFlight{RequestID: id, Dispatcher: cmp.Or(r.dispatcher, holder)})
 			}
 		}
 	}
 	for key := range n.lent {
 		if key.from == holder {
-			ids = append(ids, key.requestID)
+			list = append(list, InFlight{RequestID: key.requestID, Dispatcher: holder})
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.SortFunc(list, func(a, b InFlight) int { return cmp.Compare(a.RequestID, b.RequestID) })
+	return list
 }
 
 // Reclaim closes the shares of a holder that is proven dead, if this node has
@@ -178,7 +197,12 @@
 func (n *Node) finish(
 	now time.Time, r *reclaim, holder record.HolderID, key record.EntryKey, e *entryCopy, resolve Resolve,
 ) int64 {
-	for id, bound := range e.inFlight {
+	for id, copied := range e.inFlight {
+		bound := copied.bound
+		if resolve.notCharged(id) {
+			e.apply(CopyOp{Kind: CopyRelease, RequestID: id, Entry: key, Amount: bound})
+			continue
+		}
 		bill := resolve.bill(now, id, key, holder, bound)
 		e.apply(CopyOp{Kind: CopyEnd, RequestID: id, Entry: key, Amount: bound, Bill: &bill})
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,7 +118,7 @@
 			MaxAnswerBytes: cfg.AnswerMemory, Now: time.Now,
 		}),
 		Unknown: &httpapi.Resolver{
-			Budget: d.budget, Engines: d.engines, Delay: cfg.UnknownBillDelay, Logger: d.logger, Now: time.Now,
+			Budget: d.budget, Engines: d.engines, Holder: d.holder, Delay: cfg.UnknownBillDelay, Logger: d.logger, Now: time.Now,
 		},
 		Lease: d.lease, Holder: d.holder, Logger: d.logger, Now: time.Now,
 		Limits: httpapi.Limits{
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -201,8 +201,13 @@
 // reclaimInterval is the time between two looks for holders that have stopped.
 const reclaimInterval = time.Second
 
-// reclaim reports holders that have provably stopped to the budget.
-func (f *fleet) reclaim(ctx context.Context, m *budget.Manager, ask func(context.Context, []string) budget.Resolve) {
+// askUsage asks the upstreams about the requests of a stopped holder. It reports
+// false while one of them still runs.
+type askUsage func(ctx context.Context, requests []budget.InFlight) (budget.Resolve, bool)
+
+// reclaim reports holders that have provably stopped to the budget. Runs that go
+// on are waited for up to the delay; then what they used so far is billed.
+func (f *fleet) reclaim(ctx context.Context, m *budget.Manager, delay time.Duration, ask askUsage) {
 	ticker := time.NewTicker(reclaimInterval)
 	defer ticker.Stop()
 	since := make(map[record.HolderID]time.Time)
@@ -220,8 +225,10 @@
 			if since[holder].IsZero() {
 				since[holder] = time.Now()
 			}
-			m.Dead(budget.Proof{Kind: proofKinds[kind], Holder: holder, Since: since[holder]},
-				ask(ctx, m.InFlightOf(holder)))
+			resolve, final := ask(ctx, m.InFlightOf(holder))
+			if final || time.Since(since[holder]) >= delay {
+				m.Dead(budget.Proof{Kind: proofKinds[kind], Holder: holder, Since: since[holder]}, resolve)
+			}
 		}
 	}
 }
--- a/internal/daemon/outcomes.go
+++ b/internal/daemon/outcomes.go
@@ -38,7 +38,7 @@
 	loops.Go(func() { _ = f.server.Serve(ctx, listener) })
 	loops.Go(func() { f.members.Run(ctx) })
 	loops.Go(func() { d.config.RunFetch(ctx, f.pool, d.reports) })
-	loops.Go(func() { f.reclaim(ctx, d.budget, d.askUpstreams) })
+	loops.Go(func() { f.reclaim(ctx, d.budget, d.cfg.UnknownBillDelay, d.askUpstreams) })
 	return nil
 }
 
@@ -105,25 +105,27 @@
 	return best.Info, best.Found
 }
 
-// askUpstreams asks the engines what the requests of a stopped router used. The
-// copy of a reservation does not name the engine, so each engine is asked.
-func (d *Daemon) askUpstreams(ctx context.Context, ids []string) budget.Resolve {
+// askUpstreams asks the engines what the requests of a stopped holder used. The
+// copy of a reservation does not name the engine, so each engine is asked. It
+// reports false while such a run goes on.
+func (d *Daemon) askUpstreams(ctx context.Context, requests []budget.InFlight) (budget.Resolve, bool) {
 	var mu sync.Mutex
-	charged := make(map[string]int64)
+	charged, final := make(map[string]int64), true
 	workers := pool.New().WithMaxGoroutines(askWorkers)
 	for u := range d.config.Current().Upstreams {
 		if u.Kind != catalogue.KindEngine {
 			continue
 		}
-		for _, id := range ids {
+		for _, r := range requests {
 			workers.Go(func() {
-				usage, ok := d.finalUsage(ctx, u.Address, id)
-				if !ok {
+				usage, err := d.usage(ctx, u.Address, r.RequestID)
+				if err != nil {
 					return
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				charged[id] += usage.TotalTokens
+				final = final && usage.Final()
+				charged[r.RequestID] = addCharge(charged, r, usage.Usage)
 			})
 		}
 	}
@@ -131,14 +133,26 @@
 	return func(id string) (int64, bool) {
 		n, known := charged[id]
 		return n, known
+	}, final
+}
+
+// addCharge adds what one engine tells of a request. A run that another process
+// than the dispatcher holds is paid for by that process.
+func addCharge(charged map[string]int64, r budget.InFlight, usage chat.Usage) int64 {
+	sum, known := charged[r.RequestID]
+	switch {
+	case !usage.HeldByOther(string(r.Dispatcher)):
+		return max(sum, 0) + usage.TotalTokens
+	case known:
+		return sum
 	}
+	return budget.NotCharged
 }
 
-func (d *Daemon) finalUsage(ctx context.Context, address, id string) (chat.Usage, bool) {
+func (d *Daemon) usage(ctx context.Context, address, id string) (chat.StreamUsage, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	usage, err := d.engines.Usage(ctx, upstream.Call{Address: address, RequestID: id})
-	return usage.Usage, err == nil && usage.Final()
+	return d.engines.Usage(ctx, upstream.Call{Address: address, RequestID: id})
 }
 
 // equalParts gives each live router the same part of a fleet-wide limit. The
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -29,7 +29,6 @@
 type fleet struct {
 	logURL  string
 	vmsURL  string
-	log     *process
 	routers []*router
 }
 
@@ -270,3 +269,30 @@
 		is.Equal(info.State, "settled")
 	}
 }
+
+// TestRetryAfterDeathIsBilledOnce guards against a request that is charged twice
+// because its router died in the middle of the stream: once by the router that
+// the caller retried through, and once by the dead router's backup.
+func TestRetryAfterDeathIsBilledOnce(t *testing.T) {
+	is := is.New(t)
+	logURL, engineURL := startStandin(t, "log"), startStandin(t, "engine", "--token-interval", "50ms")
+	publishSample(t, logURL, engineURL)
+	f := startFleet(t, 3, logURL)
+	req := slowRequest(true)
+	first := beginAsk(t, f.routers[1].url, req, "key-1")
+	<-first.begun
+	is.NoErr(f.routers[1].cmd.Process.Kill())
+	<-first.done
+	_ = f.routers[1].cmd.Wait()
+	again := beginAsk(t, f.routers[0].url, req, "key-1").wait(t)
+	checkWhole(t, again, req)
+	f.unlist(t, 1)
+	waitFor(t, func() bool { return !holds(t, logURL, "vm-1/") })
+	for _, r := range []*router{f.routers[0], f.routers[2]} {
+		r.stop(t)
+	}
+	entry := checkAudit(t, logURL)
+	is.Equal(entry.Bills, 1)
+	is.Equal(entry.Billed, requestCost(req))
+	is.Equal(entry.Spent, requestCost(req))
+}
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -16,6 +16,7 @@
 
 // Counters of the whole process.
 var (
+	AttachedRunsTotal       = Counter("attached_runs_total")
 	RequestsTotal           = Counter("requests_total")
 	RefusalsTotal           = Counter("refusals_total")
 	BudgetUnavailableTotal  = Counter("budget_unavailable_total")
--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -47,6 +47,9 @@
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
 	TotalTokens      int64 `json:"total_tokens"`
+	// HeldBy is the last attempt that attached to the run before it was complete,
+	// as the engine was told in HeaderAttempt. It alone pays for the run.
+	HeldBy string `json:"held_by,omitempty"`
 }
 
 // Choice is one answer of a Response.
--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -1,5 +1,10 @@
 package chat
 
+import (
+	"strconv"
+	"strings"
+)
+
 // The engine API beside POST /v1/chat/completions. A stream is a list of events
 // numbered from 0; each event carries its number as the SSE field "id". An
 // engine keeps a stream after its connection broke, so that the router can read
@@ -18,6 +23,20 @@
 // new work.
 const HeaderLeaving = "X-Leaving"
 
+// AttemptOf names attempt n of a holder in the whole fleet: a request may be
+// tried by another router after this one.
+func AttemptOf(n int, holder string) string { return strconv.Itoa(n) + "@" + holder }
+
+// HeldByOther reports whether an attempt of another process holds the run. That
+// process pays for it: it bills the run, or its backup does.
+func (u Usage) HeldByOther(process string) bool { return u.HeldBy != "" && !u.HeldByProcess(process) }
+
+// HeldByProcess reports whether an attempt of the process holds the run.
+func (u Usage) HeldByProcess(process string) bool {
+	_, holder, _ := strings.Cut(u.HeldBy, "@")
+	return holder == process
+}
+
 // HeaderDeadline is the time that is left for the request, in milliseconds.
 const HeaderDeadline = "X-Deadline-Ms"
 
--- a/internal/standin/engine_run.go
+++ b/internal/standin/engine_run.go
@@ -19,8 +19,10 @@
 	tokens       []string
 	promptTokens int64
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// attempt reads the run now; heldBy did so last before the run was complete.
 	attempt   string
+	heldBy    string
 	produced  int
 	cancelled bool
 	changed   chan struct{}
@@ -42,6 +44,9 @@
 		return false
 	}
 	r.attempt = attempt
+	if r.heldBy == "" || r.produced < len(r.tokens) {
+		r.heldBy = attempt
+	}
 	return true
 }
 
@@ -82,9 +87,12 @@
 
 func (r *run) usageSoFar() chat.StreamUsage {
 	produced, cancelled, _ := r.progress()
+	r.mu.Lock()
+	heldBy := r.heldBy
+	r.mu.Unlock()
 	u := chat.StreamUsage{RequestID: r.id, State: chat.RunRunning, Usage: chat.Usage{
 		PromptTokens: r.promptTokens, CompletionTokens: int64(produced),
-		TotalTokens: r.promptTokens + int64(produced),
+		TotalTokens: r.promptTokens + int64(produced), HeldBy: heldBy,
 	}}
 	switch {
 	case cancelled:
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -21,7 +21,6 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
-	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
@@ -229,10 +228,7 @@
 		return
 	}
 	obs.BudgetUnavailableTotal.Add(1)
-	balances, ok := x.api.Budget.(interface {
-		Balance(record.EntryKey) budget.Balance
-	})
-	if ok && balances.Balance(x.entry.Key).Remaining >= x.bound {
+	if x.api.balance(x.entry.Key).Remaining >= x.bound {
 		obs.FalseRefusalsTotal.Add(1)
 	}
 }
--- a/internal/transport/httpapi/fixture_test.go
+++ b/internal/transport/httpapi/fixture_test.go
@@ -207,7 +207,7 @@
 		Retry: f.retry, Claims: f.claims, Holder: "vm/1", Logger: logger, Now: time.Now,
 		Requests: request.NewTable(request.Config{Retention: time.Hour, MaxFinished: 100, MaxAnswerBytes: 1 << 20, Now: time.Now}),
 		Unknown: &Resolver{
-			Budget: f.budget, Engines: client, Delay: time.Minute, Logger: logger, Now: func() time.Time { return f.now },
+			Budget: f.budget, Engines: client, Holder: "vm/1", Delay: time.Minute, Logger: logger, Now: func() time.Time { return f.now },
 		},
 		Limits: Limits{
 			MaxBodyBytes: 4096, BodyTimeout: 300 * time.Millisecond, WriteTimeout: 5 * time.Second,
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
@@ -68,7 +69,7 @@
 	}
 	x.tries++
 	call := upstream.Call{
-		Address: target.Address, RequestID: x.id, Attempt: x.attemptID(n), Priority: attempt.Priority(), Body: x.body,
+		Address: target.Address, RequestID: x.id, Attempt: chat.AttemptOf(n, string(x.api.Holder)), Priority: attempt.Priority(), Body: x.body,
 	}
 	x.calls = append(x.calls, call)
 	ctx, span := obs.StartSpan(x.ctx, obs.SpanAttempt, x.id)
@@ -91,12 +92,6 @@
 	return err
 }
 
-// attemptID names an attempt in the whole fleet: a request may be tried by
-// another router after this one.
-func (x *exchange) attemptID(n int) string {
-	return strconv.Itoa(n) + "@" + string(x.api.Holder)
-}
-
 func provablyNotRun(err error) bool {
 	return errors.IsAny(err, upstream.ErrNotSent, upstream.ErrRefused)
 }
@@ -211,9 +206,27 @@
 		return budget.Balance{}, err
 	}
 	x.reserved = false
+	if usage != nil && usage.HeldByOther(string(x.api.Holder)) {
+		// The bill of this request id is written by the router that holds the run,
+		// or by its backup.
+		obs.AttachedRunsTotal.Add(1)
+		x.api.Budget.Release(x.reservation)
+		return x.api.balance(x.entry.Key), nil
+	}
 	return x.api.Budget.Settle(x.reservation, settlement(bill)), nil
 }
 
+// balance returns what is left of a budget, if the budget tells it.
+func (a *API) balance(key record.EntryKey) budget.Balance {
+	balances, ok := a.Budget.(interface {
+		Balance(record.EntryKey) budget.Balance
+	})
+	if !ok {
+		return budget.Balance{}
+	}
+	return balances.Balance(key)
+}
+
 // newBill charges the engine's count, at most the bound. Without a count the
 // request costs its bound.
 func newBill(target string, usage *chat.Usage, bound int64, outcome string) request.Bill {
--- a/internal/transport/httpapi/unknown.go
+++ b/internal/transport/httpapi/unknown.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
@@ -49,6 +50,7 @@
 type Resolver struct {
 	Budget  Budget
 	Engines Engines
+	Holder  record.HolderID
 	// Delay is the time after which the upper bound is billed.
 	Delay  time.Duration
 	Logger logrus.FieldLogger
@@ -185,7 +187,11 @@
 	if err := l.Request.Resolve(bill); err != nil {
 		return
 	}
-	r.Budget.Settle(l.Reservation, settlement(bill))
+	if usage != nil && usage.HeldByOther(string(r.Holder)) {
+		r.Budget.Release(l.Reservation)
+	} else {
+		r.Budget.Settle(l.Reservation, settlement(bill))
+	}
 	obs.UnknownResolvedTotal.Add(1)
 	obs.EventUnknownBilled.Log(r.Logger, logrus.Fields{
 		"request_id": l.Request.ID(), "outcome": outcome, "charged": bill.Charged,
