Write a dead holder's bills that charge nothing; report a log outage once

It had charged nothing, so its entry was left out of the full state for the backup, and its share had nothing outstanding to reclaim. Apart from that, each failed cycle wrote a log line, twice a second per partition.

Change: bills put an entry into the full state and into a reclaim. An outage is reported once per partition.

Proof: the new test fails with the old full state.

--- a/internal/coordination/budget/copylog.go
+++ b/internal/coordination/budget/copylog.go
@@ -267,7 +267,8 @@
 	bills := n.bills.byEntry()
 	var list []EntryCopy
 	n.shares.Each(func(key record.EntryKey, s *share.Share) bool {
-		if c := s.Counters(); c.Spent > 0 || c.Reserved > 0 {
+		// A bill may charge nothing, so it counts apart from the counters.
+		if c := s.Counters(); c.Spent > 0 || c.Reserved > 0 || len(bills[key]) > 0 {
 			list = append(list, EntryCopy{Entry: key, Spent: c.Spent, Reserved: c.Reserved - named[key], Bills: bills[key]})
 		}
 		return true
--- a/internal/coordination/budget/cycle.go
+++ b/internal/coordination/budget/cycle.go
@@ -22,6 +22,8 @@
 	again bool
 	// foreign holds other nodes' records for the next batch of this home.
 	foreign []foreignItems
+	// failing is set after a failed cycle, so that an outage is reported once.
+	failing bool
 	// direct is set when the home failed, for the next append.
 	direct bool
 }
@@ -56,11 +58,13 @@
 
 func (m *Manager) runCycles(p int) {
 	for {
-		if err := m.cycle(m.ctx, p); err != nil && m.ctx.Err() == nil {
-			obs.EventLedgerUnreachable.Log(m.logger, logrus.Fields{"partition": p, "error": err.Error()})
-		}
+		err := m.cycle(m.ctx, p)
 		m.mu.Lock()
 		c := m.cycles[p]
+		if err != nil && !c.failing && m.ctx.Err() == nil {
+			obs.EventLedgerUnreachable.Log(m.logger, logrus.Fields{"partition": p, "error": err.Error()})
+		}
+		c.failing = err != nil
 		c.changed.wake()
 		if !c.again || m.ctx.Err() != nil {
 			c.running = false
@@ -75,13 +79,19 @@
 // cycle writes the partition's bills and due records and reads it to its end.
 func (m *Manager) cycle(ctx context.Context, p int) error {
 	err := m.writeBills(ctx, p)
-	if err != nil {
-		obs.EventBillsDelayed.Log(m.logger, logrus.Fields{"error": err.Error()})
+	if err != nil && !m.failing(p) {
+		obs.EventBillsDelayed.Log(m.logger, logrus.Fields{"partition": p, "error": err.Error()})
 	}
 	err = errors.CombineErrors(err, m.writeLedger(ctx, p))
 	return errors.CombineErrors(err, m.readLedger(ctx, p))
 }
 
+func (m *Manager) failing(p int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cycles[p].failing
+}
+
 func (m *Manager) writeBills(ctx context.Context, p int) error {
 	bills := m.node.NextBills(p)
 	if len(bills) == 0 {
--- a/internal/coordination/budget/reclaim.go
+++ b/internal/coordination/budget/reclaim.go
@@ -152,7 +152,7 @@
 func (n *Node) eachOpenShare(holder record.HolderID, visit func(record.EntryKey, *ledger.Share)) {
 	for _, p := range n.parts {
 		p.ledger.Accounts(func(key record.EntryKey, a *ledger.Account) bool {
-			if s := a.Shares[holder]; s != nil && !s.Closed && s.Outstanding() > 0 {
+			if s := a.Shares[holder]; s != nil && !s.Closed && (s.Outstanding() > 0 || n.hasBills(holder, key)) {
 				visit(key, s)
 			}
 			return true
@@ -160,6 +160,13 @@
 	}
 }
 
+// hasBills reports whether bills of the holder may be missing in the log. Those
+// that charge nothing leave no trace in its share.
+func (n *Node) hasBills(holder record.HolderID, key record.EntryKey) bool {
+	h := n.kept.holders[holder]
+	return n.completeCopy(holder) && h.entries[key] != nil && len(h.entries[key].bills) > 0
+}
+
 func (n *Node) startReclaim(now time.Time, holder record.HolderID, resolve Resolve) *reclaim {
 	r := &reclaim{unpaid: make(map[string]struct{})}
 	n.eachOpenShare(holder, func(key record.EntryKey, s *ledger.Share) {
--- a/internal/coordination/budget/reclaim_test.go
+++ b/internal/coordination/budget/reclaim_test.go
@@ -150,6 +150,27 @@
 	is.Equal(backup.account(testKey).Shares["a/1"].Spent, int64(10+5+20))
 }
 
+// Guards against a lost bill that charges nothing: it changes no counter, so
+// neither the full state nor the outstanding share shows it.
+func TestReclaimWritesBillsWithoutCharge(t *testing.T) {
+	is := is.New(t)
+	l := newTestLog(t, 1000)
+	holder, backup := l.node("a/1"), l.node("b/1")
+	l.grant(holder, 100)
+	res := reserveOne(holder, "free", 20)
+	holder.SetBackup("b/1")
+	l.append(&l.members, record.Item{Backup: holder.NextDeclaration()})
+	l.read(holder)
+	holder.SettleOwn(res, billFor(res, 0))
+	holder.ServeReturn(testKey)
+	l.append(&l.ledger, record.Item{Settle: holder.settleItem(holder.entry(testKey))})
+	copyTo(holder, backup)
+	proof := l.proof(holder)
+	l.read(backup)
+	is.Equal(backup.Reclaim(l.now, proof, nil), ReclaimRunning)
+	is.Equal(len(backup.NextBills(0)), 1)
+}
+
 // Guards against a former backup that closes a share from an old copy: the
 // holder may have dispatched without it since its next declaration.
 func TestFormerBackupDoesNotReclaim(t *testing.T) {
