--- a/internal/state/request/request.go
+++ b/internal/state/request/request.go
@@ -4,6 +4,7 @@
 package request
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,16 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *State) UnmarshalText(text []byte) error {
+	i := slices.Index(stateNames[:], string(text))
+	if i < 0 {
+		return errors.Newf("state %q does not exist", text)
+	}
+	*s = State(i)
+	return nil
+}
+
 // Terminal reports whether the caller's answer is decided.
 func (s State) Terminal() bool { return s >= Settled }
 
@@ -44,7 +55,7 @@
 	ErrTransition = errors.New("transition is not allowed")
 	// ErrStaleAttempt reports an answer to an attempt that was replaced. It is
 	// also an ErrTransition.
-	ErrStaleAttempt = errors.Mark(errors.New("answer belongs to a replaced attempt"), ErrTransition)
+	ErrStaleAttempt = errors.Wrap(ErrTransition, "answer belongs to a replaced attempt")
 )
 
 // MaxAttempts bounds the attempts of one request.
@@ -99,6 +110,9 @@
 	answer  *Answer
 	ended   bool
 	retired bool
+	// claimed is true once the request has the right to run, for requests that
+	// may not run twice.
+	claimed bool
 }
 
 // ID returns the request id.
@@ -259,6 +273,21 @@
 	}
 }
 
+// SetClaimed records that the request won its claim.
+func (r *Request) SetClaimed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claimed = true
+}
+
+// Claimed reports whether the request won its claim, or took it over from a
+// refused request with the same key.
+func (r *Request) Claimed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.claimed
+}
+
 // State returns the current state.
 func (r *Request) State() State {
 	r.mu.Lock()
--- a/internal/transport/httpapi/repeat.go
+++ b/internal/transport/httpapi/repeat.go
@@ -31,18 +31,23 @@
 	if key != "" && x.idempotent {
 		x.id = x.keyedID(key)
 	}
-	r, repeated, err := x.api.Requests.Begin(request.Params{
-		ID: x.id, Entry: x.entry.Key, Team: x.entry.Team, Key: key, BodyHash: x.hash[:],
-	})
-	if err != nil {
-		return refuse(http.StatusUnprocessableEntity, CodeKeyConflict, err.Error())
-	}
-	x.id = r.ID()
-	if repeated {
-		return x.repeat(r)
+	for {
+		r, repeated, err := x.api.Requests.Begin(request.Params{
+			ID: x.id, Entry: x.entry.Key, Team: x.entry.Team, Key: key, BodyHash: x.hash[:],
+		})
+		if err != nil {
+			return refuse(http.StatusUnprocessableEntity, CodeKeyConflict, err.Error())
+		}
+		if !repeated {
+			x.id, x.record = r.ID(), r
+			return nil
+		}
+		if info := x.waitFor(r); info.State != request.Refused {
+			x.id = r.ID()
+			return x.repeat(r, info)
+		}
+		// The request that it repeats did not run, so its key is free.
 	}
-	x.record = r
-	return nil
 }
 
 // keyedID returns the id of an idempotent request with a key. Every router makes
@@ -53,10 +58,8 @@
 	return uuid.NewSHA1(keyNamespace, []byte(name)).String()
 }
 
-// repeat answers a repeat with the outcome of the request that its key names. It
-// waits for it for a bounded time.
-func (x *exchange) repeat(r *request.Request) *APIError {
-	obs.RepeatsTotal.Add(1)
+// waitFor waits for another request for a bounded time.
+func (x *exchange) waitFor(r *request.Request) request.Info {
 	timer := time.NewTimer(x.api.Limits.RepeatWait)
 	defer timer.Stop()
 	select {
@@ -64,13 +67,15 @@
 	case <-timer.C:
 	case <-x.ctx.Done():
 	}
-	info := r.Info()
+	return r.Info()
+}
+
+// repeat answers a repeat with the outcome of the request that its key names.
+func (x *exchange) repeat(r *request.Request, info request.Info) *APIError {
+	obs.RepeatsTotal.Add(1)
 	switch {
 	case !info.State.Terminal():
 		return ran(http.StatusConflict, CodeInProgress, "the request with this key still runs").after(defaultRetryAfter)
-	case info.State == request.Refused:
-		return refuse(http.StatusServiceUnavailable, Code(info.Outcome),
-			"the request with this key did not run").after(defaultRetryAfter)
 	case info.State == request.Unknown:
 		return ran(http.StatusBadGateway, CodeOutcomeUnknown, "the outcome of the request with this key is not known")
 	}
@@ -99,7 +104,7 @@
 // claim takes the right to run a request that may not run twice. It comes last
 // before the dispatch, so that a refusal leaves no claim behind.
 func (x *exchange) claim() *APIError {
-	if x.idempotent {
+	if x.idempotent || x.record.Claimed() {
 		return nil
 	}
 	winner, won, err := x.api.Claims.Claim(x.ctx, record.Claim{
@@ -108,12 +113,10 @@
 	})
 	switch {
 	case err != nil:
-		return x.stopped(refuse(http.StatusServiceUnavailable, CodeClaimUnavailable,
-			"the right to run the request could not be recorded").after(defaultRetryAfter))
+		return x.stopped(claimError(err))
 	case won:
+		x.record.SetClaimed()
 		return nil
-	case string(winner.BodyHash) != string(x.hash[:]):
-		return refuse(http.StatusUnprocessableEntity, CodeKeyConflict, request.ErrKeyConflict.Error())
 	default:
 		return x.claimedElsewhere(winner)
 	}
