Prove rolling replacement, log outage and isolation with processes

Cause: these promises had only tests of single modules. Change: end-to-end tests with three routers: all are replaced one after the other under load; the log is down for longer than the configuration lease and then loses answers; a router loses the log and both peers.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -27,8 +27,11 @@
 
 // fleet is a group of routers that know each other, one availability zone each.
 type fleet struct {
-	logURL  string
-	vmsURL  string
+	logURL string
+	vmsURL string
+	port   string
+	// more holds settings of all routers.
+	more    []string
 	routers []*router
 }
 
@@ -36,20 +39,16 @@
 // members of a fleet share their peers' port.
 func startFleet(t *testing.T, n int, logURL string, more ...string) *fleet {
 	t.Helper()
-	f := &fleet{logURL: logURL, vmsURL: startStandin(t, "vmlist", "--lag", "0s")}
 	_, port, err := net.SplitHostPort(freeAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
+	f := &fleet{logURL: logURL, vmsURL: startStandin(t, "vmlist", "--lag", "0s"), port: port, more: more}
 	for i := range n {
 		f.list(t, i, vmlist.StateLive)
 	}
 	for i := range n {
-		args := append([]string{
-			"--peer-listen", fmt.Sprintf("127.0.0.%d:%s", i+2, port), "--peer-key", fleetKey,
-			"--vm-list-url", f.vmsURL, "--zone", fmt.Sprintf("zone-%d", i),
-		}, more...)
-		f.routers = append(f.routers, startRouter(t, fmt.Sprintf("vm-%d", i), logURL, args...))
+		f.startMember(t, i)
 	}
 	waitFor(t, func() bool {
 		for _, r := range f.routers {
