Stop a poison request in the whole fleet; order incarnations by start time

Cause: evidence of crashes stayed at the router that saw them, so each router let the request crash its own three upstreams. A cancelled attempt counted as a clean run and cleared a suspect. Incarnations were random, but membership compares them by start time. The operators' tool read the configuration from its first record only, which fails after retention.

--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -32,12 +33,13 @@
 	parent        *options
 	FirstToken    time.Duration `long:"first-token" env:"DOTTERELSTANDIN_FIRST_TOKEN" default:"0s" description:"time until the first token"`
 	TokenInterval time.Duration `long:"token-interval" env:"DOTTERELSTANDIN_TOKEN_INTERVAL" default:"0s" description:"time between two tokens"`
+	CrashOn       string        `long:"crash-on" env:"DOTTERELSTANDIN_CRASH_ON" description:"end the process when a request contains this text"`
 	ExportTo      string        `long:"export-to" env:"DOTTERELSTANDIN_EXPORT_TO" description:"base URL of an engine that gets a copy of each stream"`
 }
 
 // Execute serves a model engine.
 func (c *engineCommand) Execute([]string) error {
-	engine := &standin.Engine{FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
+	engine := &standin.Engine{Crash: crashOn(c.CrashOn), FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
 	return serve(c.parent.Listen, engine.Handler())
 }
 
@@ -51,6 +53,18 @@
 	return serve(c.parent.Listen, standin.NewVMList(c.Lag, nil).Handler())
 }
 
+// crashOn returns a check that ends the process as a crash would.
+func crashOn(text string) func([]byte) {
+	if text == "" {
+		return nil
+	}
+	return func(body []byte) {
+		if bytes.Contains(body, []byte(text)) {
+			os.Exit(1)
+		}
+	}
+}
+
 func main() {
 	var opts options
 	parser := flags.NewParser(&opts, flags.Default)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 	leases    leaseCache
 	snapshots *snapshotWriters
 	routing   *routing.Router
+	evidence  *routing.Evidence
 	admission *admission.Controller
 	server    *http.Server
 	admin     *http.Server
@@ -55,7 +56,13 @@
 
 // New returns a router that keeps what must last in the given log.
 func New(cfg settings.Daemon, log logstream.Log, logger logrus.FieldLogger) (*Daemon, error) {
-	incarnation := uuid.NewString()
+	// Version 7 rises with the start time, which tells the newer of two
+	// processes of a VM.
+	id, err := uuid.NewV7()
+	if err != nil {
+		return nil, errors.Wrap(err, "process id")
+	}
+	incarnation := id.String()
 	d := &Daemon{
 		cfg: cfg, logger: logger, config: configsync.NewFollower(log, logger),
 		holder:  record.HolderID(cfg.VM + "/" + incarnation),
@@ -63,7 +70,6 @@
 	}
 	budgetConfig := newBudgetConfig(cfg, d.holder)
 	if cfg.PeerListen != "" {
-		var err error
 		if d.fleet, err = newFleet(cfg, incarnation, d.config, d.configStatus, logger); err != nil {
 			return nil, err
 		}
@@ -75,8 +81,9 @@
 		MaxWait: claim.DefaultMaxWait, Retention: cfg.ClaimRetention,
 	}, log, logger)
 	d.engines = upstream.New()
+	d.evidence = routing.NewEvidence(time.Now)
 	d.routing = routing.New(routing.Config{
-		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers, Notify: routing.LogChanges(logger),
+		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers, Evidence: d.evidence, Notify: routing.LogChanges(logger),
 	})
 	d.admission = d.newAdmission()
 	d.api = d.newAPI()
@@ -84,6 +91,7 @@
 	if d.fleet != nil {
 		d.fleet.serveBudget(d.budget)
 		d.fleet.serveRequests(d.api)
+		d.fleet.serveEvidence(d.evidence)
 		d.api.Remote = d.fleet
 	}
 	d.server = &http.Server{
@@ -221,6 +229,10 @@
 	obs.EventStopping.Log(d.logger, nil)
 	d.draining.Store(true)
 	d.ready.Store(false)
+	if d.fleet != nil {
+		// The others move this router's homes while it finishes.
+		d.fleet.members.Leave()
+	}
 	time.Sleep(d.cfg.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
 	defer cancel()
--- a/internal/daemon/outcomes.go
+++ b/internal/daemon/outcomes.go
@@ -38,6 +38,7 @@
 	loops.Go(func() { _ = f.server.Serve(ctx, listener) })
 	loops.Go(func() { f.members.Run(ctx) })
 	loops.Go(func() { d.config.RunFetch(ctx, f.pool, d.reports) })
+	loops.Go(func() { f.shareEvidence(ctx, d.evidence) })
 	loops.Go(func() { f.reclaim(ctx, d.budget, d.cfg.UnknownBillDelay, d.askUpstreams) })
 	return nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -54,13 +54,23 @@
 	}
 }
 
-// Config folds the config stream to its end.
+// Config folds the config stream to its end, from its newest snapshot when there is one.
 func (c *Client) Config(ctx context.Context) (*configsync.Fold, error) {
 	fold := configsync.NewFold()
-	err := c.readAll(ctx, record.ConfigStream, fold.Next(), func(r logstream.Record) {
-		fold.Apply(r.Offset, r.Data)
+	reader := follow.New(c.Log, follow.Config{
+		Stream: record.ConfigStream, SnapshotStream: record.ConfigSnapshotStream,
+		Apply: func(records []logstream.Record) {
+			for _, r := range records {
+				fold.Apply(r.Offset, r.Data)
+			}
+		},
+		Decode: func(s snapshot.Snapshot) (func(), error) {
+			loaded, err := configsync.DecodeFold(s)
+			return func() { fold = loaded }, err
+		},
 	})
-	return fold, err
+	err := reader.CatchUp(ctx)
+	return fold, errors.Wrap(err, "read configuration")
 }
 
 // EntryKey returns the account of an entry in the accepted catalogue.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -28,6 +28,8 @@
 	// ExportTo is the address of an engine that gets a copy of each new stream
 	// before its first token, or empty.
 	ExportTo string
+	// Crash is called with the body of each run that begins; nil does nothing.
+	Crash func(body []byte)
 	// Runs counts the requests that began to run.
 	Runs atomic.Int64
 	// Tokens counts input and output tokens of all runs.
@@ -171,6 +173,9 @@
 	}
 	r.attach(httpReq.Header.Get(chat.HeaderAttempt))
 	e.Runs.Add(1)
+	if e.Crash != nil {
+		e.Crash(body)
+	}
 	e.export(httpReq, r, body)
 	e.generate(r)
 	return r, true
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -103,8 +103,11 @@
 	switch {
 	case errors.Is(err, errReplaced):
 		return routing.ResultFailed
-	case err == nil, errors.IsAny(err, errCallerGone, context.Canceled):
+	case err == nil:
 		return routing.ResultOK
+	case errors.IsAny(err, errCallerGone, context.Canceled):
+		// Whether the run would have crashed its upstream is not known.
+		return routing.ResultAbandoned
 	case errors.As(err, &refused) && refused.Leaving:
 		return routing.ResultLeaving
 	case errors.Is(err, upstream.ErrRefused):
