Reconcile ledgers with the configuration

Cause: a prepaid change of the catalogue was lost when the operators' tool ended between publish and top-up, and nobody closed the account of a removed entry. Conclusion: prepaid changes in the file need no second step.

--- /dev/null
+++ b/internal/coordination/budget/reconcile.go
@@ -0,0 +1,64 @@
+package budget
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
+
+// Declared is what the accepted configuration says of the accounts of a
+// partition.
+type Declared struct {
+	// Prepaid holds the prepaid changes of each entry.
+	Prepaid map[record.EntryKey][]record.Adjust
+	// Next is the offset of the next configuration record to fold. Accounts of a
+	// later generation belong to a configuration that is not known yet.
+	Next uint64
+}
+
+// Reconcile returns the records that bring the ledger of a partition in line with
+// the configuration: prepaid changes whose IDs it does not have, and the removal
+// of accounts whose entry is gone. Every record counts once, so that two routers
+// may append the same ones.
+func (m *Manager) Reconcile(p int, d Declared) []record.Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.node.parts[p].ledger
+	var items []record.Item
+	for key, changes := range d.Prepaid {
+		a := l.Account(key)
+		for i := range changes {
+			if a != nil && a.Removed {
+				continue
+			}
+			if a != nil {
+				if _, known := a.Adjusted[changes[i].ID]; known {
+					continue
+				}
+			}
+			items = append(items, record.Item{Adjust: &changes[i]})
+		}
+	}
+	for key, a := range l.Accounts {
+		if _, declared := d.Prepaid[key]; !declared && !a.Removed && key.Generation < d.Next {
+			items = append(items, record.Item{Remove: &record.Remove{Entry: key}})
+		}
+	}
+	slices.SortStableFunc(items, func(a, b record.Item) int {
+		return cmp.Compare(reconcileOrder(a), reconcileOrder(b))
+	})
+	return items
+}
+
+// reconcileOrder puts top-ups before lowerings, so that a lowering of a new entry
+// finds what it takes, and removals last.
+func reconcileOrder(i record.Item) int {
+	switch {
+	case i.Adjust != nil && i.Adjust.Delta >= 0:
+		return 0
+	case i.Adjust != nil:
+		return 1
+	}
+	return 2
+}
--- /dev/null
+++ b/internal/coordination/budget/reconcile_test.go
@@ -0,0 +1,53 @@
+package budget
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/standin"
+)
+
+// TestReconcileAppendsEachChangeOnce guards against a prepaid change that is lost
+// when the operator's tool ends early or counts twice when two routers make up for
+// it, and against the removal of an account that a newer configuration declares.
+func TestReconcileAppendsEachChangeOnce(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	log := standin.NewLog()
+	m := NewManager(Config{Holder: "vm/1", Partitions: 1, BillBuffer: 10}, log, logrus.New())
+	kept := record.EntryKey{Name: "kept", Generation: 3}
+	gone := record.EntryKey{Name: "gone", Generation: 2}
+	newer := record.EntryKey{Name: "newer", Generation: 9}
+	reconcile := func(d Declared) int {
+		items := m.Reconcile(0, d)
+		if len(items) > 0 {
+			data, err := record.Encode(items)
+			is.NoErr(err)
+			for range 2 {
+				_, err = log.Append(ctx, record.LedgerStream(0), data)
+				is.NoErr(err)
+			}
+		}
+		is.NoErr(m.CatchUp(ctx))
+		return len(items)
+	}
+	change := func(key record.EntryKey, id string, delta int64) record.Adjust {
+		return record.Adjust{Entry: key, ID: id, Delta: delta}
+	}
+	before := Declared{Next: 10, Prepaid: map[record.EntryKey][]record.Adjust{
+		kept: {change(kept, "less", -30), change(kept, "first", 100)}, gone: {change(gone, "g", 50)}, newer: {change(newer, "n", 5)},
+	}}
+	is.Equal(reconcile(before), 4)
+	is.Equal(reconcile(before), 0)
+	is.Equal(m.Balance(kept).Remaining, int64(70))
+	after := Declared{Next: 9, Prepaid: map[record.EntryKey][]record.Adjust{kept: before.Prepaid[kept]}}
+	is.Equal(reconcile(after), 1)
+	l := m.node.Ledger(0)
+	is.True(l.Account(gone).Removed)
+	is.True(!l.Account(newer).Removed) // its configuration record is not known here yet
+	is.Equal(reconcile(after), 0)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 type Daemon struct {
 	cfg    settings.Daemon
 	logger logrus.FieldLogger
+	log    logstream.Log
 	config *configsync.Follower
 	api    *httpapi.API
 	budget *budget.Manager
@@ -64,7 +65,7 @@
 	}
 	incarnation := id.String()
 	d := &Daemon{
-		cfg: cfg, logger: logger, config: configsync.NewFollower(log, logger),
+		cfg: cfg, logger: logger, log: log, config: configsync.NewFollower(log, logger),
 		holder:  record.HolderID(cfg.VM + "/" + incarnation),
 		started: time.Now(), drain: make(chan struct{}),
 	}
@@ -197,6 +198,7 @@
 	loops.Go(func() { d.claims.Run(background) })
 	loops.Go(func() { d.snapshots.run(background, d.cfg.LogRetention) })
 	loops.Go(func() { d.advance(background) })
+	loops.Go(func() { d.reconcile(background, d.log) })
 	if d.fleet != nil {
 		if err := d.fleet.start(background, &loops, d); err != nil {
 			return err
