Read the upstreams' load reports

Cause: routing decided without load reports, and a leaving upstream got work until it refused some. Change: each router reads GET /v1/load of each upstream once a second; the report is dated back to the question, so that what was sent meanwhile is not left out. Figures: a leaving engine starts none of 8 requests sent 3 s after its report. Conclusion: a leaving upstream gets no new work within 3 s; its stream ends whole.

--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/dotterelthread/dotterelthread/internal/standin"
@@ -39,7 +40,7 @@
 
 // Execute serves a model engine.
 func (c *engineCommand) Execute([]string) error {
-	engine := &standin.Engine{Crash: crashOn(c.CrashOn), FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
+	engine := &standin.Engine{Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn), FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
 	return serve(c.parent.Listen, engine.Handler())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -198,6 +198,7 @@
 	loops.Go(func() { d.claims.Run(background) })
 	loops.Go(func() { d.snapshots.run(background, d.cfg.LogRetention) })
 	loops.Go(func() { d.advance(background) })
+	loops.Go(func() { d.readLoads(background) })
 	loops.Go(func() { d.reconcile(background, d.log) })
 	if d.fleet != nil {
 		if err := d.fleet.start(background, &loops, d); err != nil {
--- a/internal/e2e/change_test.go
+++ b/internal/e2e/change_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
+	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/vmlist"
 	"github.com/dotterelthread/dotterelthread/internal/standin"
 )
@@ -90,11 +91,16 @@
 
 func setLogFaults(t *testing.T, logURL string, faults standin.LogFaults) {
 	t.Helper()
-	body, err := json.Marshal(faults)
+	putJSON(t, logURL+"/faults", faults)
+}
+
+func putJSON(t *testing.T, url string, v any) {
+	t.Helper()
+	body, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
 	}
-	req, err := http.NewRequest(http.MethodPut, logURL+"/faults", bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,3 +185,40 @@
 	f.routers = append(f.routers, r)
 	return r
 }
+
+// TestLeavingUpstreamGetsNoNewWork guards against work that goes to an upstream
+// for longer than 3 s after its load report says that it is leaving, and against
+// a leaving upstream whose open streams are cut.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	logURL := startStandin(t, "log")
+	urls := []string{
+		startStandin(t, "engine", "--token-interval", "100ms"), startStandin(t, "engine", "--token-interval", "1ms"),
+	}
+	// The first engine is in the routers' region and so gets the first request.
+	publishSample(t, logURL, urls...)
+	r := startRouter(t, "vm-0", logURL)
+	long := slowRequest(true)
+	open := beginAsk(t, r.url, long, "")
+	<-open.begun
+	is.Equal(started(t, urls[0]), int64(1))
+	putJSON(t, urls[0]+"/faults", standin.EngineFaults{Leaving: true})
+	time.Sleep(3 * time.Second)
+	before := started(t, urls[0])
+	for i := range 8 {
+		resp, _ := ask(t, r.url, question(i))
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	is.Equal(started(t, urls[0]), before)
+	checkWhole(t, open.wait(t), long)
+}
+
+// started returns how many requests an engine began to run.
+func started(t *testing.T, url string) int64 {
+	t.Helper()
+	var report chat.LoadReport
+	if err := json.Unmarshal([]byte(get(t, url+"/v1/load")), &report); err != nil {
+		t.Fatal(err)
+	}
+	return report.Started
+}
--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -23,6 +23,22 @@
 // new work.
 const HeaderLeaving = "X-Leaving"
 
+// LoadReport is the answer to GET /v1/load of an engine or a plain service.
+type LoadReport struct {
+	// Incarnation changes when the upstream restarts.
+	Incarnation string `json:"incarnation"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	// Concurrency is the number of requests run at once; 0 means as declared.
+	Concurrency int `json:"concurrency,omitempty"`
+	// Started counts the requests that began to run in this incarnation.
+	Started int64 `json:"started"`
+	// AgeMS is the time since the measurement, in ms.
+	AgeMS int64 `json:"age_ms,omitempty"`
+	// Leaving is true when the upstream takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
 // AttemptOf names attempt n of a holder in the whole fleet: a request may be
 // tried by another router after this one.
 func AttemptOf(n int, holder string) string { return strconv.Itoa(n) + "@" + holder }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -30,6 +30,8 @@
 	ExportTo string
 	// Crash is called with the body of each run that begins; nil does nothing.
 	Crash func(body []byte)
+	// Incarnation is reported with the load.
+	Incarnation string
 	// Runs counts the requests that began to run.
 	Runs atomic.Int64
 	// Tokens counts input and output tokens of all runs.
@@ -53,6 +55,8 @@
 	// Break closes that many streams after BreakAt events.
 	Break   int `json:"break"`
 	BreakAt int `json:"break_at"`
+	// Leaving is reported with the load; the engine still runs what it gets.
+	Leaving bool `json:"leaving"`
 }
 
 // maxRuns bounds the runs that the engine remembers.
@@ -62,6 +66,7 @@
 func (e *Engine) Handler() http.Handler {
 	r := httprouter.New()
 	r.POST("/v1/chat/completions", e.complete)
+	r.GET("/v1/load", e.load)
 	r.GET("/v1/streams/:id", e.resume)
 	r.DELETE("/v1/streams/:id", e.cancel)
 	r.GET("/v1/streams/:id/usage", e.usage)
