Serve peers until the shares are closed; wire engine orders

Cause: a draining router stopped its peers' server before it closed its shares, so reservations that it had lent to others were never settled with it; it waited 30 s and exited with an error and an open share. Engine orders were decided and never sent. Conclusion: a planned stop hands back what it lent.

--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -34,13 +34,14 @@
 	parent        *options
 	FirstToken    time.Duration `long:"first-token" env:"DOTTERELSTANDIN_FIRST_TOKEN" default:"0s" description:"time until the first token"`
 	TokenInterval time.Duration `long:"token-interval" env:"DOTTERELSTANDIN_TOKEN_INTERVAL" default:"0s" description:"time between two tokens"`
+	ChecksFencing bool          `long:"checks-fencing" env:"DOTTERELSTANDIN_CHECKS_FENCING" description:"refuse orders with an old fencing number"`
 	CrashOn       string        `long:"crash-on" env:"DOTTERELSTANDIN_CRASH_ON" description:"end the process when a request contains this text"`
 	ExportTo      string        `long:"export-to" env:"DOTTERELSTANDIN_EXPORT_TO" description:"base URL of an engine that gets a copy of each stream"`
 }
 
 // Execute serves a model engine.
 func (c *engineCommand) Execute([]string) error {
-	engine := &standin.Engine{Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn), FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
+	engine := &standin.Engine{ChecksFencing: c.ChecksFencing, Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn), FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
 	return serve(c.parent.Listen, engine.Handler())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -191,6 +191,10 @@
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
+	// Peers settle what they were lent until the shares are closed, so they are
+	// served for longer than the callers.
+	peering, stopPeering := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPeering()
 	var loops conc.WaitGroup
 	loops.Go(func() { d.config.Run(background) })
 	d.routing.Update(d.config.Current())
@@ -198,10 +202,11 @@
 	loops.Go(func() { d.claims.Run(background) })
 	loops.Go(func() { d.snapshots.run(background, d.cfg.LogRetention) })
 	loops.Go(func() { d.advance(background) })
+	loops.Go(func() { d.newOrders().Run(background) })
 	loops.Go(func() { d.readLoads(background) })
 	loops.Go(func() { d.reconcile(background, d.log) })
 	if d.fleet != nil {
-		if err := d.fleet.start(background, &loops, d); err != nil {
+		if err := d.fleet.start(peering, background, &loops, d); err != nil {
 			return err
 		}
 	}
@@ -219,6 +224,7 @@
 		stopBackground()
 		resolver.Wait()
 	})
+	stopPeering()
 	loops.Wait()
 	return err
 }
--- a/internal/daemon/outcomes.go
+++ b/internal/daemon/outcomes.go
@@ -29,14 +29,15 @@
 	askTimeout = 2 * time.Second
 )
 
-// start begins the loops that need the other routers.
-func (f *fleet) start(ctx context.Context, loops *conc.WaitGroup, d *Daemon) error {
+// start begins the loops that need the other routers. Peers are served until the
+// context peering ends; the other loops end with ctx.
+func (f *fleet) start(peering, ctx context.Context, loops *conc.WaitGroup, d *Daemon) error {
 	listener, err := net.Listen("tcp", f.self.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	loops.Go(func() { _ = f.server.Serve(ctx, listener) })
-	loops.Go(func() { f.members.Run(ctx) })
+	loops.Go(func() { _ = f.server.Serve(peering, listener) })
+	loops.Go(func() { f.members.Run(peering) })
 	loops.Go(func() { d.config.RunFetch(ctx, f.pool, d.reports) })
 	loops.Go(func() { f.shareEvidence(ctx, d.evidence) })
 	loops.Go(func() { f.reclaim(ctx, d.budget, d.cfg.UnknownBillDelay, d.askUpstreams) })
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -35,6 +35,9 @@
 	if d.BudgetReserve > maxPercent {
 		c.found("budget-reserve", "must be at most 100")
 	}
+	if d.WeightPulls <= 0 {
+		c.found("weight-pulls-per-second", "must be above 0")
+	}
 	c.oneOf("log-format", "text", "json")
 	c.oneOf("trace-exporter", "none", "stdout", "otlp")
 	if d.TraceExporter == "otlp" && !isHTTP(d.TraceEndpoint) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	ClaimRetention   time.Duration `long:"claim-retention" env:"DOTTERELTHREAD_CLAIM_RETENTION" default:"24h" description:"time for which an idempotency key of a non-idempotent request is kept, the same in the whole fleet"`
 	LogRetention     time.Duration `long:"log-retention" env:"DOTTERELTHREAD_LOG_RETENTION" default:"24h" description:"time for which the log keeps records; snapshots are written within half of it"`
 	LogRetainRecords uint64        `long:"log-retain-records" env:"DOTTERELTHREAD_LOG_RETAIN_RECORDS" default:"0" description:"records that the log keeps per stream; 0 when only the age counts"`
+	WeightPulls      float64       `long:"weight-pulls-per-second" env:"DOTTERELTHREAD_WEIGHT_PULLS_PER_SECOND" default:"1" description:"rate of the weight store for the whole fleet, in pulls per second"`
 	ConfigLease      time.Duration `long:"config-lease" env:"DOTTERELTHREAD_CONFIG_LEASE" default:"4s" description:"time for which a router that hears neither the log nor a peer that has heard it serves on; a longer time means fewer refusals and a later configuration"`
 	BudgetHorizon    time.Duration `long:"budget-horizon" env:"DOTTERELTHREAD_BUDGET_HORIZON" default:"1h" description:"time for which a share should last at the present demand"`
 	BudgetReserve    int64         `long:"budget-reserve" env:"DOTTERELTHREAD_BUDGET_RESERVE" default:"0" description:"part of an entry's free budget that only the home may take, in percent"`
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -37,6 +37,11 @@
 	// Tokens counts input and output tokens of all runs.
 	Tokens atomic.Int64
 
+	// ChecksFencing makes the engine refuse orders with an old fencing number.
+	ChecksFencing bool
+
+	control engineControl
+
 	mu     sync.Mutex
 	runs   map[string]*run
 	order  []string
@@ -67,6 +72,8 @@
 	r := httprouter.New()
 	r.POST("/v1/chat/completions", e.complete)
 	r.GET("/v1/load", e.load)
+	r.GET("/v1/engine", e.engineState)
+	r.POST("/v1/engine/orders", e.takeOrder)
 	r.GET("/v1/streams/:id", e.resume)
 	r.DELETE("/v1/streams/:id", e.cancel)
 	r.GET("/v1/streams/:id/usage", e.usage)
--- /dev/null
+++ b/internal/standin/engine_control.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// engineOrder is the body of POST /v1/engine/orders.
+type engineOrder struct {
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter"`
+	Role    string `json:"role"`
+	Fence   uint64 `json:"fence"`
+}
+
+// loadedModel is one model of GET /v1/engine.
+type loadedModel struct {
+	Version  string
+	Adapters []string
+	Loading  bool
+}
+
+// engineControl is an engine's state under orders. Its zero value has nothing
+// loaded.
+type engineControl struct {
+	mu     sync.Mutex
+	models map[string]loadedModel
+	role   string
+	fence  uint64
+	// applied counts the orders that changed the state.
+	applied int
+}
+
+// controlState is the answer to GET /v1/engine.
+type controlState struct {
+	Models  map[string]loadedModel
+	Role    string
+	Fence   uint64
+	Applied int
+}
+
+func (e *Engine) engineState(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	c := &e.control
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(controlState{Models: c.models, Role: c.role, Fence: c.fence, Applied: c.applied})
+}
+
+func (e *Engine) takeOrder(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+	var o engineOrder
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.control.apply(o, e.ChecksFencing) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+	}
+}
+
+// apply sets what an order names. Repeating an order changes nothing.
+func (c *engineControl) apply(o engineOrder, checksFencing bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if checksFencing && o.Fence < c.fence {
+		return false
+	}
+	c.fence = max(c.fence, o.Fence)
+	c.applied++
+	models := maps.Clone(c.models)
+	if models == nil {
+		models = make(map[string]loadedModel)
+	}
+	switch o.Kind {
+	case "load":
+		models[o.Model] = loadedModel{Version: o.Version}
+	case "unload":
+		delete(models, o.Model)
+	case "adapter":
+		m := models[o.Model]
+		if !slices.Contains(m.Adapters, o.Adapter) {
+			m.Adapters = append(slices.Clone(m.Adapters), o.Adapter)
+		}
+		models[o.Model] = m
+	case "role":
+		c.role = o.Role
+	}
+	c.models = models
+	return true
+}
--- /dev/null
+++ b/internal/transport/upstream/control.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/orders"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+)
+
+// ErrFenced reports an order that the engine refused because it has seen a higher
+// fencing number.
+var ErrFenced = errors.New("engine has seen a higher fencing number")
+
+// Control gives engines their orders. It implements orders.Control.
+type Control struct{ client *Client }
+
+// NewControl returns a control that uses the connections of a client.
+func NewControl(client *Client) *Control { return &Control{client: client} }
+
+// State implements orders.Control.
+func (c *Control) State(ctx context.Context, engine *catalogue.Upstream) (orders.EngineState, error) {
+	body, err := c.call(ctx, http.MethodGet, engine.Address+"/v1/engine", nil)
+	if err != nil {
+		return orders.EngineState{}, err
+	}
+	var state orders.EngineState
+	return state, errors.Wrap(json.Unmarshal(body, &state), "decode engine state")
+}
+
+// Apply implements orders.Control.
+func (c *Control) Apply(ctx context.Context, engine *catalogue.Upstream, o orders.Order) error {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	_, err = c.call(ctx, http.MethodPost, engine.Address+"/v1/engine/orders", data)
+	return err
+}
+
+func (c *Control) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build engine request")
+	}
+	resp, err := c.client.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "call engine")
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return nil, ErrFenced
+	case resp.StatusCode != http.StatusOK:
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+		return nil, errors.Newf("engine answered %s: %s", resp.Status, strings.TrimSpace(string(text)))
+	}
+	return readAnswer(resp)
+}
