--- a/internal/e2e/admin_test.go
+++ b/internal/e2e/admin_test.go
@@ -12,18 +12,6 @@
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
 )
 
-func getJSON(t *testing.T, url string, v any) {
-	t.Helper()
-	resp, err := http.Get(url)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
-		t.Fatal(err)
-	}
-}
-
 func inputBound(t *testing.T, req chat.Request) int64 {
 	t.Helper()
 	body, err := json.Marshal(req)
--- a/internal/e2e/change_test.go
+++ b/internal/e2e/change_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -91,24 +90,7 @@
 
 func setLogFaults(t *testing.T, logURL string, faults standin.LogFaults) {
 	t.Helper()
-	putJSON(t, logURL+"/faults", faults)
-}
-
-func putJSON(t *testing.T, url string, v any) {
-	t.Helper()
-	body, err := json.Marshal(v)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
+	change(t, http.MethodPut, logURL+"/faults", faults)
 }
 
 // TestLogOutageServesFromShares guards against a log outage that refuses requests
@@ -202,7 +184,7 @@
 	open := beginAsk(t, r.url, long, "")
 	<-open.begun
 	is.Equal(started(t, urls[0]), int64(1))
-	putJSON(t, urls[0]+"/faults", standin.EngineFaults{Leaving: true})
+	change(t, http.MethodPut, urls[0]+"/faults", standin.EngineFaults{Leaving: true})
 	time.Sleep(3 * time.Second)
 	before := started(t, urls[0])
 	for i := range 8 {
@@ -217,8 +199,6 @@
 func started(t *testing.T, url string) int64 {
 	t.Helper()
 	var report chat.LoadReport
-	if err := json.Unmarshal([]byte(get(t, url+"/v1/load")), &report); err != nil {
-		t.Fatal(err)
-	}
+	getJSON(t, url+"/v1/load", &report)
 	return report.Started
 }
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -44,15 +43,7 @@
 // beginAsk sends a request and reads its answer to the end in the background.
 func beginAsk(t *testing.T, url string, req chat.Request, key string) *caller {
 	t.Helper()
-	body, err := json.Marshal(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	httpReq, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(string(body)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	httpReq.Header.Set("Authorization", "Bearer "+testSecret)
+	httpReq := completion(t, url, req)
 	if key != "" {
 		httpReq.Header.Set("Idempotency-Key", key)
 	}
@@ -112,6 +103,12 @@
 	if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	r.ended(t)
+}
+
+// ended waits for the exit of a router that was told to stop.
+func (r *router) ended(t *testing.T) {
+	t.Helper()
 	done := make(chan error, 1)
 	go func() { done <- r.cmd.Wait() }()
 	select {
@@ -177,7 +174,7 @@
 		return resp.StatusCode == http.StatusServiceUnavailable
 	})
 	checkWhole(t, c.wait(t), req)
-	is.NoErr(r.cmd.Wait())
+	r.ended(t)
 	is.Equal(billed(t, logURL, key), requestCost(req))
 }
 
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -1,11 +1,8 @@
 package e2e
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -66,35 +63,15 @@
 
 func (f *fleet) list(t *testing.T, i int, state vmlist.State) {
 	t.Helper()
-	body, err := json.Marshal(vmlist.VM{
+	change(t, http.MethodPut, fmt.Sprintf("%s/vms/vm-%d", f.vmsURL, i), vmlist.VM{
 		ID: fmt.Sprintf("vm-%d", i), Address: fmt.Sprintf("127.0.0.%d", i+2),
 		Zone: fmt.Sprintf("zone-%d", i), Region: "region-1", State: state,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.call(t, http.MethodPut, fmt.Sprintf("/vms/vm-%d", i), body)
 }
 
 func (f *fleet) unlist(t *testing.T, i int) {
 	t.Helper()
-	f.call(t, http.MethodDelete, fmt.Sprintf("/vms/vm-%d", i), nil)
-}
-
-func (f *fleet) call(t *testing.T, method, path string, body []byte) {
-	t.Helper()
-	req, err := http.NewRequest(method, f.vmsURL+path, bytes.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		t.Fatalf("VM list answered %s", resp.Status)
-	}
+	change(t, http.MethodDelete, fmt.Sprintf("%s/vms/vm-%d", f.vmsURL, i), nil)
 }
 
 // status returns how many live routers the router knows, and its backup.
@@ -104,31 +81,10 @@
 		Routers int    `json:"routers"`
 		Backup  string `json:"backup"`
 	}
-	if err := json.Unmarshal([]byte(get(t, r.admin+"/admin/status")), &status); err != nil {
-		t.Fatal(err)
-	}
+	getJSON(t, r.admin+"/admin/status", &status)
 	return status.Routers, status.Backup
 }
 
-func get(t *testing.T, url string) string {
-	t.Helper()
-	req, err := http.NewRequest(http.MethodGet, url, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+testSecret)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(body)
-}
-
 func balance(t *testing.T, logURL string) operator.Balance {
 	t.Helper()
 	client := &operator.Client{Log: logclient.New(logURL), Partitions: 8}
@@ -266,8 +222,7 @@
 		var info struct {
 			State string `json:"state"`
 		}
-		body := get(t, r.url+"/v1/requests/"+id)
-		is.NoErr(json.Unmarshal([]byte(body), &info))
+		getJSON(t, r.url+"/v1/requests/"+id, &info)
 		is.Equal(info.State, "settled")
 	}
 }
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -21,9 +21,7 @@
 func stateOf(t *testing.T, url string) engineState {
 	t.Helper()
 	var s engineState
-	if err := json.Unmarshal([]byte(get(t, url+"/v1/engine")), &s); err != nil {
-		t.Fatal(err)
-	}
+	getJSON(t, url+"/v1/engine", &s)
 	return s
 }
 
@@ -93,8 +91,6 @@
 	var status struct {
 		Holder string `json:"holder"`
 	}
-	if err := json.Unmarshal([]byte(get(t, r.admin+"/admin/status")), &status); err != nil {
-		t.Fatal(err)
-	}
+	getJSON(t, r.admin+"/admin/status", &status)
 	return status.Holder
 }
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -200,29 +199,6 @@
 	return key
 }
 
-func ask(t *testing.T, url string, req chat.Request) (*http.Response, string) {
-	t.Helper()
-	body, err := json.Marshal(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	httpReq, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(string(body)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	httpReq.Header.Set("Authorization", "Bearer "+testSecret)
-	resp, err := http.DefaultClient.Do(httpReq)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return resp, string(answer)
-}
-
 // streamedText joins the content of a streamed answer and reports whether the
 // stream has its end mark.
 func streamedText(answer string) (text string, ended bool) {
