--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -81,7 +81,12 @@
 
 func (f *fleet) call(t *testing.T, method, path string, body []byte) {
 	t.Helper()
-	req, err := http.NewRequest(method, f.vmsURL+path, bytes.NewReader(body))
+	callStandin(t, method, f.vmsURL+path, body)
+}
+
+func callStandin(t *testing.T, method, url string, body []byte) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -91,7 +96,7 @@
 	}
 	resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		t.Fatalf("VM list answered %s", resp.Status)
+		t.Fatalf("%s %s was answered with %s", method, url, resp.Status)
 	}
 }
 
