--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -236,6 +236,11 @@
 	service := &standin.Service{}
 	arrived, finish := make(chan struct{}, 10), make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodGet {
+			// Routers ask for the load; only the order is held up.
+			http.NotFound(w, req)
+			return
+		}
 		service.ServeHTTP(w, req)
 		arrived <- struct{}{}
 		<-finish
