Count overspend from the ledger; add the setting for appends through the home

Cause: overspend_tokens_total never changed; the batching home could not be used. Conclusion: the metric is what an operator alerts on.

--- a/internal/coordination/budget/holders.go
+++ b/internal/coordination/budget/holders.go
@@ -30,6 +30,20 @@
 	return holders
 }
 
+// Overspend returns by how many tokens the reported spending of all entries
+// exceeds what was prepaid. It is 0 unless the fold has a defect.
+func (m *Manager) Overspend() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var sum int64
+	for _, p := range m.node.parts {
+		for _, a := range p.ledger.Accounts {
+			sum += max(0, a.Spent()-a.Prepaid)
+		}
+	}
+	return sum
+}
+
 // InFlightOf returns the requests in flight of a holder that this process knows
 // of, for the caller to ask the upstreams about before it reports the holder dead.
 func (m *Manager) InFlightOf(holder record.HolderID) []InFlight {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,6 +112,7 @@
 	return budget.Config{
 		Holder: holder, Partitions: cfg.LedgerPartitions, BillBuffer: cfg.BillBuffer,
 		FlushInterval: cfg.FlushInterval, GrantSize: cfg.GrantSize, Policy: policy,
+		AppendThroughHome: cfg.AppendThroughHome,
 	}
 }
 
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -14,6 +15,10 @@
 // up for one that ended before it did, and removes accounts.
 const reconcileInterval = 2 * time.Second
 
+// overspendRounds is the number of rounds between two looks at every account for
+// overspend, which costs a pass over the whole ledger.
+const overspendRounds = 15
+
 // reconcileAuthor is the author of the prepaid changes that a router appends.
 const reconcileAuthor = "router"
 
@@ -25,12 +30,16 @@
 func (d *Daemon) reconcile(ctx context.Context, log logstream.Log) {
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
+	round := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if round++; round%overspendRounds == 0 {
+			obs.OverspendTokensTotal.Set(d.budget.Overspend())
+		}
 		if d.lease() != nil {
 			continue
 		}
