Split the daemon's fleet wiring by job

Cause: fleet.go and outcomes.go mixed connection, budget calls, lookup and reclaim. Change: one file for each; no code changed.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -80,3 +80,25 @@
 	}
 	return current
 }
+
+// equalParts gives each live router the same part of a fleet-wide limit. The
+// rest of a limit on a number goes to the first routers in order of VM id, so
+// that routers with the same view stay within the limit together. A router
+// whose part of a small limit is 0 admits none of that entry's requests.
+type equalParts struct{ place func() (index, routers int) }
+
+// Fraction implements admission.Parts.
+func (p equalParts) Fraction(admission.Scope) float64 {
+	_, routers := p.place()
+	return 1 / float64(routers)
+}
+
+// Count implements admission.Parts.
+func (p equalParts) Count(_ admission.Scope, limit int) int {
+	index, routers := p.place()
+	part := limit / routers
+	if index < limit%routers {
+		part++
+	}
+	return part
+}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -4,13 +4,12 @@
 	"context"
 	"encoding/json"
 	"net"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
-	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/membership"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
@@ -67,80 +66,6 @@
 	return record.HolderID(m.VM + "/" + m.Incarnation)
 }
 
-// Home implements budget.Peers.
-func (f *fleet) Home(partition int) record.HolderID {
-	m, ok := f.members.View().Home(partition, f.self.Region)
-	if !ok || m.Incarnation == "" {
-		return ""
-	}
-	return holderOf(m)
-}
-
-// Backup implements budget.Peers.
-func (f *fleet) Backup() record.HolderID {
-	m, ok := f.members.View().CopyPeer(f.self.VM, f.self.Zone, f.self.Region)
-	if !ok || m.Incarnation == "" {
-		return ""
-	}
-	return holderOf(m)
-}
-
-// errNoAddress reports a holder that is no member, so that no call reaches it.
-var errNoAddress = errors.New("holder is not a member")
-
-// errReplaced reports an answer by another incarnation than the one called.
-var errReplaced = errors.New("another process answers for the holder")
-
-// call runs a method on exactly the given process: a later incarnation on the
-// same address has none of its state.
-func (f *fleet) call(ctx context.Context, to record.HolderID, method string, params, result any) error {
-	for _, m := range f.members.View().Members() {
-		if holderOf(m) != to {
-			continue
-		}
-		from, err := f.pool.CallPeer(ctx, m.PeerAddress, method, params, result)
-		if err != nil {
-			return err
-		}
-		if from.VM != m.VM || from.Incarnation != m.Incarnation {
-			return errReplaced
-		}
-		return nil
-	}
-	return errors.Wrapf(errNoAddress, "holder %s", to)
-}
-
-// Reserve implements budget.Peers.
-func (f *fleet) Reserve(ctx context.Context, to record.HolderID, p budget.ReserveParams) (budget.ReserveResult, error) {
-	var r budget.ReserveResult
-	err := f.call(ctx, to, budget.MethodReserve, p, &r)
-	return r, err
-}
-
-// Settle implements budget.Peers.
-func (f *fleet) Settle(ctx context.Context, to record.HolderID, p budget.SettleParams) error {
-	return f.call(ctx, to, budget.MethodSettle, p, nil)
-}
-
-// Acquire implements budget.Peers.
-func (f *fleet) Acquire(ctx context.Context, to record.HolderID, p budget.AcquireParams) (budget.AcquireResult, error) {
-	var r budget.AcquireResult
-	err := f.call(ctx, to, budget.MethodAcquire, p, &r)
-	return r, err
-}
-
-// Journal implements budget.Peers.
-func (f *fleet) Journal(ctx context.Context, to record.HolderID, b budget.CopyBatch) error {
-	return f.call(ctx, to, budget.MethodJournal, b, nil)
-}
-
-// Return implements budget.Peers.
-func (f *fleet) Return(ctx context.Context, to record.HolderID, p budget.ReturnParams) (budget.ReturnResult, error) {
-	var r budget.ReturnResult
-	err := f.call(ctx, to, budget.MethodReturn, p, &r)
-	return r, err
-}
-
 // handle registers a method whose parameters are of type P. Parameters that name
 // another process than the connection are refused.
 func handle[P any](s *peer.Server, method string, h func(ctx context.Context, from peerapi.Identity, p P) (any, error)) {
@@ -153,100 +78,39 @@
 	})
 }
 
-var errWrongSender = errors.New("the message names another sender than its connection")
+const (
+	// askWorkers bounds the questions to upstreams or peers at a time.
+	askWorkers = 16
+	// askTimeout bounds one question.
+	askTimeout = 2 * time.Second
+)
 
-func checkSender(from peerapi.Identity, named record.HolderID) error {
-	if string(named) != from.VM+"/"+from.Incarnation {
-		return errWrongSender
+// start begins the loops that need the other routers. Peers are served until the
+// context peering ends; the other loops end with ctx.
+func (f *fleet) start(peering, ctx context.Context, loops *conc.WaitGroup, d *Daemon) error {
+	listener, err := net.Listen("tcp", f.self.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
 	}
+	loops.Go(func() { _ = f.server.Serve(peering, listener) })
+	loops.Go(func() { f.members.Run(peering) })
+	loops.Go(func() { d.config.RunFetch(ctx, f.pool, d.reports) })
+	loops.Go(func() { f.shareEvidence(ctx, d.evidence) })
+	loops.Go(func() { f.reclaim(ctx, d.budget, d.cfg.UnknownBillDelay, d.askUpstreams) })
 	return nil
 }
 
-// serveBudget answers the other routers' budget calls.
-func (f *fleet) serveBudget(m *budget.Manager) {
-	handle(f.server, budget.MethodReserve, func(ctx context.Context, from peerapi.Identity, p budget.ReserveParams) (any, error) {
-		if err := checkSender(from, p.From); err != nil {
-			return nil, err
-		}
-		return m.ServeReserve(ctx, p)
-	})
-	handle(f.server, budget.MethodSettle, func(_ context.Context, from peerapi.Identity, p budget.SettleParams) (any, error) {
-		if err := checkSender(from, p.From); err != nil {
-			return nil, err
-		}
-		m.ServeSettle(p)
-		return struct{}{}, nil
-	})
-	handle(f.server, budget.MethodAcquire, func(ctx context.Context, _ peerapi.Identity, p budget.AcquireParams) (any, error) {
-		return m.ServeAcquire(ctx, p)
-	})
-	handle(f.server, budget.MethodJournal, func(_ context.Context, from peerapi.Identity, b budget.CopyBatch) (any, error) {
-		if err := checkSender(from, b.Holder); err != nil {
-			return nil, err
-		}
-		return struct{}{}, m.ServeJournal(b)
-	})
-	handle(f.server, budget.MethodReturn, func(_ context.Context, _ peerapi.Identity, p budget.ReturnParams) (any, error) {
-		return m.ServeReturn(p), nil
-	})
-}
-
-// proofKinds maps membership's proofs to those of the budget.
-var proofKinds = map[membership.ProofKind]budget.ProofKind{
-	membership.ProofClosed:   budget.ProofReplaced,
-	membership.ProofUnlisted: budget.ProofListed,
-	membership.ProofReplaced: budget.ProofReplaced,
-}
-
-// reclaimInterval is the time between two looks for holders that have stopped.
-const reclaimInterval = time.Second
-
-// askUsage asks the upstreams about the requests of a stopped holder. It reports
-// false while one of them still runs.
-type askUsage func(ctx context.Context, requests []budget.InFlight) (budget.Resolve, bool)
-
-// reclaim reports holders that have provably stopped to the budget. Runs that go
-// on are waited for up to the delay; then what they used so far is billed.
-func (f *fleet) reclaim(ctx context.Context, m *budget.Manager, delay time.Duration, ask askUsage) {
-	ticker := time.NewTicker(reclaimInterval)
-	defer ticker.Stop()
-	since := make(map[record.HolderID]time.Time)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for _, holder := range m.Holders() {
-			kind, proven := f.proof(holder)
-			if !proven {
-				continue
-			}
-			if since[holder].IsZero() {
-				since[holder] = time.Now()
-			}
-			resolve, final := ask(ctx, m.InFlightOf(holder))
-			if final || time.Since(since[holder]) >= delay {
-				m.Dead(budget.Proof{Kind: proofKinds[kind], Holder: holder, Since: since[holder]}, resolve)
-			}
-		}
-	}
-}
-
-func (f *fleet) proof(holder record.HolderID) (membership.ProofKind, bool) {
-	vm, incarnation, ok := strings.Cut(string(holder), "/")
-	if !ok {
-		return membership.ProofNone, false
-	}
-	f.members.Watch(vm, incarnation, f.addressOf(vm))
-	return f.members.Proof(vm, incarnation)
-}
-
-func (f *fleet) addressOf(vm string) string {
+// place returns this process's rank among the members that take part, and their
+// number.
+func (f *fleet) place() (index, routers int) {
 	for _, m := range f.members.View().Members() {
-		if m.VM == vm {
-			return m.PeerAddress
+		if m.State > membership.StateSuspect && m.VM != f.self.VM {
+			continue
+		}
+		if m.VM < f.self.VM {
+			index++
 		}
+		routers++
 	}
-	return ""
+	return index, max(1, routers)
 }
--- /dev/null
+++ b/internal/daemon/fleet_requests.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/membership"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/state/request"
+	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
+)
+
+// findParams asks a router for a request.
+type findParams struct {
+	ID    string          `json:"id"`
+	Entry record.EntryKey `json:"entry"`
+}
+
+type findResult struct {
+	Found bool         `json:"found"`
+	Info  request.Info `json:"info"`
+}
+
+// serveRequests answers the other routers' questions for requests.
+func (f *fleet) serveRequests(api *httpapi.API) {
+	handle(f.server, peerapi.MethodRequestFind, func(_ context.Context, _ peerapi.Identity, p findParams) (any, error) {
+		info, found := api.FindRequest(p.ID, p.Entry)
+		return findResult{Found: found, Info: info}, nil
+	})
+}
+
+// FindRequest implements httpapi.Remote. It asks every other member, since a
+// request id does not name the router that has it.
+func (f *fleet) FindRequest(ctx context.Context, id string, entry record.EntryKey) (request.Info, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var best findResult
+	workers := pool.New().WithMaxGoroutines(askWorkers)
+	for _, m := range f.members.View().Members() {
+		if m.VM == f.self.VM || m.State == membership.StateGone {
+			continue
+		}
+		workers.Go(func() {
+			var r findResult
+			err := f.pool.Call(ctx, m.PeerAddress, peerapi.MethodRequestFind, findParams{ID: id, Entry: entry}, &r)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && r.Found && !(best.Found && best.Info.State.Terminal()) {
+				best = r
+				if r.Info.State.Terminal() {
+					cancel()
+				}
+			}
+		})
+	}
+	workers.Wait()
+	return best.Info, best.Found
+}
