--- a/internal/e2e/change_test.go
+++ b/internal/e2e/change_test.go
@@ -13,8 +13,11 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/vmlist"
 	"github.com/dotterelthread/dotterelthread/internal/standin"
+	"github.com/dotterelthread/dotterelthread/internal/state/snapshot"
+	"github.com/dotterelthread/dotterelthread/internal/transport/logclient"
 )
 
 // balancer stands for the platform's balancer: it sends to routers in turn that
@@ -202,3 +205,56 @@
 	getJSON(t, url+"/v1/load", &report)
 	return report.Started
 }
+
+// TestFleetRebuildsFromTheLog guards against state that only lived in the routers:
+// all are killed at once, the log has dropped the oldest records, and new VMs
+// start from snapshots and what is left.
+func TestFleetRebuildsFromTheLog(t *testing.T) {
+	is := is.New(t)
+	logURL, engineURL := startStandin(t, "log"), startStandin(t, "engine")
+	publishSample(t, logURL, engineURL)
+	retention := []string{"--log-retain-records", "24", "--log-retention", "10s"}
+	f := startFleet(t, 3, logURL, retention...)
+	change(t, http.MethodPut, logURL+"/faults", standin.LogFaults{Retain: 24})
+	asked := 0
+	askSome := func(routers []*router) {
+		for i := range 30 {
+			resp, body := ask(t, routers[i%len(routers)].url, question(asked))
+			if resp.StatusCode != http.StatusOK {
+				t.Fatalf("request %d: %s %s", asked, resp.Status, body)
+			}
+			asked++
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	askSome(f.routers)
+	waitFor(t, func() bool { return firstRetained(t, logURL, record.LedgerStream(record.Partition("bench", 8))) > 1 })
+	before := balance(t, logURL)
+	for i, r := range f.routers {
+		is.NoErr(r.cmd.Process.Kill())
+		f.unlist(t, i)
+	}
+	for i := range 3 {
+		f.list(t, 3+i, vmlist.StateLive)
+		f.startMember(t, 3+i)
+	}
+	rebuilt := f.routers[3:]
+	askSome(rebuilt)
+	for _, r := range rebuilt {
+		r.stop(t)
+	}
+	after := balance(t, logURL)
+	is.Equal(after.Prepaid, before.Prepaid)
+	is.Equal(after.Spent+after.Shared+after.Free, after.Prepaid)
+	is.True(after.Spent > before.Spent)
+}
+
+// firstRetained returns the oldest record that the log keeps of a stream.
+func firstRetained(t *testing.T, logURL, stream string) uint64 {
+	t.Helper()
+	first, err := snapshot.FirstRetained(t.Context(), logclient.New(logURL), stream)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return first
+}
