--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -41,7 +41,10 @@
 
 // Execute serves a model engine.
 func (c *engineCommand) Execute([]string) error {
-	engine := &standin.Engine{ChecksFencing: c.ChecksFencing, Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn), FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo}
+	engine := &standin.Engine{
+		FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo,
+		ChecksFencing: c.ChecksFencing, Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn),
+	}
 	return serve(c.parent.Listen, engine.Handler())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,46 +63,51 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "process id")
 	}
-	incarnation := id.String()
 	d := &Daemon{
 		cfg: cfg, logger: logger, log: log, config: configsync.NewFollower(log, logger),
-		holder:  record.HolderID(cfg.VM + "/" + incarnation),
-		started: time.Now(), drain: make(chan struct{}),
+		holder: record.HolderID(cfg.VM + "/" + id.String()), engines: upstream.New(),
+		evidence: routing.NewEvidence(time.Now), started: time.Now(), drain: make(chan struct{}),
 	}
 	budgetConfig := newBudgetConfig(cfg, d.holder)
 	if cfg.PeerListen != "" {
-		if d.fleet, err = newFleet(cfg, incarnation, d.config, d.configStatus, logger); err != nil {
+		if d.fleet, err = newFleet(cfg, id.String(), d.config, d.configStatus, logger); err != nil {
 			return nil, err
 		}
 		budgetConfig.Peers = d.fleet
 	}
 	d.budget = budget.NewManager(budgetConfig, log, logger)
-	d.claims = claim.New(claim.Config{
-		Partitions: cfg.ClaimPartitions, Interval: cfg.ClaimInterval, Queue: claim.DefaultQueue,
-		MaxWait: claim.DefaultMaxWait, Retention: cfg.ClaimRetention,
-	}, log, logger)
-	d.engines = upstream.New()
-	d.evidence = routing.NewEvidence(time.Now)
+	d.claims = claim.New(newClaimConfig(cfg), log, logger)
 	d.routing = routing.New(routing.Config{
-		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers, Evidence: d.evidence, Notify: routing.LogChanges(logger),
+		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers,
+		Evidence: d.evidence, Notify: routing.LogChanges(logger),
 	})
 	d.admission = d.newAdmission()
-	d.api = d.newAPI()
 	d.snapshots = d.newSnapshotWriters(log)
+	d.api = d.newAPI()
 	if d.fleet != nil {
-		d.fleet.serveBudget(d.budget)
-		d.fleet.serveRequests(d.api)
-		d.fleet.serveEvidence(d.evidence)
+		d.fleet.serve(d)
 		d.api.Remote = d.fleet
 	}
-	d.server = &http.Server{
-		Handler: d.api.Handler(), ReadHeaderTimeout: cfg.ReadTimeout,
-		IdleTimeout: cfg.IdleTimeout, MaxHeaderBytes: cfg.MaxHeaderBytes,
-	}
-	d.admin = &http.Server{Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: cfg.ReadTimeout}
+	d.server, d.admin = d.newServers()
 	return d, nil
 }
 
+func (d *Daemon) newServers() (public, admin *http.Server) {
+	public = &http.Server{
+		Handler: d.api.Handler(), ReadHeaderTimeout: d.cfg.ReadTimeout,
+		IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes,
+	}
+	admin = &http.Server{Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: d.cfg.ReadTimeout}
+	return public, admin
+}
+
+func newClaimConfig(cfg settings.Daemon) claim.Config {
+	return claim.Config{
+		Partitions: cfg.ClaimPartitions, Interval: cfg.ClaimInterval, Queue: claim.DefaultQueue,
+		MaxWait: claim.DefaultMaxWait, Retention: cfg.ClaimRetention,
+	}
+}
+
 func newBudgetConfig(cfg settings.Daemon, holder record.HolderID) budget.Config {
 	policy := budget.DefaultPolicy()
 	policy.Horizon = cfg.BudgetHorizon
@@ -140,47 +145,6 @@
 	}
 }
 
-// place returns this router's rank among the live routers, and their number.
-func (d *Daemon) place() (index, routers int) {
-	if d.fleet == nil {
-		return 0, 1
-	}
-	return d.fleet.place()
-}
-
-func (d *Daemon) routers() int {
-	_, n := d.place()
-	return n
-}
-
-// Status describes the process for /admin/status.
-func (d *Daemon) Status() httpapi.Status {
-	return httpapi.Status{
-		VM: d.cfg.VM, Zone: d.cfg.Zone, Region: d.cfg.Region, Holder: string(d.holder),
-		Ready: d.ready.Load(), Draining: d.draining.Load(), ConfigVersion: d.config.Current().Version,
-		Backup: string(d.budget.Backup()), Routers: d.routers(), ConfigLease: d.lease() == nil, OpenRequests: d.api.Open(), UnknownRequests: d.api.Unknown.Len(), RequestStates: d.api.Requests.Count(),
-		Started: d.started,
-	}
-}
-
-// Drain begins a planned stop, like SIGTERM.
-func (d *Daemon) Drain() {
-	if d.draining.CompareAndSwap(false, true) {
-		close(d.drain)
-	}
-}
-
-// Balance returns what is left of an entry's budget.
-func (d *Daemon) Balance(entry string) (httpapi.EntryBalance, bool) {
-	bound := d.config.Current().Entry(entry)
-	if bound == nil {
-		return httpapi.EntryBalance{}, false
-	}
-	return httpapi.EntryBalance{
-		Entry: bound.Key.Name, Generation: bound.Key.Generation, Remaining: d.budget.Balance(bound.Key).Remaining,
-	}, true
-}
-
 // Run serves on the listeners until the context ends, then finishes open
 // requests and returns shares to the log.
 func (d *Daemon) Run(ctx context.Context, public, admin net.Listener) error {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -85,6 +85,13 @@
 	askTimeout = 2 * time.Second
 )
 
+// serve registers what this router answers to the others.
+func (f *fleet) serve(d *Daemon) {
+	f.serveBudget(d.budget)
+	f.serveRequests(d.api)
+	f.serveEvidence(d.evidence)
+}
+
 // start begins the loops that need the other routers. Peers are served until the
 // context peering ends; the other loops end with ctx.
 func (f *fleet) start(peering, ctx context.Context, loops *conc.WaitGroup, d *Daemon) error {
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -69,7 +69,8 @@
 	}
 	x.tries++
 	call := upstream.Call{
-		Address: target.Address, RequestID: x.id, Attempt: chat.AttemptOf(n, string(x.api.Holder)), Priority: attempt.Priority(), Body: x.body,
+		Address: target.Address, RequestID: x.id, Attempt: chat.AttemptOf(n, string(x.api.Holder)),
+		Priority: attempt.Priority(), Body: x.body,
 	}
 	x.calls = append(x.calls, call)
 	ctx, span := obs.StartSpan(x.ctx, obs.SpanAttempt, x.id)
--- a/internal/transport/peer/pool.go
+++ b/internal/transport/peer/pool.go
@@ -180,7 +180,8 @@
 		return err
 	}
 	st := &stream{
-		conn: conn, reader: h.reader, codec: peerapi.NewCodec(l.peer.Version, p.cfg.MaxMessage, p.cfg.Self, l.peer), limit: p.cfg.MaxMessage, write: p.cfg.Write, idle: p.cfg.Idle,
+		conn: conn, reader: h.reader, codec: peerapi.NewCodec(l.peer.Version, p.cfg.MaxMessage, p.cfg.Self, l.peer),
+		limit: p.cfg.MaxMessage, write: p.cfg.Write, idle: p.cfg.Idle,
 		failed: func(err error) {
 			countBadMessage(err)
 			p.forget(address, l)
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -128,7 +128,8 @@
 	}
 	session := &session{server: s, from: from, slots: make(chan struct{}, maxCallsPerConn)}
 	st := &stream{
-		conn: conn, reader: h.reader, codec: peerapi.NewCodec(from.Version, s.cfg.MaxMessage, from, s.cfg.Self), limit: s.cfg.MaxMessage, write: s.cfg.Write, idle: s.cfg.Idle,
+		conn: conn, reader: h.reader, codec: peerapi.NewCodec(from.Version, s.cfg.MaxMessage, from, s.cfg.Self),
+		limit: s.cfg.MaxMessage, write: s.cfg.Write, idle: s.cfg.Idle,
 		failed: func(err error) { s.closed(from, err) },
 	}
 	rpc := jsonrpc2.NewConn(ctx, st, session, jsonrpc2.SetLogger(discard{}))
