Read the engines' prefix cache events

Cause: a router knew only the prefixes that it had sent itself. Change: GET /v1/cache/events once a second for each engine; the stand-in engine keeps a bounded cache and publishes events late and with gaps.

--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -35,6 +35,8 @@
 	FirstToken    time.Duration `long:"first-token" env:"DOTTERELSTANDIN_FIRST_TOKEN" default:"0s" description:"time until the first token"`
 	TokenInterval time.Duration `long:"token-interval" env:"DOTTERELSTANDIN_TOKEN_INTERVAL" default:"0s" description:"time between two tokens"`
 	ChecksFencing bool          `long:"checks-fencing" env:"DOTTERELSTANDIN_CHECKS_FENCING" description:"refuse orders with an old fencing number"`
+	CacheLag      time.Duration `long:"cache-lag" env:"DOTTERELSTANDIN_CACHE_LAG" default:"0s" description:"time until a prefix cache event is published"`
+	CacheGap      uint64        `long:"cache-gap" env:"DOTTERELSTANDIN_CACHE_GAP" default:"0" description:"every event with a multiple of this number is never published; 0 publishes all"`
 	CrashOn       string        `long:"crash-on" env:"DOTTERELSTANDIN_CRASH_ON" description:"end the process when a request contains this text"`
 	ExportTo      string        `long:"export-to" env:"DOTTERELSTANDIN_EXPORT_TO" description:"base URL of an engine that gets a copy of each stream"`
 }
@@ -43,6 +45,7 @@
 func (c *engineCommand) Execute([]string) error {
 	engine := &standin.Engine{
 		FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo,
+		CacheLag: c.CacheLag, CacheGap: c.CacheGap,
 		ChecksFencing: c.ChecksFencing, Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn),
 	}
 	return serve(c.parent.Listen, engine.Handler())
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
 const (
@@ -24,10 +25,16 @@
 func (d *Daemon) readLoads(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
+	caches := &cacheReader{client: d.engines, routing: d.routing, last: make(map[string]cachePosition)}
 	for {
 		workers := pool.New().WithMaxGoroutines(loadWorkers)
 		for u := range d.config.Current().Upstreams {
-			workers.Go(func() { d.readLoad(ctx, u.Name, u.Address) })
+			workers.Go(func() {
+				d.readLoad(ctx, u.Name, u.Address)
+				if u.Kind == catalogue.KindEngine {
+					caches.read(ctx, u.Name, u.Address)
+				}
+			})
 		}
 		workers.Wait()
 		select {
--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -39,6 +39,22 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// CacheEvents is the answer to GET /v1/cache/events?after=n: the changes of the
+// prefix cache after event number n. Events come late, and some never come.
+type CacheEvents struct {
+	Incarnation string       `json:"incarnation"`
+	Events      []CacheEvent `json:"events"`
+}
+
+// CacheEvent is one change of an engine's prefix cache. The hashes are those of
+// Request.PrefixHashes.
+type CacheEvent struct {
+	// Seq counts the events of an incarnation from 1.
+	Seq     uint64   `json:"seq"`
+	Stored  []uint64 `json:"stored,omitempty"`
+	Evicted []uint64 `json:"evicted,omitempty"`
+}
+
 // AttemptOf names attempt n of a holder in the whole fleet: a request may be
 // tried by another router after this one.
 func AttemptOf(n int, holder string) string { return strconv.Itoa(n) + "@" + holder }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -40,7 +40,13 @@
 	// ChecksFencing makes the engine refuse orders with an old fencing number.
 	ChecksFencing bool
 
+	// CacheLag is the time until a cache event is published; every CacheGap-th
+	// event never is, 0 publishes all.
+	CacheLag time.Duration
+	CacheGap uint64
+
 	control engineControl
+	cache   prefixCache
 
 	mu     sync.Mutex
 	runs   map[string]*run
@@ -72,6 +78,7 @@
 	r := httprouter.New()
 	r.POST("/v1/chat/completions", e.complete)
 	r.GET("/v1/load", e.load)
+	r.GET("/v1/cache/events", e.cacheEvents)
 	r.GET("/v1/engine", e.engineState)
 	r.POST("/v1/engine/orders", e.takeOrder)
 	r.GET("/v1/streams/:id", e.resume)
@@ -185,6 +192,7 @@
 	}
 	r.attach(httpReq.Header.Get(chat.HeaderAttempt))
 	e.Runs.Add(1)
+	e.cache.store(req.PrefixHashes(), defaultCacheBlocks)
 	if e.Crash != nil {
 		e.Crash(body)
 	}
--- a/internal/transport/upstream/load.go
+++ b/internal/transport/upstream/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -13,23 +14,35 @@
 
 // Load reads the load report of an upstream.
 func (c *Client) Load(ctx context.Context, address string) (chat.LoadReport, error) {
-	target := strings.TrimRight(address, "/") + "/v1/load"
+	var report chat.LoadReport
+	err := c.getJSON(ctx, address, "/v1/load", &report)
+	return report, err
+}
+
+// CacheEvents reads the changes of an engine's prefix cache after a number.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) (chat.CacheEvents, error) {
+	var events chat.CacheEvents
+	err := c.getJSON(ctx, address, "/v1/cache/events?after="+strconv.FormatUint(after, 10), &events)
+	return events, err
+}
+
+func (c *Client) getJSON(ctx context.Context, address, path string, v any) error {
+	target := strings.TrimRight(address, "/") + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return chat.LoadReport{}, errors.Wrap(err, "build load request")
+		return errors.Wrap(err, "build request")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return chat.LoadReport{}, errors.Wrap(err, "read load")
+		return errors.Wrapf(err, "read %s", path)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return chat.LoadReport{}, errors.Newf("load request answered %s", resp.Status)
+		return errors.Newf("%s answered %s", path, resp.Status)
 	}
 	body, err := readAnswer(resp)
 	if err != nil {
-		return chat.LoadReport{}, err
+		return err
 	}
-	var report chat.LoadReport
-	return report, errors.Wrap(json.Unmarshal(body, &report), "decode load")
+	return errors.Wrapf(json.Unmarshal(body, v), "decode %s", path)
 }
