Give the stand-in engine priorities and a lagged load; trace peer calls

Cause: nothing could show whether the priority that routers send has an effect, the load was always current, and a call between routers had no span at its end. Change: slots with priorities and a load lag in the stand-in engine; a span for each served peer call; two unused trace functions removed.

--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -37,6 +37,8 @@
 	ChecksFencing bool          `long:"checks-fencing" env:"DOTTERELSTANDIN_CHECKS_FENCING" description:"refuse orders with an old fencing number"`
 	CacheLag      time.Duration `long:"cache-lag" env:"DOTTERELSTANDIN_CACHE_LAG" default:"0s" description:"time until a prefix cache event is published"`
 	CacheGap      uint64        `long:"cache-gap" env:"DOTTERELSTANDIN_CACHE_GAP" default:"0" description:"every event with a multiple of this number is never published; 0 publishes all"`
+	Slots         int           `long:"slots" env:"DOTTERELSTANDIN_SLOTS" default:"0" description:"requests that run at a time, waiting ones by priority; 0 does not bound them"`
+	LoadLag       time.Duration `long:"load-lag" env:"DOTTERELSTANDIN_LOAD_LAG" default:"0s" description:"age up to which a load report is repeated"`
 	CrashOn       string        `long:"crash-on" env:"DOTTERELSTANDIN_CRASH_ON" description:"end the process when a request contains this text"`
 	ExportTo      string        `long:"export-to" env:"DOTTERELSTANDIN_EXPORT_TO" description:"base URL of an engine that gets a copy of each stream"`
 }
@@ -45,7 +47,7 @@
 func (c *engineCommand) Execute([]string) error {
 	engine := &standin.Engine{
 		FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo,
-		CacheLag: c.CacheLag, CacheGap: c.CacheGap,
+		Slots: c.Slots, LoadLag: c.LoadLag, CacheLag: c.CacheLag, CacheGap: c.CacheGap,
 		ChecksFencing: c.ChecksFencing, Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn),
 	}
 	return serve(c.parent.Listen, engine.Handler())
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/membership"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/settings"
@@ -74,7 +75,10 @@
 		if err := json.Unmarshal(raw, &p); err != nil {
 			return nil, errors.Wrap(err, "parameters")
 		}
-		return h(ctx, from, p)
+		ctx, span := obs.StartSpan(ctx, "peer."+method, "")
+		result, err := h(ctx, from, p)
+		obs.EndSpan(span, err)
+		return result, err
 	})
 }
 
--- a/internal/obs/trace.go
+++ b/internal/obs/trace.go
@@ -112,19 +112,3 @@
 func InjectTrace(ctx context.Context, header http.Header) {
 	propagator.Inject(ctx, propagation.HeaderCarrier(header))
 }
-
-// TraceParent returns the trace context as a W3C traceparent, or an empty
-// string. Peer messages carry it.
-func TraceParent(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagator.Inject(ctx, carrier)
-	return carrier.Get("traceparent")
-}
-
-// WithTraceParent returns a context with the trace context of a peer message.
-func WithTraceParent(ctx context.Context, parent string) context.Context {
-	if parent == "" {
-		return ctx
-	}
-	return propagator.Extract(ctx, propagation.MapCarrier{"traceparent": parent})
-}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -45,7 +45,15 @@
 	CacheLag time.Duration
 	CacheGap uint64
 
+	// Slots is the number of requests that run at a time; 0 does not bound it.
+	// Waiting requests start in the order of their priority.
+	Slots int
+	// LoadLag is the age of the load that is reported.
+	LoadLag time.Duration
+
 	control engineControl
+	slots   slots
+	lagged  laggedLoad
 	cache   prefixCache
 
 	mu     sync.Mutex
@@ -191,6 +199,7 @@
 		e.replace(r)
 	}
 	r.attach(httpReq.Header.Get(chat.HeaderAttempt))
+	r.priority, _ = strconv.Atoi(httpReq.Header.Get(chat.HeaderPriority))
 	e.Runs.Add(1)
 	e.cache.store(req.PrefixHashes(), defaultCacheBlocks)
 	if e.Crash != nil {
@@ -235,12 +244,15 @@
 // generate produces the tokens, in the background when they take time.
 func (e *Engine) generate(r *run) {
 	e.Tokens.Add(r.promptTokens)
-	if e.FirstToken == 0 && e.TokenInterval == 0 {
+	if e.FirstToken == 0 && e.TokenInterval == 0 && e.Slots == 0 {
 		e.Tokens.Add(int64(len(r.tokens)))
 		r.advance(len(r.tokens))
 		return
 	}
+	start := e.slots.enter(e.Slots, r.priority)
 	go func() {
+		<-start
+		defer e.slots.leave()
 		time.Sleep(e.FirstToken)
 		for range r.tokens {
 			if !r.advance(1) {
--- a/internal/standin/engine_run.go
+++ b/internal/standin/engine_run.go
@@ -18,6 +18,8 @@
 	bodyHash     [32]byte
 	tokens       []string
 	promptTokens int64
+	// priority is the engine's; lower runs first.
+	priority int
 
 	mu sync.Mutex
 	// attempt reads the run now; heldBy did so last before the run was complete.
