Keep the weight store's rate with processes

Cause: the rate was tested in the model only; the stand-in store had no address. Change: dotterelstandin weights, engines that pull from it, a test with four engines that load at once. Conclusion: one order holder paces the pulls of the fleet.

--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -39,6 +39,7 @@
 	CacheGap      uint64        `long:"cache-gap" env:"DOTTERELSTANDIN_CACHE_GAP" default:"0" description:"every event with a multiple of this number is never published; 0 publishes all"`
 	Slots         int           `long:"slots" env:"DOTTERELSTANDIN_SLOTS" default:"0" description:"requests that run at a time, waiting ones by priority; 0 does not bound them"`
 	LoadLag       time.Duration `long:"load-lag" env:"DOTTERELSTANDIN_LOAD_LAG" default:"0s" description:"age up to which a load report is repeated"`
+	WeightsURL    string        `long:"weights-url" env:"DOTTERELSTANDIN_WEIGHTS_URL" description:"base URL of the weight store that models are loaded from"`
 	CrashOn       string        `long:"crash-on" env:"DOTTERELSTANDIN_CRASH_ON" description:"end the process when a request contains this text"`
 	ExportTo      string        `long:"export-to" env:"DOTTERELSTANDIN_EXPORT_TO" description:"base URL of an engine that gets a copy of each stream"`
 }
@@ -47,12 +48,22 @@
 func (c *engineCommand) Execute([]string) error {
 	engine := &standin.Engine{
 		FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo,
-		Slots: c.Slots, LoadLag: c.LoadLag, CacheLag: c.CacheLag, CacheGap: c.CacheGap,
+		WeightsURL: c.WeightsURL, Slots: c.Slots, LoadLag: c.LoadLag, CacheLag: c.CacheLag, CacheGap: c.CacheGap,
 		ChecksFencing: c.ChecksFencing, Incarnation: uuid.NewString(), Crash: crashOn(c.CrashOn),
 	}
 	return serve(c.parent.Listen, engine.Handler())
 }
 
+type weightsCommand struct {
+	parent *options
+	Rate   float64 `long:"rate" env:"DOTTERELSTANDIN_RATE" default:"1" description:"pulls per second that are allowed"`
+}
+
+// Execute serves the weight store.
+func (c *weightsCommand) Execute([]string) error {
+	return serve(c.parent.Listen, standin.NewWeights(c.Rate).Handler())
+}
+
 type vmListCommand struct {
 	parent *options
 	Lag    time.Duration `long:"lag" env:"DOTTERELSTANDIN_LAG" default:"0s" description:"time until readers see a change of the list"`
@@ -80,6 +91,7 @@
 	parser := flags.NewParser(&opts, flags.Default)
 	addCommand(parser, "log", "platform log", &logCommand{parent: &opts})
 	addCommand(parser, "vmlist", "platform VM list", &vmListCommand{parent: &opts})
+	addCommand(parser, "weights", "weight store", &weightsCommand{parent: &opts})
 	addCommand(parser, "engine", "model engine", &engineCommand{parent: &opts})
 	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/configsync"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+	"github.com/dotterelthread/dotterelthread/internal/standin"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/transport/logclient"
 )
@@ -33,7 +35,7 @@
 	logURL, engineURL := startStandin(t, "log"), startStandin(t, "engine", "--checks-fencing")
 	publishSample(t, logURL, engineURL)
 	f := startFleet(t, 3, logURL)
-	publishOrder(t, logURL, 1, "v1")
+	publishOrder(t, logURL, 1, "v1", "e1")
 	waitFor(t, func() bool { return stateOf(t, engineURL).Models[testModel].Version == "v1" })
 	first := stateOf(t, engineURL).Fence
 	holder := orderHolder(t, logURL)
@@ -43,18 +45,48 @@
 			f.unlist(t, i)
 		}
 	}
-	publishOrder(t, logURL, 2, "v2")
+	publishOrder(t, logURL, 2, "v2", "e1")
 	waitFor(t, func() bool { return stateOf(t, engineURL).Models[testModel].Version == "v2" })
 	is.True(stateOf(t, engineURL).Fence > first)
 }
 
-// publishOrder declares that the engine has a version of the test model loaded.
-func publishOrder(t *testing.T, logURL string, base uint64, version string) {
+// TestLoadsKeepTheStoresRate guards against a fleet that asks the weight store for
+// more than its rate when many engines have to load at once.
+func TestLoadsKeepTheStoresRate(t *testing.T) {
+	is := is.New(t)
+	logURL, store := startStandin(t, "log"), startStandin(t, "weights", "--rate", "2")
+	var engines, urls []string
+	for i := range 4 {
+		engines = append(engines, fmt.Sprintf("e%d", i+1))
+		urls = append(urls, startStandin(t, "engine", "--weights-url", store))
+	}
+	publishSample(t, logURL, urls...)
+	startFleet(t, 3, logURL, "--weight-pulls-per-second", "2")
+	publishOrder(t, logURL, 1, "v1", engines...)
+	waitFor(t, func() bool {
+		for _, url := range urls {
+			if stateOf(t, url).Models[testModel].Version != "v1" {
+				return false
+			}
+		}
+		return true
+	})
+	var counts standin.WeightCounts
+	getJSON(t, store+"/weights", &counts)
+	is.Equal(counts, standin.WeightCounts{Pulls: 4})
+}
+
+// publishOrder declares that engines have a version of the test model loaded.
+func publishOrder(t *testing.T, logURL string, base uint64, version string, engines ...string) {
 	t.Helper()
+	var desired []catalogue.EngineOrder
+	for _, engine := range engines {
+		desired = append(desired, catalogue.EngineOrder{
+			Name: "load-" + engine, Upstream: engine, Models: []catalogue.EngineModel{{Model: testModel, Version: version}},
+		})
+	}
 	data, err := json.Marshal(configsync.Publish{
-		ID: "order-" + version, Base: base, Upserts: catalogue.Catalogue{EngineOrders: []catalogue.EngineOrder{{
-			Name: "load", Upstream: "e1", Models: []catalogue.EngineModel{{Model: testModel, Version: version}},
-		}}},
+		ID: "order-" + version, Base: base, Upserts: catalogue.Catalogue{EngineOrders: desired},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -51,6 +51,10 @@
 	// LoadLag is the age of the load that is reported.
 	LoadLag time.Duration
 
+	// WeightsURL is the weight store that models are loaded from; empty loads
+	// without one.
+	WeightsURL string
+
 	control engineControl
 	slots   slots
 	lagged  laggedLoad
--- a/internal/standin/engine_control.go
+++ b/internal/standin/engine_control.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -60,11 +62,39 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if o.Kind == "load" && !e.pull(req.Context(), o) {
+		http.Error(w, "weights are not available", http.StatusServiceUnavailable)
+		return
+	}
 	if !e.control.apply(o, e.ChecksFencing) {
 		http.Error(w, "old fencing number", http.StatusConflict)
 	}
 }
 
+// pull reads the weights of a model, unless the engine has the version.
+func (e *Engine) pull(ctx context.Context, o engineOrder) bool {
+	if e.WeightsURL == "" || e.control.has(o.Model, o.Version) {
+		return true
+	}
+	url := fmt.Sprintf("%s/weights/%s/%s", e.WeightsURL, o.Model, o.Version)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (c *engineControl) has(model, version string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.models[model].Version == version
+}
+
 // apply sets what an order names. Repeating an order changes nothing.
 func (c *engineControl) apply(o engineOrder, checksFencing bool) bool {
 	c.mu.Lock()
