Make the weight store test sensitive to the rate

Cause: with a store at 2/s the test passed also when the fleet was allowed 40/s: the holder gives an order a second at most. The test proved nothing. Change: the store allows 0.5/s and the fleet asks 0.4/s; the wait is bounded by the lease and the four loads. Conclusion: the pace of the pulls is what the test sees.

--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -54,16 +55,17 @@
 // more than its rate when many engines have to load at once.
 func TestLoadsKeepTheStoresRate(t *testing.T) {
 	is := is.New(t)
-	logURL, store := startStandin(t, "log"), startStandin(t, "weights", "--rate", "2")
+	logURL, store := startStandin(t, "log"), startStandin(t, "weights", "--rate", "0.5")
 	var engines, urls []string
 	for i := range 4 {
 		engines = append(engines, fmt.Sprintf("e%d", i+1))
 		urls = append(urls, startStandin(t, "engine", "--weights-url", store))
 	}
 	publishSample(t, logURL, urls...)
-	startFleet(t, 3, logURL, "--weight-pulls-per-second", "2")
+	startFleet(t, 3, logURL, "--weight-pulls-per-second", "0.4")
 	publishOrder(t, logURL, 1, "v1", engines...)
-	waitFor(t, func() bool {
+	// A lease is taken after 15 s at most; four loads take 10 s at this rate.
+	waitWithin(t, time.Minute, func() bool {
 		for _, url := range urls {
 			if stateOf(t, url).Models[testModel].Version != "v1" {
 				return false
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -141,7 +141,12 @@
 
 func waitFor(t *testing.T, done func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
+	waitWithin(t, 20*time.Second, done)
+}
+
+func waitWithin(t *testing.T, limit time.Duration, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); {
 		if done() {
 			return
 		}
