--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -58,18 +58,11 @@
 
 // advance keeps routing and admission up to date until the context ends.
 func (d *Daemon) advance(ctx context.Context) {
-	ticker := time.NewTicker(advanceInterval)
-	defer ticker.Stop()
 	current := d.config.Current()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			current = d.updateRouting(current)
-			d.admission.Advance()
-		}
-	}
+	every(ctx, advanceInterval, func() {
+		current = d.updateRouting(current)
+		d.admission.Advance()
+	})
 }
 
 // updateRouting takes over a configuration that is newer than the given one.
--- a/internal/daemon/evidence.go
+++ b/internal/daemon/evidence.go
@@ -42,16 +42,9 @@
 // shareEvidence sends new observations to every live router. Crashes are rare,
 // so the messages are too; merging is idempotent, so repeats do no harm.
 func (f *fleet) shareEvidence(ctx context.Context, e *routing.Evidence) {
-	ticker := time.NewTicker(evidenceInterval)
-	defer ticker.Stop()
 	sent := make(map[routing.Observation]bool)
 	forget := time.Now().Add(evidenceRepeat)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, evidenceInterval, func() {
 		if time.Now().After(forget) {
 			clear(sent)
 			forget = time.Now().Add(evidenceRepeat)
@@ -63,7 +56,7 @@
 		for _, o := range all {
 			sent[o] = true
 		}
-	}
+	})
 }
 
 // broadcast calls a method on every other member that takes part.
--- a/internal/daemon/reclaim.go
+++ b/internal/daemon/reclaim.go
@@ -33,15 +33,8 @@
 // reclaim reports holders that have provably stopped to the budget. Runs that go
 // on are waited for up to the delay; then what they used so far is billed.
 func (f *fleet) reclaim(ctx context.Context, m *budget.Manager, delay time.Duration, ask askUsage) {
-	ticker := time.NewTicker(reclaimInterval)
-	defer ticker.Stop()
 	since := make(map[record.HolderID]time.Time)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, reclaimInterval, func() {
 		for _, holder := range m.Holders() {
 			kind, proven := f.proof(holder)
 			if !proven {
@@ -55,7 +48,7 @@
 				m.Dead(budget.Proof{Kind: proofKinds[kind], Holder: holder, Since: since[holder]}, resolve)
 			}
 		}
-	}
+	})
 }
 
 func (f *fleet) proof(holder record.HolderID) (membership.ProofKind, bool) {
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -28,27 +28,20 @@
 // reconcile keeps the ledgers of the partitions whose home this router is in line
 // with the configuration.
 func (d *Daemon) reconcile(ctx context.Context, log logstream.Log) {
-	ticker := time.NewTicker(reconcileInterval)
-	defer ticker.Stop()
 	round := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, reconcileInterval, func() {
 		if round++; round%overspendRounds == 0 {
 			obs.OverspendTokensTotal.Set(d.budget.Overspend())
 		}
 		if d.lease() != nil {
-			continue
+			return
 		}
 		for p, declared := range d.declared() {
 			if d.writesSnapshots(p) {
 				d.appendMissing(ctx, log, p, declared)
 			}
 		}
-	}
+	})
 }
 
 // declared returns what the configuration in force says of each partition. The
--- a/internal/daemon/snapshots.go
+++ b/internal/daemon/snapshots.go
@@ -76,16 +76,8 @@
 
 // run writes what is due until the context ends.
 func (w *snapshotWriters) run(ctx context.Context, retention time.Duration) {
-	ticker := time.NewTicker(min(maxSnapshotInterval, max(time.Millisecond, retention/snapshotRetentionParts)))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			w.step(ctx)
-		}
-	}
+	interval := min(maxSnapshotInterval, max(time.Millisecond, retention/snapshotRetentionParts))
+	every(ctx, interval, func() { w.step(ctx) })
 }
 
 func (w *snapshotWriters) step(ctx context.Context) {
