Send traces to the collector's traces path

TestTracesReachTheCollector failed with a base URL. Change: /v1/traces is added to the base URL. Conclusion: traces reach a collector that is named by its base URL.

--- a/internal/obs/trace.go
+++ b/internal/obs/trace.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -64,7 +65,7 @@
 	case TraceExporterStdout:
 		exporter, err = stdouttrace.New(stdouttrace.WithWriter(t.Output))
 	case TraceExporterOTLP:
-		exporter, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(t.Endpoint))
+		exporter, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(strings.TrimRight(t.Endpoint, "/")+tracesPath))
 	default:
 		err = errors.Newf("unknown trace exporter %q", t.Exporter)
 	}
@@ -83,6 +84,9 @@
 	}, nil
 }
 
+// tracesPath is the path of traces below the base URL of an OTLP collector.
+const tracesPath = "/v1/traces"
+
 // StartSpan begins a span for one hop. Without an exporter it costs nothing.
 func StartSpan(ctx context.Context, name, requestID string) (context.Context, apitrace.Span) {
 	t := tracer.Load()
