Use the shared sleep and the peers' method names

Cause: configsync had a copy of follow.Sleep, and budget repeated the method names that peerapi defines and numbers on the wire. Change: both use the one definition. Conclusion: behaviour as before.

--- a/internal/coordination/budget/peers.go
+++ b/internal/coordination/budget/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/share"
@@ -10,11 +11,11 @@
 
 // Methods between routers.
 const (
-	MethodReserve = "budget.reserve"
-	MethodSettle  = "budget.settle"
-	MethodAcquire = "budget.acquire"
-	MethodJournal = "budget.journal"
-	MethodReturn  = "budget.return"
+	MethodReserve = peerapi.MethodReserve
+	MethodSettle  = peerapi.MethodSettle
+	MethodAcquire = peerapi.MethodAcquire
+	MethodJournal = peerapi.MethodJournal
+	MethodReturn  = peerapi.MethodReturn
 )
 
 // Peers is the budget module's view of the other routers. Calls may fail after
--- a/internal/coordination/configsync/fetch.go
+++ b/internal/coordination/configsync/fetch.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/membership"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
@@ -118,7 +119,7 @@
 func (f *Follower) RunFetch(ctx context.Context, caller Caller, reports func() []membership.Report) {
 	for ctx.Err() == nil {
 		f.FetchOnce(ctx, caller, reports())
-		sleep(ctx, fetchInterval)
+		follow.Sleep(ctx, fetchInterval)
 	}
 }
 
--- a/internal/coordination/configsync/follower.go
+++ b/internal/coordination/configsync/follower.go
@@ -112,7 +112,7 @@
 				return
 			}
 			obs.EventConfigUnreachable.Log(f.logger, logrus.Fields{"error": err.Error()})
-			sleep(ctx, retryInterval)
+			follow.Sleep(ctx, retryInterval)
 		}
 	}
 }
@@ -249,12 +249,3 @@
 	f.current.Store(f.fold.Snapshot())
 	obs.EventConfigApplied.Log(f.logger, logrus.Fields{"version": f.fold.Version()})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/coordination/configsync/publish.go
+++ b/internal/coordination/configsync/publish.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -37,7 +38,7 @@
 
 // NewPublisher returns a publisher that folds the stream on its own.
 func NewPublisher(log logstream.Log) *Publisher {
-	return &Publisher{log: log, fold: NewFold(), sleep: sleep}
+	return &Publisher{log: log, fold: NewFold(), sleep: follow.Sleep}
 }
 
 // Publish appends p until its outcome can be read back or the context ends. A
