--- a/cmd/dotterelthread/main.go
+++ b/cmd/dotterelthread/main.go
@@ -18,12 +18,16 @@
 	"github.com/dotterelthread/dotterelthread/internal/protocol/logstream"
 	"github.com/dotterelthread/dotterelthread/internal/settings"
 	"github.com/dotterelthread/dotterelthread/internal/transport/logclient"
+	"github.com/dotterelthread/dotterelthread/platform"
 )
 
 // traceFlushTimeout bounds the time to send the last spans at a stop.
 const traceFlushTimeout = 5 * time.Second
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == platformCommand {
+		os.Exit(runPlatform())
+	}
 	cfg, findings, err := settings.Load(os.Args[1:])
 	if errors.Is(err, settings.ErrHelp) {
 		fmt.Println(err)
@@ -42,6 +46,25 @@
 	}
 }
 
+// platformCommand runs the router on the users' platform, which has settings of
+// its own.
+const platformCommand = "platform"
+
+func runPlatform() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	lines := obs.NewLineWriter(os.Stdout, obs.DefaultLinesPerSecond)
+	defer lines.Close()
+	logger := logrus.New()
+	logger.SetOutput(lines)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	if err := platform.Run(ctx, logger); err != nil {
+		obs.EventStartFailed.Log(logger, logrus.Fields{"error": err.Error()})
+		return 1
+	}
+	return 0
+}
+
 // exitFindings is the exit status for settings with findings.
 const exitFindings = 2
 
--- /dev/null
+++ b/internal/coordination/prepaid/cycle.go
@@ -0,0 +1,290 @@
+package prepaid
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+)
+
+const (
+	// cycleTimeout bounds one call to the log.
+	cycleTimeout = 1200 * time.Millisecond
+	// minPause is the least time between two cycles, so that requests that come
+	// up together share one.
+	minPause = 15 * time.Millisecond
+	// failurePause follows a call that the log did not answer.
+	failurePause = 100 * time.Millisecond
+	// maxConflicts bounds the immediate tries after a conflict.
+	maxConflicts = 6
+	// conflictPause spreads the writers that met; it doubles with each conflict.
+	conflictPause = 3 * time.Millisecond
+)
+
+// run makes a cycle in every interval, and at once when a request waits.
+func (p *partition) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := minPause
+		if err := p.cycle(ctx, false); err != nil {
+			pause = failurePause
+			p.delayed(err)
+		}
+		if sleep(ctx, pause) != nil {
+			return
+		}
+		timer := time.NewTimer(p.interval())
+		select {
+		case <-ctx.Done():
+		case <-p.kick:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// interval spreads the reports of many VMs, and reports faster while a budget
+// runs low and its rest is handed from VM to VM.
+func (p *partition) interval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.cfg.Interval
+	if p.low() {
+		d /= lowFactor
+	}
+	return time.Duration(float64(d) * (0.75 + 0.5*rand.Float64()))
+}
+
+// lowFactor is how much faster shares of a low budget are reported.
+const lowFactor = 3
+
+// low reports whether a budget in use is too low for shares.
+func (p *partition) low() bool {
+	now := p.cfg.Now()
+	for entry, a := range p.accounts {
+		prepaid, ok := p.cfg.Prepaid(entry)
+		if ok && a.largest > 0 && a.logged.Granted > a.spent && a.target(prepaid, now, p.cfg.Policy, p.cfg.Routers()) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// cycle reads the stream to its end, writes this VM's records and answers the
+// waiters. With handBack, shares are reduced to what was spent.
+func (p *partition) cycle(ctx context.Context, handBack bool) error {
+	for conflict := range maxConflicts {
+		began := p.cfg.Now()
+		if err := p.read(ctx); err != nil {
+			return err
+		}
+		planned, at := p.plan(handBack)
+		if len(planned) == 0 {
+			p.answer(began)
+			return nil
+		}
+		err := p.write(ctx, planned, at)
+		if err == nil {
+			p.answer(began)
+			return nil
+		}
+		if !errors.Is(err, keyedlog.ErrConflict) {
+			return err
+		}
+		obs.ShareConflictsTotal.Add(1)
+		if sleep(ctx, time.Duration(rand.Int64N(int64(conflictPause<<conflict)))) != nil {
+			return ctx.Err()
+		}
+	}
+	// The others wrote all the time; waiting requests are tried again.
+	p.wake()
+	return nil
+}
+
+// read takes over what was written since the last read.
+func (p *partition) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, cycleTimeout)
+	defer cancel()
+	p.mu.Lock()
+	next, loaded := p.next, p.loaded
+	p.mu.Unlock()
+	var page keyedlog.Page
+	err := keyedlog.ErrTrimmed
+	if loaded {
+		page, err = p.cfg.Log.Read(ctx, p.stream, next, 0)
+	}
+	if errors.Is(err, keyedlog.ErrTrimmed) {
+		page, err = p.newest(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	p.fold(page)
+	return nil
+}
+
+// newest lists the stream, and reads what was appended meanwhile: a listing need
+// not be of one moment.
+func (p *partition) newest(ctx context.Context) (keyedlog.Page, error) {
+	page, err := p.cfg.Log.Newest(ctx, p.stream)
+	if err != nil {
+		return page, err
+	}
+	more, err := p.cfg.Log.Read(ctx, p.stream, page.Next, 0)
+	if err != nil {
+		return page, err
+	}
+	p.fold(page)
+	return more, nil
+}
+
+// planned is a record to write.
+type planned struct {
+	account *account
+	next    holding
+}
+
+func (p *partition) plan(handBack bool) (records []planned, at uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, routers := p.cfg.Now(), p.cfg.Routers()
+	p.prepare()
+	for entry, a := range p.accounts {
+		prepaid, ok := p.cfg.Prepaid(entry)
+		if !ok && a.logged == (holding{}) {
+			continue
+		}
+		next, changed := a.plan(prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process))
+		if handBack {
+			next.Granted, next.Rate = a.spent+a.reserved, 0
+			changed = next != a.logged && a.logged != (holding{})
+		}
+		if changed {
+			records = append(records, planned{a, next})
+			// Until the log has answered, the smaller part holds.
+			a.granted = min(a.granted, next.Granted)
+		}
+	}
+	return records, p.next
+}
+
+// prepare opens the accounts of which shares are held in advance.
+func (p *partition) prepare() {
+	if p.cfg.Entries == nil {
+		return
+	}
+	for _, entry := range p.cfg.Entries() {
+		if p.manager.partitionOf(entry) == p {
+			p.account(entry)
+		}
+	}
+}
+
+// write appends the records if nobody has written since the read.
+func (p *partition) write(ctx context.Context, records []planned, at uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, cycleTimeout)
+	defer cancel()
+	batch := make([]keyedlog.Record, 0, len(records))
+	for _, r := range records {
+		value, err := cbor.Marshal(r.next)
+		if err != nil {
+			return errors.Wrap(err, "encode share")
+		}
+		batch = append(batch, keyedlog.Record{Key: r.account.entry + keySeparator + p.cfg.VM, Value: value})
+	}
+	end, err := p.cfg.Log.Append(ctx, p.stream, batch, at)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil:
+		p.written(records, end)
+	case errors.IsAny(err, keyedlog.ErrConflict, keyedlog.ErrUnavailable):
+		for _, r := range records {
+			if p.unsure == nil {
+				r.account.granted = r.account.logged.Granted
+			}
+		}
+	default:
+		p.unsure = &unsureAppend{at: at}
+	}
+	return err
+}
+
+func (p *partition) written(records []planned, end uint64) {
+	now := p.cfg.Now()
+	p.next, p.contact, p.unsure = end, now, nil
+	for _, r := range records {
+		a := r.account
+		if r.next.Granted > a.logged.Granted {
+			obs.EventShareGranted.Log(p.cfg.Logger, logrus.Fields{
+				"entry": a.entry, "granted": r.next.Granted, "before": a.logged.Granted,
+				"spent": r.next.Spent, "in_flight": r.next.InFlight, "offset": end - 1, "waiting": len(a.waiters),
+			})
+		}
+		a.logged, a.granted = r.next, r.next.Granted
+	}
+	for _, a := range p.accounts {
+		a.granted = a.logged.Granted
+	}
+	if p.failing {
+		p.failing = false
+		obs.EventStreamRegained.Log(p.cfg.Logger, logrus.Fields{"stream": p.stream.Name, "partition": p.stream.Partition})
+	}
+}
+
+// answer answers the waiters after a read and a write.
+func (p *partition) answer(readBegan time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
+	for entry, a := range p.accounts {
+		if len(a.waiters) == 0 {
+			continue
+		}
+		prepaid, _ := p.cfg.Prepaid(entry)
+		p.serve(a, prepaid, readBegan, now)
+	}
+}
+
+// delayed logs the beginning of an outage.
+func (p *partition) delayed(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failing || errors.Is(err, context.Canceled) {
+		return
+	}
+	p.failing = true
+	obs.EventShareDelayed.Log(p.cfg.Logger, logrus.Fields{
+		"stream": p.stream.Name, "partition": p.stream.Partition, "offset": p.next, "error": err.Error(),
+	})
+}
+
+// Close hands back what is unused. It is called after the last request.
+func (m *Manager) Close(ctx context.Context) error {
+	var errs error
+	for _, p := range m.partitions {
+		err := p.cycle(ctx, true)
+		for err != nil && ctx.Err() == nil {
+			_ = sleep(ctx, failurePause)
+			err = p.cycle(ctx, true)
+		}
+		errs = errors.CombineErrors(errs, err)
+	}
+	return errs
+}
--- /dev/null
+++ b/internal/coordination/prepaid/manager.go
@@ -0,0 +1,326 @@
+package prepaid
+
+import (
+	"context"
+	"hash/fnv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
+)
+
+// Config holds the settings of a Manager.
+type Config struct {
+	Log keyedlog.Log
+	// Streams hold the records; a budget's name decides which of them.
+	Streams []keyedlog.Stream
+	// VM is the name of this VM. At most one process of a VM runs at a time.
+	VM string
+	// Process names this process.
+	Process record.HolderID
+	// Prepaid returns what is prepaid for an entry, in tokens; false means that
+	// the entry has no budget.
+	Prepaid func(entry string) (int64, bool)
+	// Entries returns the entries of which a share is held before their first
+	// request. It may be nil.
+	Entries func() []string
+	// Routers returns the number of live routers.
+	Routers func() int
+	Policy  Policy
+	// Interval is the time between two reports of what was spent.
+	Interval time.Duration
+	Now      func() time.Time
+	Logger   logrus.FieldLogger
+}
+
+// Manager reserves and settles budgets. It is safe for concurrent use.
+//
+// Lock order: a partition's mutex is never held during a call to the log.
+type Manager struct {
+	cfg        Config
+	partitions []*partition
+}
+
+// partition is one stream and the budgets in it.
+type partition struct {
+	manager *Manager
+	cfg     *Config
+	stream  keyedlog.Stream
+	kick    chan struct{}
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	next     uint64
+	loaded   bool
+	contact  time.Time
+	failing  bool
+	// unsure is set while an append without an answer may still be carried out.
+	unsure *unsureAppend
+}
+
+// unsureAppend is an append whose outcome is unknown. It can only be carried out
+// while the stream ends at the offset at.
+type unsureAppend struct{ at uint64 }
+
+type waiter struct {
+	amount int64
+	since  time.Time
+	done   chan error
+}
+
+// New returns a manager. It serves after Run has read the log.
+func New(cfg Config) *Manager {
+	m := &Manager{cfg: cfg}
+	for _, s := range cfg.Streams {
+		m.partitions = append(m.partitions, &partition{
+			manager: m, cfg: &m.cfg, stream: s, kick: make(chan struct{}, 1), accounts: make(map[string]*account),
+		})
+	}
+	return m
+}
+
+func (m *Manager) partitionOf(entry string) *partition {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(entry))
+	return m.partitions[int(h.Sum32()%uint32(len(m.partitions)))]
+}
+
+// Run reads the log and writes this VM's records until the context ends.
+func (m *Manager) Run(ctx context.Context) {
+	var loops conc.WaitGroup
+	for _, p := range m.partitions {
+		loops.Go(func() { p.run(ctx) })
+	}
+	loops.Wait()
+}
+
+// errors of a reservation that may succeed later.
+var (
+	errNotLoaded = errors.New("the shares were not read yet")
+	errLogAway   = errors.New("the share is used up and the log does not answer")
+	errHeld      = errors.New("the rest of the budget is held by other routers")
+)
+
+const (
+	// reserveWait bounds the wait for a larger share. A log that is slow by a
+	// factor of 20 answers within it.
+	reserveWait = 400 * time.Millisecond
+	// retryHeld is told when other routers hold what is missing; they hand back
+	// within one interval.
+	retryHeld = time.Second
+	// retryLogAway is told while the log does not answer.
+	retryLogAway = 2 * time.Second
+	// logAwayAfter is the time without an answer after which a wait for the log
+	// is pointless.
+	logAwayAfter = 1500 * time.Millisecond
+	// provenFor is how long a read of the log proves that a budget is used up.
+	// Running requests that end meanwhile may give back a part.
+	provenFor = 300 * time.Millisecond
+)
+
+// Reserve takes the upper bound of a request. It fails with budget.ErrExhausted
+// when the budget does not cover it, and with a budget.UnavailableError when
+// that is not known. It may wait up to reserveWait for a larger share.
+func (m *Manager) Reserve(ctx context.Context, req budget.ReserveRequest) (budget.Reservation, error) {
+	res := budget.Reservation{RequestID: req.RequestID, Entry: req.Entry, Holder: m.cfg.Process}
+	prepaid, limited := m.cfg.Prepaid(req.Entry.Name)
+	if !limited || req.Amount <= 0 {
+		return res, nil
+	}
+	res.Amount = req.Amount
+	p := m.partitionOf(req.Entry.Name)
+	w, err := p.reserve(req.Entry.Name, req.Amount, prepaid)
+	if w == nil {
+		return res, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveWait)
+	defer cancel()
+	select {
+	case err = <-w.done:
+		return res, err
+	case <-ctx.Done():
+		if p.cancelWait(req.Entry.Name, w) {
+			return res, &budget.UnavailableError{RetryAfter: retryLogAway, Cause: errLogAway}
+		}
+		return res, <-w.done
+	}
+}
+
+// reserve takes the amount from the share, or returns a waiter for a larger one.
+func (p *partition) reserve(entry string, amount, prepaid int64) (*waiter, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
+	if !p.loaded {
+		return nil, &budget.UnavailableError{RetryAfter: retryHeld, Cause: errNotLoaded}
+	}
+	a := p.account(entry)
+	a.largest = max(amount, a.largest-a.largest/largestDecay)
+	if len(a.waiters) == 0 && a.available() >= amount && !a.overdrawn(prepaid) {
+		a.reserved += amount
+		if a.available() < a.target(prepaid, now, p.cfg.Policy, p.cfg.Routers())/4 {
+			p.wake()
+		}
+		return nil, nil
+	}
+	if now.Sub(p.contact) > logAwayAfter {
+		return nil, &budget.UnavailableError{RetryAfter: retryLogAway, Cause: errLogAway}
+	}
+	if now.Sub(p.contact) < provenFor && a.remaining(prepaid, now, p.cfg.Policy.Fresh) < amount {
+		return nil, budget.ErrExhausted
+	}
+	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
+	a.waiters = append(a.waiters, w)
+	p.wake()
+	return w, nil
+}
+
+// largestDecay is the part by which the largest request is forgotten with each
+// request.
+const largestDecay = 32
+
+func (p *partition) account(entry string) *account {
+	a := p.accounts[entry]
+	if a == nil {
+		a = newAccount(entry)
+		p.accounts[entry] = a
+	}
+	return a
+}
+
+func (p *partition) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// cancelWait removes a waiter. It reports false for one that was answered.
+func (p *partition) cancelWait(entry string, w *waiter) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(entry)
+	for i, o := range a.waiters {
+		if o == w {
+			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Settle ends a reservation with what the request used.
+func (m *Manager) Settle(res budget.Reservation, st budget.Settlement) budget.Balance {
+	if res.Amount == 0 {
+		return budget.Balance{}
+	}
+	obs.ChargedTokensTotal.Add(st.Charged)
+	return m.end(res, min(st.Charged, res.Amount))
+}
+
+// Release ends the reservation of a request that did not run.
+func (m *Manager) Release(res budget.Reservation) {
+	if res.Amount != 0 {
+		m.end(res, 0)
+	}
+}
+
+func (m *Manager) end(res budget.Reservation, charged int64) budget.Balance {
+	prepaid, _ := m.cfg.Prepaid(res.Entry.Name)
+	p := m.partitionOf(res.Entry.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(res.Entry.Name)
+	now := p.cfg.Now()
+	a.reserved -= res.Amount
+	a.spent += charged
+	a.rate.add(charged, now)
+	p.serve(a, prepaid, time.Time{}, now)
+	return budget.Balance{Remaining: a.remaining(prepaid, now, p.cfg.Policy.Fresh)}
+}
+
+// serve answers the waiters that the share covers, and those that it does not
+// cover if they came before a read of the log that has ended.
+func (p *partition) serve(a *account, prepaid int64, readBegan, now time.Time) {
+	usable := !a.overdrawn(prepaid)
+	kept := a.waiters[:0]
+	for _, w := range a.waiters {
+		switch {
+		case usable && a.available() >= w.amount:
+			a.reserved += w.amount
+			w.done <- nil
+		case !w.since.Before(readBegan):
+			kept = append(kept, w)
+		case a.remaining(prepaid, now, p.cfg.Policy.Fresh) < w.amount:
+			w.done <- budget.ErrExhausted
+		default:
+			w.done <- &budget.UnavailableError{RetryAfter: retryHeld, Cause: errHeld}
+		}
+	}
+	a.waiters = kept
+}
+
+// Balance returns what is left of an entry's budget as far as this VM knows.
+func (m *Manager) Balance(key record.EntryKey) budget.Balance {
+	prepaid, limited := m.cfg.Prepaid(key.Name)
+	if !limited {
+		return budget.Balance{}
+	}
+	p := m.partitionOf(key.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return budget.Balance{Remaining: p.account(key.Name).remaining(prepaid, p.cfg.Now(), p.cfg.Policy.Fresh)}
+}
+
+// keySeparator stands between the entry and the VM in a record's key.
+const keySeparator = "\x00"
+
+func (p *partition) fold(page keyedlog.Page) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
+	for _, rec := range page.Records {
+		entry, vm, ok := strings.Cut(rec.Key, keySeparator)
+		var h holding
+		if !ok || rec.Value == nil || cbor.Unmarshal(rec.Value, &h) != nil {
+			obs.EventRecordMalformed.Log(p.cfg.Logger, logrus.Fields{
+				"stream": p.stream.Name, "partition": p.stream.Partition, "key": rec.Key, "offset": rec.Offset,
+			})
+			continue
+		}
+		a := p.account(entry)
+		before := a.granted
+		if a.fold(vm, h, p.cfg.VM, string(p.cfg.Process), now) {
+			obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
+				"entry": entry, "process": h.Process, "offset": rec.Offset, "stranded": h.Granted - h.Spent,
+			})
+		}
+		if p.unsure != nil && page.Next == p.unsure.at && vm == p.cfg.VM {
+			// A smaller part may still be written.
+			a.granted = min(a.granted, before)
+		}
+	}
+	p.next = max(p.next, page.Next)
+	if p.unsure != nil && p.next > p.unsure.at {
+		p.settleUnsure()
+	}
+	p.contact, p.loaded = now, true
+}
+
+// settleUnsure ends the doubt about an append: the stream has moved, so that the
+// log's record is final.
+func (p *partition) settleUnsure() {
+	p.unsure = nil
+	for _, a := range p.accounts {
+		a.granted = a.logged.Granted
+	}
+}
--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -24,6 +24,11 @@
 	// ResultAbandoned is an attempt that the caller gave up. It says nothing
 	// about the upstream and does not clear a suspect.
 	ResultAbandoned
+	// ResultUnreachable is an upstream that took no connection, or another
+	// process at its address.
+	ResultUnreachable
+	// ResultError is an upstream's own failure answer to a request that it ran.
+	ResultError
 )
 
 // Attempt is one request at one upstream.
@@ -38,8 +43,12 @@
 	epoch     uint64
 	hashes    []uint64
 	predicted int
-	priority  int
-	done      bool
+	// computes is the number of prompt blocks that the upstream has to compute
+	// before the first event.
+	computes int
+	priority int
+	started  bool
+	done     bool
 }
 
 // Upstream returns where the attempt is sent.
@@ -68,6 +77,7 @@
 	s := a.state
 	s.note(1, now)
 	s.attempts[a] = struct{}{}
+	s.pendingBlocks += float64(a.computes)
 	if a.suspect {
 		s.suspects++
 	}
@@ -75,6 +85,27 @@
 	r.prefix.expect(a.hashes, s.slot)
 }
 
+// Load takes over what the upstream says of its load in an answer.
+func (a *Attempt) Load(running, waiting, slots int) {
+	a.router.Report(Report{
+		Upstream: a.upstream.Name, Running: running, Waiting: waiting, Concurrency: slots,
+	})
+}
+
+// Started notes the first event of the answer: the prompt has been computed.
+func (a *Attempt) Started() {
+	a.router.mu.Lock()
+	defer a.router.mu.Unlock()
+	a.start()
+}
+
+func (a *Attempt) start() {
+	if !a.started {
+		a.started = true
+		a.state.pendingBlocks -= float64(a.computes)
+	}
+}
+
 // Done ends the attempt. Further calls have no effect.
 func (a *Attempt) Done(result Result) {
 	r := a.router
@@ -89,7 +120,9 @@
 	if result == ResultCrashed && a.epoch == s.epoch {
 		r.crashed(s, now)
 	}
+	a.start()
 	s.note(-1, now)
+	s.outcome(result, now)
 	delete(s.attempts, a)
 	if a.suspect {
 		s.suspects--
@@ -102,6 +135,8 @@
 		}
 	case ResultFailed:
 		r.failed(s, now)
+	case ResultUnreachable:
+		r.eject(s, unreachablePause, now)
 	case ResultLeaving:
 		s.answeredHere = true
 		r.markLeaving(s)
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
@@ -30,7 +32,10 @@
 	// PrefixHashes are the hashes of the prompt's blocks; each covers the
 	// prompt from its beginning.
 	PrefixHashes []uint64
-	Class        catalogue.Class
+	// Shared is the number of the first hashes that other requests have too. The
+	// upstream that all routers choose for them is expected to hold them.
+	Shared int
+	Class  catalogue.Class
 	// Exclude names upstreams that were tried already.
 	Exclude     []string
 	Fingerprint Fingerprint
@@ -73,11 +78,19 @@
 	Region float64
 	// Suspect keeps other requests away from an upstream that runs a suspect.
 	Suspect float64
+	// Failures is the cost of an upstream that fails every request.
+	Failures float64
+	// ServiceZone is the cost of leaving the availability zone for a plain
+	// service, in loads of a full upstream.
+	ServiceZone float64
+	// ServiceFailures is Failures for a plain service, in loads of a full upstream.
+	ServiceFailures float64
 }
 
 // DefaultWeights returns the weights used when none are set.
 func DefaultWeights() Weights {
-	return Weights{Block: 0.002, FullBatch: 0.1, Queued: 5, Zone: 0.002, Region: 0.05, Suspect: 0.5}
+	return Weights{Block: 0.002, FullBatch: 0.1, Queued: 5, Zone: 0.002, Region: 0.05, Suspect: 0.5,
+		Failures: 2, ServiceZone: 1, ServiceFailures: 4}
 }
 
 // busyLoad is the part of an engine's concurrency from which its load counts more
@@ -102,6 +115,9 @@
 	Evidence     *Evidence
 	Weights      Weights
 	PrefixBlocks int
+	// SlowStart is how long a new upstream takes to get its full part of the
+	// work; 0 means the default.
+	SlowStart time.Duration
 	// Notify is called with each change that an operator may want to know of.
 	// It must not call the router.
 	Notify func(Change)
@@ -123,6 +139,9 @@
 	if c.Weights == (Weights{}) {
 		c.Weights = DefaultWeights()
 	}
+	if c.SlowStart <= 0 {
+		c.SlowStart = slowStart
+	}
 	if c.PrefixBlocks <= 0 {
 		c.PrefixBlocks = DefaultPrefixBlocks
 	}
@@ -177,7 +196,7 @@
 	for u := range snapshot.Upstreams {
 		s := r.byName[u.Name]
 		if s == nil {
-			s = &upstreamState{attempts: make(map[*Attempt]struct{})}
+			s = &upstreamState{attempts: make(map[*Attempt]struct{}), nameHash: xxhash.Sum64String(u.Name)}
 			r.byName[u.Name] = s
 			r.newSlot(s)
 			if r.loaded {
@@ -185,6 +204,11 @@
 			}
 		}
 		s.upstream, s.present = u, true
+		s.slowStart = r.cfg.SlowStart
+		if u.Leaving && !s.listLeaving {
+			r.notify(Change{Kind: ChangeLeaving, Upstream: u.Name})
+		}
+		s.listLeaving = s.listLeaving || u.Leaving
 		for _, p := range r.poolsOf(s) {
 			p.states = append(p.states, s)
 		}
@@ -285,6 +309,7 @@
 	if tracked {
 		a.known = r.cfg.Evidence.known()
 	}
+	a.computes = max(0, len(req.PrefixHashes)-a.predicted)
 	r.begin(a, now)
 	return a, nil
 }
@@ -300,6 +325,9 @@
 	r.prefix.match(req.PrefixHashes, func(s slot, blocks int) {
 		r.hits[s] = max(r.hits[s], blocks)
 	})
+	if home := r.home(req, all, now); home != nil {
+		r.hits[home.slot] = max(r.hits[home.slot], req.Shared)
+	}
 	routers := max(1, r.cfg.Routers())
 	lowest := 0.0
 	// A random start spreads equal scores.
@@ -329,13 +357,14 @@
 	load := s.load(now, routers) / s.concurrency(now)
 	far := s.upstream.Region != r.cfg.Region
 	if req.Service != "" {
-		score := load
+		score := load + w.ServiceFailures*s.failureShare(now)
 		if far || s.upstream.Zone != r.cfg.Zone {
-			score++
+			score += w.ServiceZone
 		}
 		return score
 	}
-	score := w.FullBatch*min(load, 1) + w.Queued*max(0, load-busyLoad)
+	score := w.FullBatch*min(load, 1) + w.Queued*max(0, load-busyLoad) + w.Failures*s.failureShare(now)
+	score += w.Block * s.pendingBlocks
 	if len(req.PrefixHashes) > 0 {
 		blocks := len(req.PrefixHashes) - r.hits[s.slot]
 		score += float64(blocks) * w.Block * (1 + min(load, 1))
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -24,6 +24,9 @@
 	maxEjection  = time.Minute
 	// crashPause keeps requests away while a crashed upstream restarts.
 	crashPause = 2 * time.Second
+	// unreachablePause keeps requests away from an upstream that takes no
+	// connection. Another look costs a connection attempt only.
+	unreachablePause = time.Second
 	// answerSign is how long an upstream's own answer that it is leaving holds
 	// when no other sign follows. Reports do not end it: they lag.
 	answerSign = time.Minute
@@ -94,6 +97,7 @@
 // upstreamState is what this router knows of one upstream.
 type upstreamState struct {
 	upstream *catalogue.Upstream
+	nameHash uint64
 	slot     slot
 	present  bool
 
@@ -108,6 +112,14 @@
 	exported   int // net requests of this router since the last export
 	sent       sentWindow
 	readySince time.Time
+	slowStart  time.Duration
+	// pendingBlocks are the prompt blocks of this router's requests that wait
+	// for their first event.
+	pendingBlocks float64
+	// recentFailures and recentResults fade with time.
+	recentFailures float64
+	recentResults  float64
+	resultsAt      time.Time
 
 	failures     int
 	ejections    int
@@ -171,10 +183,10 @@
 		return float64(n)
 	}
 	age := now.Sub(s.readySince)
-	if age >= slowStart {
+	if age >= s.slowStart {
 		return float64(n)
 	}
-	return float64(n) * max(slowStartFloor, age.Seconds()/slowStart.Seconds())
+	return float64(n) * max(slowStartFloor, age.Seconds()/s.slowStart.Seconds())
 }
 
 // leaving reports whether any sign says that the upstream takes no new work.
--- /dev/null
+++ b/internal/daemon/gateway_state.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+)
+
+// decodedRecords keeps what was decoded, by the place of the record, so that a
+// renewed list costs only its changes.
+type decodedRecords struct {
+	configAt  uint64
+	config    *catalogue.Snapshot
+	upstreams map[string]decodedUpstream
+}
+
+type decodedUpstream struct {
+	offset   uint64
+	upstream catalogue.Upstream
+	ok       bool
+}
+
+// rebuild derives the snapshot from the replicas and swaps it whole.
+func (g *Gateway) rebuild() {
+	g.build.Lock()
+	defer g.build.Unlock()
+	changed := g.decodeConfig()
+	changed = g.decodeUpstreams() || changed
+	if g.decoded.config == nil || !changed {
+		return
+	}
+	upstreams := make([]catalogue.Upstream, 0, len(g.decoded.upstreams))
+	for _, d := range g.decoded.upstreams {
+		if d.ok {
+			upstreams = append(upstreams, g.place(d.upstream))
+		}
+	}
+	snapshot := g.decoded.config.WithUpstreams(upstreams)
+	g.snapshot.Store(snapshot)
+	g.routing.Update(snapshot)
+	if g.upstreams.Loaded() && !g.ready.Swap(true) {
+		obs.EventReady.Log(g.logger, logrus.Fields{"config_version": snapshot.Version, "upstreams": len(upstreams)})
+	}
+}
+
+// place fills in what the configuration says of an upstream's service.
+func (g *Gateway) place(u catalogue.Upstream) catalogue.Upstream {
+	u.Region = g.cfg.Region
+	service := g.decoded.config.Service(u.Service)
+	if service == nil {
+		u.Kind = catalogue.KindService
+		return u
+	}
+	u.MaxConnections = service.MaxConnections
+	u.Kind = catalogue.KindService
+	if service.Engine {
+		u.Kind, u.Models = catalogue.KindEngine, []string{u.Service}
+	}
+	return u
+}
+
+// decodeConfig takes over a newer configuration. An older version never
+// replaces a newer one.
+func (g *Gateway) decodeConfig() (changed bool) {
+	rec, ok := g.config.Records()[g.deps.ConfigKey]
+	if !ok || (g.decoded.config != nil && rec.Offset == g.decoded.configAt) {
+		return false
+	}
+	config, err := g.deps.DecodeConfig(rec.Value)
+	if err != nil {
+		obs.EventConfigMalformed.Log(g.logger, logrus.Fields{"offset": rec.Offset, "error": err.Error()})
+		return false
+	}
+	if g.decoded.config != nil && config.Version <= g.decoded.config.Version {
+		return false
+	}
+	obs.EventConfigApplied.Log(g.logger, logrus.Fields{
+		"version": config.Version, "offset": rec.Offset, "age_ms": g.config.Age(g.started).Milliseconds(),
+	})
+	g.decoded.config, g.decoded.configAt = config, rec.Offset
+	return true
+}
+
+// decodeUpstreams takes over the changed records of upstreams.
+func (g *Gateway) decodeUpstreams() (changed bool) {
+	records := g.upstreams.Records()
+	next := make(map[string]decodedUpstream, len(records))
+	for key, rec := range records {
+		known, ok := g.decoded.upstreams[key]
+		if ok && known.offset == rec.Offset {
+			next[key] = known
+			continue
+		}
+		u, err := g.deps.DecodeUpstream(key, rec.Value)
+		if err != nil && (!ok || known.ok) {
+			obs.EventRecordMalformed.Log(g.logger, logrus.Fields{
+				"stream": g.deps.UpstreamStream.Name, "key": key, "offset": rec.Offset, "error": err.Error(),
+			})
+		}
+		next[key] = decodedUpstream{offset: rec.Offset, upstream: u, ok: err == nil}
+		if !ok || known.ok != (err == nil) || !sameUpstream(known.upstream, u) {
+			changed = true
+			g.logUpstream(u, err == nil, rec.Offset)
+		}
+	}
+	for key, known := range g.decoded.upstreams {
+		if _, ok := next[key]; !ok {
+			changed = true
+			g.logUpstream(known.upstream, false, known.offset)
+		}
+	}
+	g.decoded.upstreams = next
+	return changed
+}
+
+func sameUpstream(a, b catalogue.Upstream) bool {
+	return a.Name == b.Name && a.Address == b.Address && a.Service == b.Service && a.Leaving == b.Leaving &&
+		a.Zone == b.Zone && a.Concurrency == b.Concurrency
+}
+
+func (g *Gateway) logUpstream(u catalogue.Upstream, listed bool, offset uint64) {
+	obs.EventUpstreamListed.Log(g.logger, logrus.Fields{
+		"upstream": u.Name, "service": u.Service, "address": u.Address, "listed": listed, "leaving": u.Leaving,
+		"offset": offset,
+	})
+}
--- a/internal/obs/events_daemon.go
+++ b/internal/obs/events_daemon.go
@@ -41,3 +41,15 @@
 	EventBillsDelayed = register(1301, logrus.WarnLevel, "bills cannot be written",
 		"The log refuses appends. Bills stay in memory up to --bill-buffer; then requests are refused.")
 )
+
+// Events of settings that are read again.
+var (
+	EventReloaded = register(1005, logrus.InfoLevel, "settings read again",
+		"Settings that can change while the process runs are in force. Requests in progress are not touched.")
+	EventReloadFailed = register(1006, logrus.ErrorLevel, "settings cannot be read again",
+		"The process goes on with the settings that it has. Correct the file.")
+	EventReady = register(1007, logrus.InfoLevel, "router is ready",
+		"The configuration and the upstreams are known. No action.")
+	EventUpstreamListed = register(1008, logrus.InfoLevel, "upstream list changed",
+		"Upstreams registered, began to leave or are gone. The field offset is the place in the log.")
+)
--- /dev/null
+++ b/internal/obs/events_keyedlog.go
@@ -0,0 +1,31 @@
+package obs
+
+import "github.com/sirupsen/logrus"
+
+// Events of a log with keys, numbers 1800 to 1899.
+var (
+	EventStreamUnreachable = register(1800, logrus.WarnLevel, "stream of the log cannot be read",
+		"The log is down, slow or turns this process away. Peers are asked for newer records meanwhile.")
+	EventStreamRegained = register(1801, logrus.InfoLevel, "stream of the log is read again",
+		"The field away_ms says for how long the log did not answer. No action.")
+	EventRecordMalformed = register(1802, logrus.WarnLevel, "record of a keyed stream is skipped",
+		"A record does not decode. Find its writer by stream, key and offset.")
+	EventShareGranted = register(1810, logrus.InfoLevel, "share of a prepaid budget changed",
+		"The log accepted this VM's share of the budget. No action.")
+	EventShareConflict = register(1811, logrus.DebugLevel, "share was not written: another VM wrote first",
+		"The next try follows at once. Many of them mean that many VMs draw on nearly empty budgets.")
+	EventShareDelayed = register(1812, logrus.WarnLevel, "shares cannot be written",
+		"The log does not answer. Requests are served from the shares at hand.")
+	EventShareTakenOver = register(1813, logrus.WarnLevel, "share of an earlier process of this VM counted as spent",
+		"The earlier process ended without handing back its share. The field stranded is the part that may not have been used.")
+)
+
+// ShareConflictsTotal counts appends that another VM's append overtook.
+var ShareConflictsTotal = Counter("share_conflicts_total")
+
+// LogCallsTotal counts calls to the log with keys.
+var LogCallsTotal = Counter("keyed_log_calls_total")
+
+// MemberRenewalsFailed counts renewals of this router's record that the log did
+// not confirm.
+var MemberRenewalsFailed = Counter("member_renewals_failed_total")
--- a/internal/obs/events_page.go
+++ b/internal/obs/events_page.go
@@ -19,7 +19,7 @@
 var areas = []area{
 	{1000, "Daemon"}, {1100, "Callers' HTTP API"}, {1200, "Configuration"}, {1300, "Budgets and ledger"},
 	{1400, "Membership and peers"}, {1500, "Routing and admission"}, {1600, "Requests and claims"},
-	{1700, "Engine orders"},
+	{1700, "Engine orders"}, {1800, "Keyed log and prepaid shares"},
 }
 
 // EventsPage returns docs/events.md: every registered event by area.
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -41,3 +41,7 @@
 	// RequestsOpen is the number of requests in progress.
 	RequestsOpen = Counter("requests_open")
 )
+
+// UpstreamConnectionsTotal counts connections that were opened to upstreams of
+// forwarded requests.
+var UpstreamConnectionsTotal = Counter("upstream_connections_total")
--- a/internal/state/catalogue/catalogue.go
+++ b/internal/state/catalogue/catalogue.go
@@ -46,6 +46,8 @@
 	Credentials []string  `yaml:"credentials" json:"credentials"`
 	Limits      Limits    `yaml:"limits,omitempty" json:"limits,omitzero"`
 	Prepaid     []Prepaid `yaml:"prepaid,omitempty" json:"prepaid,omitempty"`
+	// Priority takes precedence over the priority of a route when it is set.
+	Priority *int `yaml:"-" json:"-"`
 }
 
 // Kind says what an upstream is.
@@ -76,6 +78,13 @@
 	IdempotentMethods []string `yaml:"idempotent_methods,omitempty" json:"idempotent_methods,omitempty"`
 	// RequestTokens is what one call of a plain service costs, in tokens.
 	RequestTokens int64 `yaml:"request_tokens,omitempty" json:"request_tokens,omitempty"`
+	// Instance is the id by which an upstream that registers itself tells
+	// whether a request is meant for it.
+	Instance string `yaml:"-" json:"-"`
+	// MaxConnections bounds the connections of all routers together; 0 is no bound.
+	MaxConnections int `yaml:"-" json:"-"`
+	// Leaving is true for an upstream that has announced that it stops.
+	Leaving bool `yaml:"-" json:"-"`
 }
 
 // Catalogue is the content of a catalogue file.
@@ -106,6 +115,8 @@
 	byCredential map[string]*BoundEntry
 	upstreams    map[string]*Upstream
 	orders       []EngineOrder
+	// forward is nil without routes.
+	forward *forwarding
 }
 
 // NewSnapshot indexes a version. generations maps entry names to generations.
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -149,7 +149,9 @@
 	Remote Remote
 	// Lease fails while the configuration at hand may be out of date. It may be nil.
 	Lease    func() error
-	Requests *request.Table
+	// Forwarding is set for a router that forwards requests by host and path.
+	Forwarding Forwarding
+	Requests   *request.Table
 	Unknown  *Resolver
 	Holder   record.HolderID
 	Limits   Limits
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -60,6 +60,11 @@
 	tries int
 	// streaming is true once a part of a stream was written.
 	streaming bool
+	// attempt is the attempt in progress, and boundEntry the entry with the class
+	// of a forwarded request.
+	attempt    Attempt
+	boundEntry catalogue.BoundEntry
+	began      time.Time
 	// moved is true once another engine took over a stream.
 	moved  bool
 	answer *request.Answer
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -100,6 +100,9 @@
 // result tells the routing how an attempt ended. A caller that left and an
 // answer that was delivered say nothing against the upstream.
 func result(err error) routing.Result {
+	if r, ok := forwardResult(err); ok {
+		return r
+	}
 	var refused *upstream.RefusedError
 	switch {
 	case errors.Is(err, errReplaced):
