--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -5,8 +5,13 @@
 // how much of that it has spent. The sum of the granted parts never exceeds the
 // budget, because a record that raises a part is appended only if its stream
 // has not changed since its writer read it. A VM spends its part without asking
-// anyone. What a process had left when it died without handing it back counts
-// as spent: no clock or timeout can prove what a lost process did.
+// anyone.
+//
+// A part has two bounds. Up to Open it is spent at any time; the rest only after
+// the log has been silent for Policy.OfflineAfter. A process that starts on a VM
+// where another one has died without handing back its part counts as spent what
+// was granted to it, or what was open to it, if the clocks of the VM prove that
+// less than OfflineAfter has passed since the dead process last heard the log.
 package prepaid
 
 import (
@@ -14,8 +19,8 @@
 	"time"
 )
 
-// holding is a VM's record of one budget. All amounts are in tokens and only
-// ever refer to the whole life of the budget.
+// holding is a VM's record of one budget. All amounts are in tokens and refer to
+// the whole life of the budget.
 type holding struct {
 	// Process is the process that wrote the record.
 	Process string `cbor:"1,keyasint"`
@@ -28,19 +33,37 @@
 	Stranded int64 `cbor:"5,keyasint,omitempty"`
 	// Rate is the VM's demand in tokens per second.
 	Rate int64 `cbor:"6,keyasint,omitempty"`
+	// Open is the part of Granted that is spent at any time.
+	Open int64 `cbor:"7,keyasint"`
+	// Heard is when the log last confirmed a record of the process.
+	Heard Stamp `cbor:"8,keyasint"`
+}
+
+// Stamp is a moment by two clocks of a VM that are set independently.
+type Stamp struct {
+	_ struct{} `cbor:",toarray"`
+	// BootMillis counts from the start of the VM, also while it is suspended.
+	BootMillis int64
+	// UnixMillis is the time of day.
+	UnixMillis int64
 }
 
 // Policy holds the figures that decide how large shares are.
 type Policy struct {
-	// Horizon is for how long a share lasts at the present demand. It is the
-	// outage of the log that a VM bridges.
-	Horizon time.Duration
 	// ShareOfUnspent bounds the sum of all shares, as a part of what is unspent.
-	// It is also the most that the loss of all processes at once can strand.
 	ShareOfUnspent float64
-	// IdleShare is the part of what is unspent that is spread equally over the
-	// VMs, for those that see a budget's first requests.
-	IdleShare float64
+	// EqualShare is the part of that which is divided equally, for demand that
+	// has not shown yet. The rest is divided by demand.
+	EqualShare float64
+	// OfflineAfter is how long the log must be silent before more than the open
+	// part is spent. It is longer than a restart of a process.
+	OfflineAfter time.Duration
+	// OpenShare is the least part of the target that is open. It is what the loss
+	// of all processes strands at the least.
+	OpenShare float64
+	// OpenRequests is the least number of requests of mean size that the open
+	// part covers.
+	OpenRequests float64
 	// Fresh is for how long a record of another VM tells its demand and the
 	// requests that it runs.
 	Fresh time.Duration
@@ -48,7 +71,29 @@
 
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 10 * time.Second, ShareOfUnspent: 0.5, IdleShare: 0.15, Fresh: 5 * time.Second}
+	return Policy{
+		ShareOfUnspent: 0.92, EqualShare: 0.35, OfflineAfter: 4 * time.Second, OpenShare: 0.35,
+		OpenRequests: 2, Fresh: 5 * time.Second,
+	}
+}
+
+const (
+	// restartMargin is kept between the time proven by the clocks and
+	// OfflineAfter, for the resolution of timers.
+	restartMargin = 300 * time.Millisecond
+	// clockAgreement is how far the two clocks of a VM may differ in the time
+	// since a stamp. Beyond it one of them was set, or the VM was restarted.
+	clockAgreement = 250 * time.Millisecond
+	// openMargin is how much more than the mean demand the open part covers.
+	openMargin = 1.3
+)
+
+// provenAlive reports whether less than OfflineAfter can have passed between a
+// stamp and now.
+func (p Policy) provenRecent(s, now Stamp) bool {
+	boot := time.Duration(now.BootMillis-s.BootMillis) * time.Millisecond
+	wall := time.Duration(now.UnixMillis-s.UnixMillis) * time.Millisecond
+	return s != Stamp{} && boot >= 0 && boot < p.OfflineAfter-restartMargin && (boot-wall).Abs() <= clockAgreement
 }
 
 // seen is a record and when it was read.
@@ -64,17 +109,20 @@
 	others map[string]seen
 	// logged is this VM's record as the log has it.
 	logged holding
-	// granted is what this process may use; it is below logged.Granted while a
-	// smaller part may still be written.
+	// granted and open are what this process may use; they are below those of
+	// logged while a smaller part may still be written.
 	granted  int64
+	open     int64
 	spent    int64
 	reserved int64
 	stranded int64
 	// base is the part of spent that earlier processes of this VM account for.
 	base int64
-	rate    demand
-	// largest is the largest request of late; a share below it is of no use.
-	largest int64
+	rate demand
+	// mean is the mean upper bound of the requests of late.
+	mean float64
+	// wanted is what another VM asked this one to hand back.
+	wanted  int64
 	waiters []*waiter
 }
 
@@ -82,21 +130,31 @@
 	return &account{entry: entry, others: make(map[string]seen)}
 }
 
-// available is what a new request may take without asking.
-func (a *account) available() int64 { return a.granted - a.spent - a.reserved }
+// available is what a new request may take without asking. While the log is
+// silent for long, that is all that was granted.
+func (a *account) available(offline bool) int64 {
+	if offline {
+		return a.granted - a.spent - a.reserved
+	}
+	return min(a.granted, a.open) - a.spent - a.reserved
+}
+
+// totals are the sums of the other VMs' records.
+type totals struct {
+	granted, spent, running, stranded, rate int64
+}
 
-// sums adds up the other VMs' records.
-func (a *account) sums(now time.Time, fresh time.Duration) (granted, spent, running, stranded, rate int64) {
+func (a *account) totals(now time.Time, fresh time.Duration) (t totals) {
 	for _, h := range a.others {
-		granted += h.Granted
-		spent += h.Spent
-		stranded += h.Stranded
+		t.granted += h.Granted
+		t.spent += h.Spent
+		t.stranded += h.Stranded
 		if now.Sub(h.at) <= fresh {
-			running += h.InFlight
-			rate += h.Rate
+			t.running += h.InFlight
+			t.rate += h.Rate
 		}
 	}
-	return granted, spent, running, stranded, rate
+	return t
 }
 
 // overdrawn reports whether the parts exceed the budget, which happens after it
@@ -112,80 +170,129 @@
 // remaining is the most that may be left of the budget, counting running
 // requests at their upper bounds.
 func (a *account) remaining(prepaid int64, now time.Time, fresh time.Duration) int64 {
-	_, spent, running, stranded, _ := a.sums(now, fresh)
-	return prepaid - (spent - stranded) - running - (a.spent - a.stranded) - a.reserved
+	t := a.totals(now, fresh)
+	return prepaid - (t.spent - t.stranded) - t.running - (a.spent - a.stranded) - a.reserved
 }
 
 // target is the unused part that this VM should hold.
 func (a *account) target(prepaid int64, now time.Time, p Policy, routers int) int64 {
-	_, spent, _, _, rate := a.sums(now, p.Fresh)
-	unspent := float64(prepaid - spent - a.spent)
+	t := a.totals(now, p.Fresh)
+	unspent := float64(prepaid-t.spent-t.running-a.spent-a.reserved) * p.ShareOfUnspent
 	if unspent <= 0 {
 		return 0
 	}
+	part := 1 / float64(max(1, routers))
 	own := a.rate.perSecond(now)
-	share := own * p.Horizon.Seconds()
-	if own > 0 {
-		share = min(share, unspent*p.ShareOfUnspent*own/(own+float64(rate)))
-	}
-	share = max(share, unspent*p.IdleShare/float64(max(1, routers)))
-	if share < float64(minUseful*a.largest) {
-		return 0
+	if sum := own + float64(t.rate); sum > 0 {
+		part = p.EqualShare*part + (1-p.EqualShare)*own/sum
 	}
-	return int64(share)
+	return int64(unspent * part)
 }
 
-// minUseful is the number of largest requests that a share must hold. Smaller
-// shares would only keep the rest of a nearly empty budget in pieces.
-const minUseful = 2
+// window is the unused part that is open.
+func (a *account) window(now time.Time, p Policy, target int64) int64 {
+	return int64(max(openMargin*p.OfflineAfter.Seconds()*a.rate.perSecond(now), p.OpenRequests*a.mean, p.OpenShare*float64(target)))
+}
+
+// planning is what the plan of a record depends on besides the account.
+type planning struct {
+	prepaid int64
+	now     time.Time
+	policy  Policy
+	routers int
+	process string
+	heard   Stamp
+}
 
 // plan returns the record that this VM should have in the log, and whether it
 // is worth an append.
-func (a *account) plan(prepaid int64, now time.Time, p Policy, routers int, process string) (holding, bool) {
+func (a *account) plan(in planning) (holding, bool) {
 	used := a.spent + a.reserved
-	target := a.target(prepaid, now, p, routers)
-	want := used + target
+	target := a.target(in.prepaid, in.now, in.policy, in.routers)
+	waiting := int64(0)
 	for _, w := range a.waiters {
-		want += w.amount
+		waiting += w.amount
 	}
-	othersGranted, _, _, _, _ := a.sums(now, p.Fresh)
-	free := max(0, prepaid-othersGranted-a.logged.Granted)
+	want := used + target + waiting
+	others := a.totals(in.now, in.policy.Fresh)
+	free := max(0, in.prepaid-others.granted-a.logged.Granted)
 	granted := a.logged.Granted
 	switch {
-	case want > granted && (len(a.waiters) > 0 || granted-used < target*3/4):
+	case a.wanted > 0 && waiting == 0:
+		granted = min(granted, max(used, granted-a.wanted))
+	case want > granted && (waiting > 0 || granted-used < target*3/4):
 		granted = min(want, granted+free)
-	case want < granted && (granted-want > target/4 || a.overdrawn(prepaid)):
+	case want < granted && (granted-want > target/4 || a.overdrawn(in.prepaid)):
 		granted = want
 	}
 	granted = max(granted, used)
+	window := a.window(in.now, in.policy, target)
+	open := min(granted, used+waiting+window)
+	if l := a.logged.Open; l <= granted && waiting == 0 && l-used >= window*3/4 && l-used <= window*5/4 {
+		open = l
+	}
 	next := holding{
-		Process: process, Granted: granted, Spent: a.spent, InFlight: a.reserved, Stranded: a.stranded,
-		Rate: int64(a.rate.perSecond(now)),
+		Process: in.process, Granted: granted, Spent: a.spent, InFlight: a.reserved, Stranded: a.stranded,
+		Rate: int64(a.rate.perSecond(in.now)), Open: open, Heard: in.heard,
 	}
-	l := a.logged
-	changed := next.Granted != l.Granted || next.Spent != l.Spent || next.InFlight != l.InFlight || l.Process != process
-	return next, changed && (next.Granted > 0 || l != holding{})
+	return next, a.worthAppend(next)
 }
 
-// fold takes over a record that was read from the log. It reports a record of an
-// earlier process of this VM.
-func (a *account) fold(vm string, h holding, own, process string, now time.Time) (takenOver bool) {
-	if vm != own {
-		a.others[vm] = seen{h, now}
+// worthAppend reports whether a record says something new. The demand and the
+// time alone do not.
+func (a *account) worthAppend(next holding) bool {
+	old := a.logged
+	if next.Granted == 0 && old == (holding{}) {
 		return false
 	}
+	next.Rate, next.Heard = old.Rate, old.Heard
+	return next != old
+}
+
+// fold takes over a record that was read from the log. It returns what a record
+// of an earlier process of this VM left stranded.
+func (a *account) fold(h holding, process string, recent bool) (stranded int64) {
 	if h.Process == process {
-		a.logged, a.granted = h, h.Granted
-		return false
+		a.logged, a.granted, a.open = h, h.Granted, h.Open
+		return 0
 	}
-	// An earlier process of this VM: all that it was granted may be spent.
-	a.stranded = h.Stranded + h.Granted - h.Spent
-	a.spent += h.Granted - a.base
-	a.base = h.Granted
-	a.logged, a.granted = h, h.Granted
-	return true
+	used := h.Granted
+	if recent {
+		used = min(h.Granted, h.Open)
+	}
+	a.stranded = h.Stranded + used - h.Spent
+	a.spent += used - a.base
+	a.base = used
+	a.logged, a.granted, a.open = h, h.Granted, 0
+	return used - h.Spent
 }
 
+// idleHolders returns the VMs that hold an unused part, the largest first, until
+// they cover the amount.
+func (a *account) idleHolders(amount int64, now time.Time, fresh time.Duration) []string {
+	var names []string
+	taken := make(map[string]bool)
+	for amount > 0 && len(names) < maxAsked {
+		best, most := "", int64(0)
+		for vm, h := range a.others {
+			idle := h.Granted - h.Spent - h.InFlight
+			if !taken[vm] && idle > most && now.Sub(h.at) <= fresh {
+				best, most = vm, idle
+			}
+		}
+		if best == "" {
+			break
+		}
+		taken[best] = true
+		names = append(names, best)
+		amount -= most
+	}
+	return names
+}
+
+// maxAsked bounds the VMs that are asked for one request.
+const maxAsked = 5
+
 // demand measures tokens per second.
 type demand struct {
 	level float64
@@ -193,7 +300,7 @@
 }
 
 // demandWindow is the time constant of the measured demand.
-const demandWindow = 4 * time.Second
+const demandWindow = 5 * time.Second
 
 func (d *demand) decay(now time.Time) {
 	if dt := now.Sub(d.at); dt > 0 {
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -48,31 +48,9 @@
 	}
 }
 
-// interval spreads the reports of many VMs, and reports faster while a budget
-// runs low and its rest is handed from VM to VM.
+// interval spreads the reports of many VMs.
 func (p *partition) interval() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.cfg.Interval
-	if p.low() {
-		d /= lowFactor
-	}
-	return time.Duration(float64(d) * (0.75 + 0.5*rand.Float64()))
-}
-
-// lowFactor is how much faster shares of a low budget are reported.
-const lowFactor = 3
-
-// low reports whether a budget in use is too low for shares.
-func (p *partition) low() bool {
-	now := p.cfg.Now()
-	for entry, a := range p.accounts {
-		prepaid, ok := p.cfg.Prepaid(entry)
-		if ok && a.largest > 0 && a.logged.Granted > a.spent && a.target(prepaid, now, p.cfg.Policy, p.cfg.Routers()) == 0 {
-			return true
-		}
-	}
-	return false
+	return time.Duration(float64(p.cfg.Interval) * (0.75 + 0.5*rand.Float64()))
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -89,6 +67,8 @@
 // cycle reads the stream to its end, writes this VM's records and answers the
 // waiters. With handBack, shares are reduced to what was spent.
 func (p *partition) cycle(ctx context.Context, handBack bool) error {
+	p.cycling.Lock()
+	defer p.cycling.Unlock()
 	for conflict := range maxConflicts {
 		began := p.cfg.Now()
 		if err := p.read(ctx); err != nil {
@@ -170,15 +150,15 @@
 		if !ok && a.logged == (holding{}) {
 			continue
 		}
-		next, changed := a.plan(prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process))
+		next, changed := a.plan(planning{prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process), p.heard})
 		if handBack {
-			next.Granted, next.Rate = a.spent+a.reserved, 0
-			changed = next != a.logged && a.logged != (holding{})
+			next.Granted, next.Open, next.Rate = a.spent+a.reserved, a.spent+a.reserved, 0
+			changed = a.worthAppend(next)
 		}
 		if changed {
 			records = append(records, planned{a, next})
 			// Until the log has answered, the smaller part holds.
-			a.granted = min(a.granted, next.Granted)
+			a.granted, a.open = min(a.granted, next.Granted), min(a.open, next.Open)
 		}
 	}
 	return records, p.next
@@ -208,16 +188,18 @@
 		}
 		batch = append(batch, keyedlog.Record{Key: r.account.entry + keySeparator + p.cfg.VM, Value: value})
 	}
+	sent, sentSteady := p.cfg.Stamp(), p.cfg.Now()
 	end, err := p.cfg.Log.Append(ctx, p.stream, batch, at)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case err == nil:
+		p.heard, p.heardSteady = sent, sentSteady
 		p.written(records, end)
 	case errors.IsAny(err, keyedlog.ErrConflict, keyedlog.ErrUnavailable):
 		for _, r := range records {
 			if p.unsure == nil {
-				r.account.granted = r.account.logged.Granted
+				r.account.confirm()
 			}
 		}
 	default:
@@ -237,10 +219,10 @@
 				"spent": r.next.Spent, "in_flight": r.next.InFlight, "offset": end - 1, "waiting": len(a.waiters),
 			})
 		}
-		a.logged, a.granted = r.next, r.next.Granted
+		a.logged, a.wanted = r.next, 0
 	}
 	for _, a := range p.accounts {
-		a.granted = a.logged.Granted
+		a.confirm()
 	}
 	if p.failing {
 		p.failing = false
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -36,6 +36,11 @@
 	// Routers returns the number of live routers.
 	Routers func() int
 	Policy  Policy
+	// Stamp reads the clocks of the VM.
+	Stamp func() Stamp
+	// Ask asks other VMs to hand back an amount of an entry's budget. It returns
+	// when they have answered. It may be nil.
+	Ask func(ctx context.Context, vms []string, entry string, amount int64)
 	// Interval is the time between two reports of what was spent.
 	Interval time.Duration
 	Now      func() time.Time
@@ -57,12 +62,19 @@
 	stream  keyedlog.Stream
 	kick    chan struct{}
 
+	// cycling is held during a cycle, before mu.
+	cycling sync.Mutex
+
 	mu       sync.Mutex
 	accounts map[string]*account
 	next     uint64
 	loaded   bool
 	contact  time.Time
 	failing  bool
+	// heard is when the last confirmed append was sent, by the VM's clocks and by
+	// the steady clock.
+	heard       Stamp
+	heardSteady time.Time
 	// unsure is set while an append without an answer may still be carried out.
 	unsure *unsureAppend
 }
@@ -74,7 +86,9 @@
 type waiter struct {
 	amount int64
 	since  time.Time
-	done   chan error
+	// asked is true once other VMs were asked to hand back their parts.
+	asked bool
+	done  chan error
 }
 
 // New returns a manager. It serves after Run has read the log.
@@ -164,10 +178,11 @@
 		return nil, &budget.UnavailableError{RetryAfter: retryHeld, Cause: errNotLoaded}
 	}
 	a := p.account(entry)
-	a.largest = max(amount, a.largest-a.largest/largestDecay)
-	if len(a.waiters) == 0 && a.available() >= amount && !a.overdrawn(prepaid) {
+	a.note(amount)
+	offline := p.offline(now)
+	if len(a.waiters) == 0 && a.available(offline) >= amount && !a.overdrawn(prepaid) {
 		a.reserved += amount
-		if a.available() < a.target(prepaid, now, p.cfg.Policy, p.cfg.Routers())/4 {
+		if a.available(offline) < a.window(now, p.cfg.Policy, 0)/4 {
 			p.wake()
 		}
 		return nil, nil
@@ -184,9 +199,22 @@
 	return w, nil
 }
 
-// largestDecay is the part by which the largest request is forgotten with each
-// request.
-const largestDecay = 32
+// note takes the bound of a request into the mean.
+func (a *account) note(amount int64) {
+	if a.mean == 0 {
+		a.mean = float64(amount)
+	}
+	a.mean += (float64(amount) - a.mean) * meanWeight
+}
+
+// meanWeight is the weight of one request in the mean.
+const meanWeight = 0.05
+
+// offline reports whether the log has been silent for so long that all of the
+// parts may be spent.
+func (p *partition) offline(now time.Time) bool {
+	return !p.heardSteady.IsZero() && now.Sub(p.heardSteady) > p.cfg.Policy.OfflineAfter
+}
 
 func (p *partition) account(entry string) *account {
 	a := p.accounts[entry]
@@ -251,17 +279,21 @@
 // serve answers the waiters that the share covers, and those that it does not
 // cover if they came before a read of the log that has ended.
 func (p *partition) serve(a *account, prepaid int64, readBegan, now time.Time) {
-	usable := !a.overdrawn(prepaid)
+	usable, offline := !a.overdrawn(prepaid), p.offline(now)
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
 		switch {
-		case usable && a.available() >= w.amount:
+		case usable && a.available(offline) >= w.amount:
 			a.reserved += w.amount
 			w.done <- nil
 		case !w.since.Before(readBegan):
 			kept = append(kept, w)
 		case a.remaining(prepaid, now, p.cfg.Policy.Fresh) < w.amount:
 			w.done <- budget.ErrExhausted
+		case !w.asked && p.cfg.Ask != nil:
+			w.asked = true
+			kept = append(kept, w)
+			p.ask(a, w.amount, now)
 		default:
 			w.done <- &budget.UnavailableError{RetryAfter: retryHeld, Cause: errHeld}
 		}
@@ -269,6 +301,37 @@
 	a.waiters = kept
 }
 
+// ask asks the VMs with the largest unused parts for an amount. Waiting requests
+// are tried again when they have answered.
+func (p *partition) ask(a *account, amount int64, now time.Time) {
+	holders := a.idleHolders(amount, now, p.cfg.Policy.Fresh)
+	if len(holders) == 0 {
+		p.wake()
+		return
+	}
+	obs.ShareAsksTotal.Add(1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		p.cfg.Ask(ctx, holders, a.entry, amount)
+		p.wake()
+	}()
+}
+
+// askTimeout bounds the wait for parts of other VMs.
+const askTimeout = 250 * time.Millisecond
+
+// HandBack gives up to an amount of this VM's unused part of a budget back, for
+// another VM. It returns when the log has it.
+func (m *Manager) HandBack(ctx context.Context, entry string, amount int64) error {
+	p := m.partitionOf(entry)
+	p.mu.Lock()
+	a := p.account(entry)
+	a.wanted = max(a.wanted, amount)
+	p.mu.Unlock()
+	return p.cycle(ctx, false)
+}
+
 // Balance returns what is left of an entry's budget as far as this VM knows.
 func (m *Manager) Balance(key record.EntryKey) budget.Balance {
 	prepaid, limited := m.cfg.Prepaid(key.Name)
@@ -298,16 +361,11 @@
 			continue
 		}
 		a := p.account(entry)
-		before := a.granted
-		if a.fold(vm, h, p.cfg.VM, string(p.cfg.Process), now) {
-			obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
-				"entry": entry, "process": h.Process, "offset": rec.Offset, "stranded": h.Granted - h.Spent,
-			})
-		}
-		if p.unsure != nil && page.Next == p.unsure.at && vm == p.cfg.VM {
-			// A smaller part may still be written.
-			a.granted = min(a.granted, before)
+		if vm != p.cfg.VM {
+			a.others[vm] = seen{h, now}
+			continue
 		}
+		p.foldOwn(a, h, rec.Offset)
 	}
 	p.next = max(p.next, page.Next)
 	if p.unsure != nil && p.next > p.unsure.at {
@@ -316,11 +374,34 @@
 	p.contact, p.loaded = now, true
 }
 
+// foldOwn takes over the record of this VM. That of an earlier process of the VM
+// counts as spent.
+func (p *partition) foldOwn(a *account, h holding, offset uint64) {
+	granted, open := a.granted, a.open
+	stamp := p.cfg.Stamp()
+	recent := p.cfg.Policy.provenRecent(h.Heard, stamp)
+	stranded := a.fold(h, string(p.cfg.Process), recent)
+	if h.Process != string(p.cfg.Process) {
+		obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
+			"entry": a.entry, "process": h.Process, "offset": offset, "stranded": stranded, "granted": h.Granted,
+			"recent": recent, "boot_ms": stamp.BootMillis - h.Heard.BootMillis, "wall_ms": stamp.UnixMillis - h.Heard.UnixMillis,
+		})
+	} else if p.unsure != nil && offset < p.unsure.at {
+		// A smaller part may still be written.
+		a.granted, a.open = min(a.granted, granted), min(a.open, open)
+	}
+}
+
 // settleUnsure ends the doubt about an append: the stream has moved, so that the
 // log's record is final.
 func (p *partition) settleUnsure() {
 	p.unsure = nil
 	for _, a := range p.accounts {
-		a.granted = a.logged.Granted
+		a.confirm()
 	}
 }
+
+// confirm makes what the log has usable.
+func (a *account) confirm() {
+	a.granted, a.open = a.logged.Granted, a.logged.Open
+}
--- a/internal/daemon/gateway_members.go
+++ b/internal/daemon/gateway_members.go
@@ -158,3 +158,11 @@
 	}
 	return out
 }
+
+// address returns the peers' address of a live router.
+func (m *members) address(vm string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.known[vm]
+	return known.Address, ok && known.Address != ""
+}
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -29,3 +29,6 @@
 // MemberRenewalsFailed counts renewals of this router's record that the log did
 // not confirm.
 var MemberRenewalsFailed = Counter("member_renewals_failed_total")
+
+// ShareAsksTotal counts requests for which other VMs were asked to hand back.
+var ShareAsksTotal = Counter("share_asks_total")
