Lend shares between routers; count a dead process's open part only when two clocks prove it recent

Cause: a router without a share refused while others held idle parts, and every kill stranded whole shares.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -15,7 +15,9 @@
 package prepaid
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -35,18 +37,15 @@
 	Rate int64 `cbor:"6,keyasint,omitempty"`
 	// Open is the part of Granted that is spent at any time.
 	Open int64 `cbor:"7,keyasint"`
-	// Heard is when the log last confirmed a record of the process.
-	Heard Stamp `cbor:"8,keyasint"`
+	// Lent is the part of Spent that other VMs were lent, and Borrowed what this
+	// VM has spent of the parts of others.
+	Lent     int64 `cbor:"8,keyasint,omitempty"`
+	Borrowed int64 `cbor:"9,keyasint,omitempty"`
 }
 
-// Stamp is a moment by two clocks of a VM that are set independently.
-type Stamp struct {
-	_ struct{} `cbor:",toarray"`
-	// BootMillis counts from the start of the VM, also while it is suspended.
-	BootMillis int64
-	// UnixMillis is the time of day.
-	UnixMillis int64
-}
+// used is what the record's VM is known to have used of the budget. Loans count
+// where they were spent.
+func (h holding) used() int64 { return h.Spent - h.Stranded - h.Lent + h.Borrowed }
 
 // Policy holds the figures that decide how large shares are.
 type Policy struct {
@@ -55,8 +54,8 @@
 	// EqualShare is the part of that which is divided equally, for demand that
 	// has not shown yet. The rest is divided by demand.
 	EqualShare float64
-	// OfflineAfter is how long the log must be silent before more than the open
-	// part is spent. It is longer than a restart of a process.
+	// OfflineAfter is how long no record may have reached the log before more
+	// than the open part is spent. It is longer than a restart of a process.
 	OfflineAfter time.Duration
 	// OpenShare is the least part of the target that is open. It is what the loss
 	// of all processes strands at the least.
@@ -72,29 +71,13 @@
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.92, EqualShare: 0.35, OfflineAfter: 4 * time.Second, OpenShare: 0.35,
+		ShareOfUnspent: 0.6, EqualShare: 0.35, OfflineAfter: 5500 * time.Millisecond, OpenShare: 0.35,
 		OpenRequests: 2, Fresh: 5 * time.Second,
 	}
 }
 
-const (
-	// restartMargin is kept between the time proven by the clocks and
-	// OfflineAfter, for the resolution of timers.
-	restartMargin = 300 * time.Millisecond
-	// clockAgreement is how far the two clocks of a VM may differ in the time
-	// since a stamp. Beyond it one of them was set, or the VM was restarted.
-	clockAgreement = 250 * time.Millisecond
-	// openMargin is how much more than the mean demand the open part covers.
-	openMargin = 1.3
-)
-
-// provenAlive reports whether less than OfflineAfter can have passed between a
-// stamp and now.
-func (p Policy) provenRecent(s, now Stamp) bool {
-	boot := time.Duration(now.BootMillis-s.BootMillis) * time.Millisecond
-	wall := time.Duration(now.UnixMillis-s.UnixMillis) * time.Millisecond
-	return s != Stamp{} && boot >= 0 && boot < p.OfflineAfter-restartMargin && (boot-wall).Abs() <= clockAgreement
-}
+// openMargin is how much more than the mean demand the open part covers.
+const openMargin = 1.3
 
 // seen is a record and when it was read.
 type seen struct {
@@ -111,21 +94,31 @@
 	logged holding
 	// granted and open are what this process may use; they are below those of
 	// logged while a smaller part may still be written.
-	granted  int64
-	open     int64
+	granted int64
+	open    int64
+	// base is the part that earlier processes of this VM account for, and
+	// stranded what they left unreported in it.
+	base     int64
+	stranded int64
+	// spent and reserved are those of this process. What was borrowed is spent
+	// first.
 	spent    int64
 	reserved int64
-	stranded int64
-	// base is the part of spent that earlier processes of this VM account for.
-	base int64
-	rate demand
+	borrowed int64
+	loans    []loan
+	lent     int64
+	rate     demand
 	// mean is the mean upper bound of the requests of late.
-	mean float64
-	// wanted is what another VM asked this one to hand back.
-	wanted  int64
+	mean    float64
 	waiters []*waiter
 }
 
+// loan is a part that another VM has lent.
+type loan struct {
+	lender string
+	amount int64
+}
+
 func newAccount(entry string) *account {
 	return &account{entry: entry, others: make(map[string]seen)}
 }
@@ -133,22 +126,32 @@
 // available is what a new request may take without asking. While the log is
 // silent for long, that is all that was granted.
 func (a *account) available(offline bool) int64 {
-	if offline {
-		return a.granted - a.spent - a.reserved
+	bound := a.granted
+	if !offline {
+		bound = min(bound, a.open)
 	}
-	return min(a.granted, a.open) - a.spent - a.reserved
+	return max(0, bound-a.base) + a.borrowed - a.spent - a.reserved
 }
 
+// logSpent and logUsed are what is spent, and spent or reserved, of the part that
+// the log has granted.
+func (a *account) logSpent() int64 { return a.base + max(0, a.spent-a.borrowed) }
+
+func (a *account) logUsed() int64 { return a.base + max(0, a.spent+a.reserved-a.borrowed) }
+
+// ownUsed is what this VM is known to have used of the budget.
+func (a *account) ownUsed() int64 { return a.base - a.stranded - a.lent + a.spent + a.reserved }
+
 // totals are the sums of the other VMs' records.
 type totals struct {
-	granted, spent, running, stranded, rate int64
+	granted, spent, used, running, rate int64
 }
 
 func (a *account) totals(now time.Time, fresh time.Duration) (t totals) {
 	for _, h := range a.others {
 		t.granted += h.Granted
 		t.spent += h.Spent
-		t.stranded += h.Stranded
+		t.used += h.used()
 		if now.Sub(h.at) <= fresh {
 			t.running += h.InFlight
 			t.rate += h.Rate
@@ -171,13 +174,13 @@
 // requests at their upper bounds.
 func (a *account) remaining(prepaid int64, now time.Time, fresh time.Duration) int64 {
 	t := a.totals(now, fresh)
-	return prepaid - (t.spent - t.stranded) - t.running - (a.spent - a.stranded) - a.reserved
+	return prepaid - t.used - t.running - a.ownUsed()
 }
 
 // target is the unused part that this VM should hold.
 func (a *account) target(prepaid int64, now time.Time, p Policy, routers int) int64 {
 	t := a.totals(now, p.Fresh)
-	unspent := float64(prepaid-t.spent-t.running-a.spent-a.reserved) * p.ShareOfUnspent
+	unspent := float64(prepaid-t.spent-t.running-a.logUsed()) * p.ShareOfUnspent
 	if unspent <= 0 {
 		return 0
 	}
@@ -201,13 +204,12 @@
 	policy  Policy
 	routers int
 	process string
-	heard   Stamp
 }
 
 // plan returns the record that this VM should have in the log, and whether it
 // is worth an append.
 func (a *account) plan(in planning) (holding, bool) {
-	used := a.spent + a.reserved
+	used := a.logUsed()
 	target := a.target(in.prepaid, in.now, in.policy, in.routers)
 	waiting := int64(0)
 	for _, w := range a.waiters {
@@ -218,8 +220,6 @@
 	free := max(0, in.prepaid-others.granted-a.logged.Granted)
 	granted := a.logged.Granted
 	switch {
-	case a.wanted > 0 && waiting == 0:
-		granted = min(granted, max(used, granted-a.wanted))
 	case want > granted && (waiting > 0 || granted-used < target*3/4):
 		granted = min(want, granted+free)
 	case want < granted && (granted-want > target/4 || a.overdrawn(in.prepaid)):
@@ -232,20 +232,21 @@
 		open = l
 	}
 	next := holding{
-		Process: in.process, Granted: granted, Spent: a.spent, InFlight: a.reserved, Stranded: a.stranded,
-		Rate: int64(a.rate.perSecond(in.now)), Open: open, Heard: in.heard,
+		Process: in.process, Granted: granted, Spent: a.logSpent(), InFlight: used - a.logSpent(),
+		Stranded: a.stranded, Rate: int64(a.rate.perSecond(in.now)), Open: open, Lent: a.lent,
+		Borrowed: min(a.borrowed, a.spent),
 	}
 	return next, a.worthAppend(next)
 }
 
-// worthAppend reports whether a record says something new. The demand and the
-// time alone do not.
+// worthAppend reports whether a record says something new. The demand alone does
+// not.
 func (a *account) worthAppend(next holding) bool {
 	old := a.logged
 	if next.Granted == 0 && old == (holding{}) {
 		return false
 	}
-	next.Rate, next.Heard = old.Rate, old.Heard
+	next.Rate = old.Rate
 	return next != old
 }
 
@@ -261,37 +262,61 @@
 		used = min(h.Granted, h.Open)
 	}
 	a.stranded = h.Stranded + used - h.Spent
-	a.spent += used - a.base
 	a.base = used
 	a.logged, a.granted, a.open = h, h.Granted, 0
 	return used - h.Spent
 }
 
-// idleHolders returns the VMs that hold an unused part, the largest first, until
-// they cover the amount.
-func (a *account) idleHolders(amount int64, now time.Time, fresh time.Duration) []string {
+// lenders returns the VMs that hold an unused part, the largest first.
+func (a *account) lenders() []string {
 	var names []string
-	taken := make(map[string]bool)
-	for amount > 0 && len(names) < maxAsked {
-		best, most := "", int64(0)
-		for vm, h := range a.others {
-			idle := h.Granted - h.Spent - h.InFlight
-			if !taken[vm] && idle > most && now.Sub(h.at) <= fresh {
-				best, most = vm, idle
-			}
+	for vm, h := range a.others {
+		if h.Granted-h.Spent-h.InFlight > 0 {
+			names = append(names, vm)
 		}
-		if best == "" {
-			break
-		}
-		taken[best] = true
-		names = append(names, best)
-		amount -= most
 	}
+	slices.SortFunc(names, func(x, y string) int {
+		return cmp.Compare(a.others[y].idle(), a.others[x].idle())
+	})
 	return names
 }
 
-// maxAsked bounds the VMs that are asked for one request.
-const maxAsked = 5
+func (h holding) idle() int64 { return h.Granted - h.Spent - h.InFlight }
+
+// lend gives away a part for a request of another VM: the amount, and more if
+// there is plenty.
+func (a *account) lend(amount int64, offline bool) int64 {
+	idle := a.available(offline)
+	if idle < amount {
+		return 0
+	}
+	given := max(amount, min(lendFactor*amount, idle/lendPart))
+	a.spent += given
+	a.lent += given
+	return given
+}
+
+const (
+	// lendFactor and lendPart bound what is lent beyond the amount, so that the
+	// next requests need no loan.
+	lendFactor = 4
+	lendPart   = 4
+)
+
+// repay returns an idle loan, the latest first.
+func (a *account) repay() (loan, bool) {
+	idle := a.borrowed - a.spent - a.reserved
+	if idle <= 0 || len(a.loans) == 0 || len(a.waiters) > 0 {
+		return loan{}, false
+	}
+	last := &a.loans[len(a.loans)-1]
+	back := loan{lender: last.lender, amount: min(idle, last.amount)}
+	a.borrowed -= back.amount
+	if last.amount -= back.amount; last.amount == 0 {
+		a.loans = a.loans[:len(a.loans)-1]
+	}
+	return back, true
+}
 
 // demand measures tokens per second.
 type demand struct {
@@ -300,7 +325,7 @@
 }
 
 // demandWindow is the time constant of the measured demand.
-const demandWindow = 5 * time.Second
+const demandWindow = 12 * time.Second
 
 func (d *demand) decay(now time.Time) {
 	if dt := now.Sub(d.at); dt > 0 {
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -75,7 +75,7 @@
 			return err
 		}
 		planned, at := p.plan(handBack)
-		if len(planned) == 0 {
+		if len(planned) == 0 && p.cfg.Now().Sub(p.beatAt) < p.cfg.Interval/2 {
 			p.answer(began)
 			return nil
 		}
@@ -150,9 +150,9 @@
 		if !ok && a.logged == (holding{}) {
 			continue
 		}
-		next, changed := a.plan(planning{prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process), p.heard})
+		next, changed := a.plan(planning{prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process)})
 		if handBack {
-			next.Granted, next.Open, next.Rate = a.spent+a.reserved, a.spent+a.reserved, 0
+			next.Granted, next.Open, next.Rate = a.logUsed(), a.logUsed(), 0
 			changed = a.worthAppend(next)
 		}
 		if changed {
@@ -180,7 +180,12 @@
 func (p *partition) write(ctx context.Context, records []planned, at uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, cycleTimeout)
 	defer cancel()
-	batch := make([]keyedlog.Record, 0, len(records))
+	b, undo := p.nextBeat()
+	value, err := cbor.Marshal(b)
+	if err != nil {
+		return errors.Wrap(err, "encode beat")
+	}
+	batch := []keyedlog.Record{{Key: keySeparator + p.cfg.VM, Value: value}}
 	for _, r := range records {
 		value, err := cbor.Marshal(r.next)
 		if err != nil {
@@ -188,15 +193,14 @@
 		}
 		batch = append(batch, keyedlog.Record{Key: r.account.entry + keySeparator + p.cfg.VM, Value: value})
 	}
-	sent, sentSteady := p.cfg.Stamp(), p.cfg.Now()
 	end, err := p.cfg.Log.Append(ctx, p.stream, batch, at)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case err == nil:
-		p.heard, p.heardSteady = sent, sentSteady
 		p.written(records, end)
 	case errors.IsAny(err, keyedlog.ErrConflict, keyedlog.ErrUnavailable):
+		undo()
 		for _, r := range records {
 			if p.unsure == nil {
 				r.account.confirm()
@@ -208,18 +212,33 @@
 	return err
 }
 
+// nextBeat returns the beat of an append. While an append without an answer may
+// still be carried out, its beat is sent again: the time that a successor
+// measures from it must not be shorter than that of offline. undo takes the beat
+// back after an append that was not carried out.
+func (p *partition) nextBeat() (b beat, undo func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before, beforeAt := p.beat, p.beatAt
+	if p.unsure == nil {
+		p.beat, p.beatAt = beat{Process: string(p.cfg.Process), Stamp: p.cfg.Stamp()}, p.cfg.Now()
+	}
+	return p.beat, func() { p.beat, p.beatAt = before, beforeAt }
+}
+
 func (p *partition) written(records []planned, end uint64) {
 	now := p.cfg.Now()
 	p.next, p.contact, p.unsure = end, now, nil
 	for _, r := range records {
 		a := r.account
-		if r.next.Granted > a.logged.Granted {
+		if r.next.Granted != a.logged.Granted {
 			obs.EventShareGranted.Log(p.cfg.Logger, logrus.Fields{
-				"entry": a.entry, "granted": r.next.Granted, "before": a.logged.Granted,
+				"entry": a.entry, "granted": r.next.Granted, "before": a.logged.Granted, "open": r.next.Open,
+				"left": p.left(a, now),
 				"spent": r.next.Spent, "in_flight": r.next.InFlight, "offset": end - 1, "waiting": len(a.waiters),
 			})
 		}
-		a.logged, a.wanted = r.next, 0
+		a.logged = r.next
 	}
 	for _, a := range p.accounts {
 		a.confirm()
@@ -230,6 +249,12 @@
 	}
 }
 
+// left is what is left of a budget, for the log.
+func (p *partition) left(a *account, now time.Time) int64 {
+	prepaid, _ := p.cfg.Prepaid(a.entry)
+	return a.remaining(prepaid, now, p.cfg.Policy.Fresh)
+}
+
 // answer answers the waiters after a read and a write.
 func (p *partition) answer(readBegan time.Time) {
 	p.mu.Lock()
@@ -242,6 +267,19 @@
 		prepaid, _ := p.cfg.Prepaid(entry)
 		p.serve(a, prepaid, readBegan, now)
 	}
+	p.repay()
+}
+
+// repay returns idle loans while the log is there to grant a share instead.
+func (p *partition) repay() {
+	if p.cfg.Peers == nil {
+		return
+	}
+	for entry, a := range p.accounts {
+		if back, ok := a.repay(); ok {
+			go p.cfg.Peers.Repay(back.lender, entry, back.amount)
+		}
+	}
 }
 
 // delayed logs the beginning of an outage.
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -38,15 +38,24 @@
 	Policy  Policy
 	// Stamp reads the clocks of the VM.
 	Stamp func() Stamp
-	// Ask asks other VMs to hand back an amount of an entry's budget. It returns
-	// when they have answered. It may be nil.
-	Ask func(ctx context.Context, vms []string, entry string, amount int64)
+	// Peers asks other VMs for loans. It may be nil.
+	Peers Peers
 	// Interval is the time between two reports of what was spent.
 	Interval time.Duration
 	Now      func() time.Time
 	Logger   logrus.FieldLogger
 }
 
+// Peers carries loans between the VMs.
+type Peers interface {
+	// Borrow asks VMs for an amount, those named first, and returns who has lent
+	// how much; nothing if none did.
+	Borrow(ctx context.Context, preferred []string, entry string, amount int64) (lender string, lent int64)
+	// Repay tells a VM that a part of its loan was not used. An answer is not
+	// awaited: what is lost on the way counts as spent.
+	Repay(lender, entry string, amount int64)
+}
+
 // Manager reserves and settles budgets. It is safe for concurrent use.
 //
 // Lock order: a partition's mutex is never held during a call to the log.
@@ -71,10 +80,12 @@
 	loaded   bool
 	contact  time.Time
 	failing  bool
-	// heard is when the last confirmed append was sent, by the VM's clocks and by
+	// beat is the last one that may have reached the log, and beatAt its time by
 	// the steady clock.
-	heard       Stamp
-	heardSteady time.Time
+	beat   beat
+	beatAt time.Time
+	// predecessor is the last beat of an earlier process of this VM.
+	predecessor beat
 	// unsure is set while an append without an answer may still be carried out.
 	unsure *unsureAppend
 }
@@ -86,9 +97,10 @@
 type waiter struct {
 	amount int64
 	since  time.Time
-	// asked is true once other VMs were asked to hand back their parts.
-	asked bool
-	done  chan error
+	// asked is true once other VMs were asked for a loan, and pending until they
+	// have answered.
+	asked, pending bool
+	done           chan error
 }
 
 // New returns a manager. It serves after Run has read the log.
@@ -133,8 +145,8 @@
 	retryHeld = time.Second
 	// retryLogAway is told while the log does not answer.
 	retryLogAway = 2 * time.Second
-	// logAwayAfter is the time without an answer after which a wait for the log
-	// is pointless.
+	// logAwayAfter is the time without an answer after which other VMs are asked
+	// at once.
 	logAwayAfter = 1500 * time.Millisecond
 	// provenFor is how long a read of the log proves that a budget is used up.
 	// Running requests that end meanwhile may give back a part.
@@ -158,25 +170,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveWait)
 	defer cancel()
-	select {
-	case err = <-w.done:
-		return res, err
-	case <-ctx.Done():
-		if p.cancelWait(req.Entry.Name, w) {
-			return res, &budget.UnavailableError{RetryAfter: retryLogAway, Cause: errLogAway}
+	impatient := time.NewTimer(logPatience)
+	defer impatient.Stop()
+	for {
+		select {
+		case err = <-w.done:
+			return res, err
+		case <-impatient.C:
+			p.askFor(req.Entry.Name, w)
+		case <-ctx.Done():
+			if p.cancelWait(req.Entry.Name, w) {
+				return res, &budget.UnavailableError{RetryAfter: retryLogAway, Cause: errLogAway}
+			}
+			return res, <-w.done
 		}
-		return res, <-w.done
 	}
 }
 
+// logPatience is how long a request waits for the log before other VMs are asked.
+const logPatience = 40 * time.Millisecond
+
 // reserve takes the amount from the share, or returns a waiter for a larger one.
 func (p *partition) reserve(entry string, amount, prepaid int64) (*waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Now()
-	if !p.loaded {
-		return nil, &budget.UnavailableError{RetryAfter: retryHeld, Cause: errNotLoaded}
-	}
 	a := p.account(entry)
 	a.note(amount)
 	offline := p.offline(now)
@@ -187,14 +205,14 @@
 		}
 		return nil, nil
 	}
-	if now.Sub(p.contact) > logAwayAfter {
-		return nil, &budget.UnavailableError{RetryAfter: retryLogAway, Cause: errLogAway}
-	}
-	if now.Sub(p.contact) < provenFor && a.remaining(prepaid, now, p.cfg.Policy.Fresh) < amount {
+	if p.loaded && now.Sub(p.contact) < provenFor && a.remaining(prepaid, now, p.cfg.Policy.Fresh) < amount {
 		return nil, budget.ErrExhausted
 	}
 	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
+	if now.Sub(p.contact) > logAwayAfter {
+		p.ask(a, w)
+	}
 	p.wake()
 	return w, nil
 }
@@ -213,7 +231,7 @@
 // offline reports whether the log has been silent for so long that all of the
 // parts may be spent.
 func (p *partition) offline(now time.Time) bool {
-	return !p.heardSteady.IsZero() && now.Sub(p.heardSteady) > p.cfg.Policy.OfflineAfter
+	return !p.beatAt.IsZero() && now.Sub(p.beatAt) > p.cfg.Policy.OfflineAfter
 }
 
 func (p *partition) account(entry string) *account {
@@ -290,10 +308,8 @@
 			kept = append(kept, w)
 		case a.remaining(prepaid, now, p.cfg.Policy.Fresh) < w.amount:
 			w.done <- budget.ErrExhausted
-		case !w.asked && p.cfg.Ask != nil:
-			w.asked = true
+		case p.ask(a, w) || w.pending:
 			kept = append(kept, w)
-			p.ask(a, w.amount, now)
 		default:
 			w.done <- &budget.UnavailableError{RetryAfter: retryHeld, Cause: errHeld}
 		}
@@ -301,35 +317,84 @@
 	a.waiters = kept
 }
 
-// ask asks the VMs with the largest unused parts for an amount. Waiting requests
-// are tried again when they have answered.
-func (p *partition) ask(a *account, amount int64, now time.Time) {
-	holders := a.idleHolders(amount, now, p.cfg.Policy.Fresh)
-	if len(holders) == 0 {
-		p.wake()
-		return
+// askFor asks for a waiter that the log has kept waiting.
+func (p *partition) askFor(entry string, w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ask(p.account(entry), w)
+}
+
+// ask borrows for a waiter, once. It reports whether it has begun to.
+func (p *partition) ask(a *account, w *waiter) bool {
+	if w.asked || p.cfg.Peers == nil {
+		return false
 	}
+	w.asked, w.pending = true, true
 	obs.ShareAsksTotal.Add(1)
+	lenders := a.lenders()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		defer cancel()
-		p.cfg.Ask(ctx, holders, a.entry, amount)
-		p.wake()
+		lender, amount := p.cfg.Peers.Borrow(ctx, lenders, a.entry, w.amount)
+		p.borrowed(a, w, lender, amount)
 	}()
+	return true
+}
+
+// borrowTimeout bounds the search for a lender.
+const borrowTimeout = 250 * time.Millisecond
+
+// borrowed takes over a loan and answers the waiters.
+func (p *partition) borrowed(a *account, w *waiter, lender string, amount int64) {
+	prepaid, _ := p.cfg.Prepaid(a.entry)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.pending = false
+	now := p.cfg.Now()
+	if amount > 0 {
+		a.borrowed += amount
+		a.loans = append(a.loans, loan{lender, amount})
+		obs.EventShareBorrowed.Log(p.cfg.Logger, logrus.Fields{
+			"entry": a.entry, "lender": lender, "amount": amount, "needed": w.amount,
+			"log_age_ms": now.Sub(p.contact).Milliseconds(),
+		})
+	}
+	if p.loaded && now.Sub(p.contact) < logAwayAfter {
+		p.serve(a, prepaid, time.Time{}, now)
+		p.wake()
+		return
+	}
+	// The log will not answer the waiter in time.
+	p.serve(a, prepaid, now.Add(time.Nanosecond), now)
 }
 
-// askTimeout bounds the wait for parts of other VMs.
-const askTimeout = 250 * time.Millisecond
+// Lend gives a part of this VM's share to a request of another VM. It returns 0
+// if there is not enough.
+func (m *Manager) Lend(entry string, amount int64) int64 {
+	prepaid, limited := m.cfg.Prepaid(entry)
+	if !limited || amount <= 0 {
+		return 0
+	}
+	p := m.partitionOf(entry)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(entry)
+	if a.overdrawn(prepaid) || len(a.waiters) > 0 {
+		return 0
+	}
+	return a.lend(amount, p.offline(p.cfg.Now()))
+}
 
-// HandBack gives up to an amount of this VM's unused part of a budget back, for
-// another VM. It returns when the log has it.
-func (m *Manager) HandBack(ctx context.Context, entry string, amount int64) error {
+// Repaid takes back a part of a loan. It must be called at most once for a part.
+func (m *Manager) Repaid(entry string, amount int64) {
 	p := m.partitionOf(entry)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	a := p.account(entry)
-	a.wanted = max(a.wanted, amount)
-	p.mu.Unlock()
-	return p.cycle(ctx, false)
+	if amount > 0 && amount <= a.lent {
+		a.lent -= amount
+		a.spent -= amount
+	}
 }
 
 // Balance returns what is left of an entry's budget as far as this VM knows.
@@ -347,25 +412,21 @@
 // keySeparator stands between the entry and the VM in a record's key.
 const keySeparator = "\x00"
 
+// fold takes over records of the stream. Beats come first: what an earlier
+// process of this VM left is judged by its last one.
 func (p *partition) fold(page keyedlog.Page) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Now()
 	for _, rec := range page.Records {
-		entry, vm, ok := strings.Cut(rec.Key, keySeparator)
-		var h holding
-		if !ok || rec.Value == nil || cbor.Unmarshal(rec.Value, &h) != nil {
-			obs.EventRecordMalformed.Log(p.cfg.Logger, logrus.Fields{
-				"stream": p.stream.Name, "partition": p.stream.Partition, "key": rec.Key, "offset": rec.Offset,
-			})
-			continue
+		if entry, vm, _ := strings.Cut(rec.Key, keySeparator); entry == "" {
+			p.foldBeat(vm, rec)
 		}
-		a := p.account(entry)
-		if vm != p.cfg.VM {
-			a.others[vm] = seen{h, now}
-			continue
+	}
+	for _, rec := range page.Records {
+		if entry, vm, _ := strings.Cut(rec.Key, keySeparator); entry != "" {
+			p.foldHolding(entry, vm, rec, now)
 		}
-		p.foldOwn(a, h, rec.Offset)
 	}
 	p.next = max(p.next, page.Next)
 	if p.unsure != nil && p.next > p.unsure.at {
@@ -374,17 +435,48 @@
 	p.contact, p.loaded = now, true
 }
 
+func (p *partition) decode(rec keyedlog.Record, out any) bool {
+	if rec.Value != nil && cbor.Unmarshal(rec.Value, out) == nil {
+		return true
+	}
+	obs.EventRecordMalformed.Log(p.cfg.Logger, logrus.Fields{
+		"stream": p.stream.Name, "partition": p.stream.Partition, "key": rec.Key, "offset": rec.Offset,
+	})
+	return false
+}
+
+func (p *partition) foldBeat(vm string, rec keyedlog.Record) {
+	var b beat
+	if p.decode(rec, &b) && vm == p.cfg.VM && b.Process != string(p.cfg.Process) {
+		p.predecessor = b
+	}
+}
+
+func (p *partition) foldHolding(entry, vm string, rec keyedlog.Record, now time.Time) {
+	var h holding
+	if !p.decode(rec, &h) {
+		return
+	}
+	a := p.account(entry)
+	if vm == p.cfg.VM {
+		p.foldOwn(a, h, rec.Offset)
+	} else {
+		a.others[vm] = seen{h, now}
+	}
+}
+
 // foldOwn takes over the record of this VM. That of an earlier process of the VM
 // counts as spent.
 func (p *partition) foldOwn(a *account, h holding, offset uint64) {
 	granted, open := a.granted, a.open
 	stamp := p.cfg.Stamp()
-	recent := p.cfg.Policy.provenRecent(h.Heard, stamp)
+	died := p.predecessor.Stamp
+	recent := p.predecessor.Process == h.Process && p.cfg.Policy.provenRecent(died, stamp)
 	stranded := a.fold(h, string(p.cfg.Process), recent)
 	if h.Process != string(p.cfg.Process) {
 		obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
 			"entry": a.entry, "process": h.Process, "offset": offset, "stranded": stranded, "granted": h.Granted,
-			"recent": recent, "boot_ms": stamp.BootMillis - h.Heard.BootMillis, "wall_ms": stamp.UnixMillis - h.Heard.UnixMillis,
+			"recent": recent, "boot_ms": stamp.BootMillis - died.BootMillis, "wall_ms": stamp.UnixMillis - died.UnixMillis,
 		})
 	} else if p.unsure != nil && offset < p.unsure.at {
 		// A smaller part may still be written.
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 )
 
@@ -23,45 +21,95 @@
 	return prepaid.Stamp{BootMillis: boot.Nano() / int64(time.Millisecond), UnixMillis: time.Now().UnixMilli()}
 }
 
-// handBackRequest asks a router to hand back a part of a budget.
-type handBackRequest struct {
+// loanRequest asks a router for a part of its share of a budget, or returns an
+// unused part.
+type loanRequest struct {
 	Entry  string `json:"entry"`
 	Amount int64  `json:"amount"`
 }
 
-// methodHandBack is the method of handBackRequest.
-const methodHandBack = "prepaid.handback"
+// loanResponse says how much was lent.
+type loanResponse struct {
+	Lent int64 `json:"lent"`
+}
+
+// Methods of loans.
+const (
+	methodBorrow = "prepaid.borrow"
+	methodRepay  = "prepaid.repay"
+)
+
+const (
+	// borrowAsks bounds the routers that are asked for one request.
+	borrowAsks = 6
+	// borrowCall bounds one question, and repayCall one repayment.
+	borrowCall = 100 * time.Millisecond
+	repayCall  = time.Second
+)
 
 // serveBudget answers the requests of other routers.
 func (p *gatewayPeers) serveBudget(m *prepaid.Manager) {
 	if p.server == nil {
 		return
 	}
-	p.server.Handle(methodHandBack, func(ctx context.Context, _ peerapi.Identity, params json.RawMessage) (any, error) {
-		var request handBackRequest
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, errors.Wrap(err, "parameters")
-		}
-		return struct{}{}, m.HandBack(ctx, request.Entry, request.Amount)
+	handle(p.server, methodBorrow, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
+		return loanResponse{Lent: m.Lend(r.Entry, r.Amount)}, nil
+	})
+	handle(p.server, methodRepay, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
+		m.Repaid(r.Entry, r.Amount)
+		return loanResponse{}, nil
 	})
 }
 
-// askHandBack asks routers at a time and waits for all of them.
-func (p *gatewayPeers) askHandBack(ctx context.Context, vms []string, entry string, amount int64) {
+// Borrow implements prepaid.Peers. Lenders are asked one after the other, so that
+// no more is lent than needed.
+func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (string, int64) {
 	if p.pool == nil {
-		return
+		return "", 0
+	}
+	asked := 0
+	for _, peer := range p.lenders(preferred) {
+		if asked++; asked > borrowAsks || ctx.Err() != nil {
+			break
+		}
+		call, cancel := context.WithTimeout(ctx, borrowCall)
+		var response loanResponse
+		err := p.pool.Call(call, peer.address, methodBorrow, loanRequest{Entry: entry, Amount: amount}, &response)
+		cancel()
+		if err == nil && response.Lent >= amount {
+			return peer.address, response.Lent
+		}
+	}
+	return "", 0
+}
+
+// Repay implements prepaid.Peers. Lenders are named by their addresses.
+func (p *gatewayPeers) Repay(lender, entry string, amount int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), repayCall)
+	defer cancel()
+	var response loanResponse
+	if err := p.pool.Call(ctx, lender, methodRepay, loanRequest{Entry: entry, Amount: amount}, &response); err != nil {
+		obs.LoansLostTotal.Add(1)
+	}
+}
+
+// peerAddress is a router that may lend.
+type peerAddress struct{ vm, address string }
+
+// lenders returns the preferred routers and then the others, in random order.
+func (p *gatewayPeers) lenders(preferred []string) []peerAddress {
+	var out []peerAddress
+	known := make(map[string]bool)
+	for _, vm := range preferred {
+		if address, ok := p.gateway.members.address(vm); ok {
+			out = append(out, peerAddress{vm, address})
+			known[address] = true
+		}
 	}
-	var asked sync.WaitGroup
-	for _, vm := range vms {
-		address, ok := p.gateway.members.address(vm)
-		if !ok {
-			continue
+	for _, address := range p.choose(borrowAsks) {
+		if !known[address] {
+			out = append(out, peerAddress{address: address})
 		}
-		asked.Go(func() {
-			var result struct{}
-			// A router that does not answer keeps its part; the pool counts it.
-			_ = p.pool.Call(ctx, address, methodHandBack, handBackRequest{Entry: entry, Amount: amount}, &result)
-		})
 	}
-	asked.Wait()
+	return out
 }
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askPeerTimeout)
 	defer cancel()
 	var asked sync.WaitGroup
-	for _, address := range p.choose() {
+	for _, address := range p.choose(askPeers) {
 		asked.Add(1)
 		go func() {
 			defer asked.Done()
@@ -146,9 +146,9 @@
 }
 
 // choose returns a few peers: those that the log has named, else the seeds.
-func (p *gatewayPeers) choose() []string {
+func (p *gatewayPeers) choose(most int) []string {
 	candidates := p.gateway.members.addresses()
-	if len(candidates) < askPeers {
+	if len(candidates) < most {
 		p.mu.Lock()
 		for _, seed := range p.seeds {
 			if seed != p.gateway.cfg.PeerListen {
@@ -158,7 +158,7 @@
 		p.mu.Unlock()
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	return candidates[:min(askPeers, len(candidates))]
+	return candidates[:min(most, len(candidates))]
 }
 
 // answer implements methodStreams.
--- a/internal/daemon/gateway_state.go
+++ b/internal/daemon/gateway_state.go
@@ -39,7 +39,7 @@
 	snapshot := g.decoded.config.WithUpstreams(upstreams)
 	g.snapshot.Store(snapshot)
 	g.routing.Update(snapshot)
-	if g.upstreams.Loaded() && !g.ready.Swap(true) {
+	if len(upstreams) > 0 && !g.ready.Swap(true) {
 		obs.EventReady.Log(g.logger, logrus.Fields{"config_version": snapshot.Version, "upstreams": len(upstreams)})
 	}
 }
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -16,6 +16,8 @@
 		"The next try follows at once. Many of them mean that many VMs draw on nearly empty budgets.")
 	EventShareDelayed = register(1812, logrus.WarnLevel, "shares cannot be written",
 		"The log does not answer. Requests are served from the shares at hand.")
+	EventShareBorrowed = register(1814, logrus.InfoLevel, "part of a prepaid budget borrowed",
+		"Another VM lent what a request lacked. No action.")
 	EventShareTakenOver = register(1813, logrus.WarnLevel, "share of an earlier process of this VM counted as spent",
 		"The earlier process ended without handing back its share. The field stranded is the part that may not have been used.")
 )
@@ -32,3 +34,6 @@
 
 // ShareAsksTotal counts requests for which other VMs were asked to hand back.
 var ShareAsksTotal = Counter("share_asks_total")
+
+// LoansLostTotal counts unused parts of loans that could not be returned.
+var LoansLostTotal = Counter("loans_lost_total")
