Release what a dead process cannot have spent, by witnesses and the majority of the clocks

Cause: after a power loss of all VMs no clock of a VM alone proves how long its process was silent, so all shares counted as spent. Other routers now testify.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -5,13 +5,13 @@
 // how much of that it has spent. The sum of the granted parts never exceeds the
 // budget, because a record that raises a part is appended only if its stream
 // has not changed since its writer read it. A VM spends its part without asking
-// anyone.
+// anyone, and lends of it to others.
 //
 // A part has two bounds. Up to Open it is spent at any time; the rest only after
-// the log has been silent for Policy.OfflineAfter. A process that starts on a VM
-// where another one has died without handing back its part counts as spent what
-// was granted to it, or what was open to it, if the clocks of the VM prove that
-// less than OfflineAfter has passed since the dead process last heard the log.
+// no record of the process has reached the log for Policy.OfflineAfter. A process
+// that starts on a VM where another one has died without handing back its part
+// counts as spent what was granted to it; or only what was open to it, if clocks
+// prove that it died within OfflineAfter of its last record.
 package prepaid
 
 import (
@@ -100,6 +100,10 @@
 	// stranded what they left unreported in it.
 	base     int64
 	stranded int64
+	// dead is the record of the last earlier process, and deadRecent is true if
+	// only its open part counts as spent.
+	dead       holding
+	deadRecent bool
 	// spent and reserved are those of this process. What was borrowed is spent
 	// first.
 	spent    int64
@@ -250,23 +254,6 @@
 	return next != old
 }
 
-// fold takes over a record that was read from the log. It returns what a record
-// of an earlier process of this VM left stranded.
-func (a *account) fold(h holding, process string, recent bool) (stranded int64) {
-	if h.Process == process {
-		a.logged, a.granted, a.open = h, h.Granted, h.Open
-		return 0
-	}
-	used := h.Granted
-	if recent {
-		used = min(h.Granted, h.Open)
-	}
-	a.stranded = h.Stranded + used - h.Spent
-	a.base = used
-	a.logged, a.granted, a.open = h, h.Granted, 0
-	return used - h.Spent
-}
-
 // lenders returns the VMs that hold an unused part, the largest first.
 func (a *account) lenders() []string {
 	var names []string
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -104,6 +104,7 @@
 	p.mu.Lock()
 	next, loaded := p.next, p.loaded
 	p.mu.Unlock()
+	began := p.cfg.Stamp().BootMillis
 	var page keyedlog.Page
 	err := keyedlog.ErrTrimmed
 	if loaded {
@@ -116,6 +117,9 @@
 		return err
 	}
 	p.fold(page)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.witness.add(readMark{began: began, end: p.next})
 	return nil
 }
 
@@ -221,7 +225,9 @@
 	defer p.mu.Unlock()
 	before, beforeAt := p.beat, p.beatAt
 	if p.unsure == nil {
-		p.beat, p.beatAt = beat{Process: string(p.cfg.Process), Stamp: p.cfg.Stamp()}, p.cfg.Now()
+		p.beat, p.beatAt = beat{
+			Process: string(p.cfg.Process), Stamp: p.cfg.Stamp(), Before: p.confirmed, BeforeEnd: p.beatEnd,
+		}, p.cfg.Now()
 	}
 	return p.beat, func() { p.beat, p.beatAt = before, beforeAt }
 }
@@ -229,6 +235,7 @@
 func (p *partition) written(records []planned, end uint64) {
 	now := p.cfg.Now()
 	p.next, p.contact, p.unsure = end, now, nil
+	p.confirmed, p.beatEnd = p.beat.Stamp, end
 	for _, r := range records {
 		a := r.account
 		if r.next.Granted != a.logged.Granted {
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -36,8 +36,10 @@
 	// Routers returns the number of live routers.
 	Routers func() int
 	Policy  Policy
-	// Stamp reads the clocks of the VM.
+	// Stamp reads the clocks of the VM. Start is their state when the process
+	// began, before it could spend anything.
 	Stamp func() Stamp
+	Start Stamp
 	// Peers asks other VMs for loans. It may be nil.
 	Peers Peers
 	// Interval is the time between two reports of what was spent.
@@ -54,6 +56,8 @@
 	// Repay tells a VM that a part of its loan was not used. An answer is not
 	// awaited: what is lost on the way counts as spent.
 	Repay(lender, entry string, amount int64)
+	// Witness asks the other routers for the age of a record.
+	Witness(ctx context.Context, partition int, offset uint64) []Testimony
 }
 
 // Manager reserves and settles budgets. It is safe for concurrent use.
@@ -69,6 +73,7 @@
 	manager *Manager
 	cfg     *Config
 	stream  keyedlog.Stream
+	index   int
 	kick    chan struct{}
 
 	// cycling is held during a cycle, before mu.
@@ -84,8 +89,12 @@
 	// the steady clock.
 	beat   beat
 	beatAt time.Time
-	// predecessor is the last beat of an earlier process of this VM.
-	predecessor beat
+	// confirmed is the stamp of the last confirmed beat, and beatEnd the end of
+	// the stream after it.
+	confirmed   Stamp
+	beatEnd     uint64
+	predecessor predecessor
+	witness     witness
 	// unsure is set while an append without an answer may still be carried out.
 	unsure *unsureAppend
 }
@@ -106,9 +115,9 @@
 // New returns a manager. It serves after Run has read the log.
 func New(cfg Config) *Manager {
 	m := &Manager{cfg: cfg}
-	for _, s := range cfg.Streams {
+	for i, s := range cfg.Streams {
 		m.partitions = append(m.partitions, &partition{
-			manager: m, cfg: &m.cfg, stream: s, kick: make(chan struct{}, 1), accounts: make(map[string]*account),
+			manager: m, cfg: &m.cfg, stream: s, index: i, kick: make(chan struct{}, 1), accounts: make(map[string]*account),
 		})
 	}
 	return m
@@ -125,6 +134,7 @@
 	var loops conc.WaitGroup
 	for _, p := range m.partitions {
 		loops.Go(func() { p.run(ctx) })
+		loops.Go(func() { p.collectEvidence(ctx) })
 	}
 	loops.Wait()
 }
@@ -448,7 +458,7 @@
 func (p *partition) foldBeat(vm string, rec keyedlog.Record) {
 	var b beat
 	if p.decode(rec, &b) && vm == p.cfg.VM && b.Process != string(p.cfg.Process) {
-		p.predecessor = b
+		p.foldPredecessor(b, rec.Offset)
 	}
 }
 
@@ -465,25 +475,6 @@
 	}
 }
 
-// foldOwn takes over the record of this VM. That of an earlier process of the VM
-// counts as spent.
-func (p *partition) foldOwn(a *account, h holding, offset uint64) {
-	granted, open := a.granted, a.open
-	stamp := p.cfg.Stamp()
-	died := p.predecessor.Stamp
-	recent := p.predecessor.Process == h.Process && p.cfg.Policy.provenRecent(died, stamp)
-	stranded := a.fold(h, string(p.cfg.Process), recent)
-	if h.Process != string(p.cfg.Process) {
-		obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
-			"entry": a.entry, "process": h.Process, "offset": offset, "stranded": stranded, "granted": h.Granted,
-			"recent": recent, "boot_ms": stamp.BootMillis - died.BootMillis, "wall_ms": stamp.UnixMillis - died.UnixMillis,
-		})
-	} else if p.unsure != nil && offset < p.unsure.at {
-		// A smaller part may still be written.
-		a.granted, a.open = min(a.granted, granted), min(a.open, open)
-	}
-}
-
 // settleUnsure ends the doubt about an append: the stream has moved, so that the
 // log's record is final.
 func (p *partition) settleUnsure() {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -155,7 +155,7 @@
 	g.budget = prepaid.New(prepaid.Config{
 		Log: deps.Log, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaid,
 		Entries: g.entries, Routers: g.members.routers, Policy: prepaid.DefaultPolicy(), Interval: reportInterval,
-		Stamp: readStamp, Peers: g.peers, Now: time.Now, Logger: logger,
+		Stamp: readStamp, Start: readStamp(), Peers: g.peers, Now: time.Now, Logger: logger,
 	})
 	g.peers.serveBudget(g.budget)
 	weights := routing.DefaultWeights()
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -33,10 +34,17 @@
 	Lent int64 `json:"lent"`
 }
 
-// Methods of loans.
+// witnessRequest asks a router for the age of a record.
+type witnessRequest struct {
+	Partition int    `json:"partition"`
+	Offset    uint64 `json:"offset"`
+}
+
+// Methods of budgets.
 const (
-	methodBorrow = "prepaid.borrow"
-	methodRepay  = "prepaid.repay"
+	methodBorrow  = "prepaid.borrow"
+	methodRepay   = "prepaid.repay"
+	methodWitness = "prepaid.witness"
 )
 
 const (
@@ -59,8 +67,37 @@
 		m.Repaid(r.Entry, r.Amount)
 		return loanResponse{}, nil
 	})
+	handle(p.server, methodWitness, func(_ context.Context, _ peerapi.Identity, r witnessRequest) (any, error) {
+		return m.Witness(r.Partition, r.Offset), nil
+	})
 }
 
+// Witness implements prepaid.Peers.
+func (p *gatewayPeers) Witness(ctx context.Context, partition int, offset uint64) []prepaid.Testimony {
+	var (
+		mu    sync.Mutex
+		found []prepaid.Testimony
+		asked sync.WaitGroup
+	)
+	for _, address := range p.choose(maxWitnesses) {
+		asked.Go(func() {
+			var t prepaid.Testimony
+			request := witnessRequest{Partition: partition, Offset: offset}
+			if err := p.pool.Call(ctx, address, methodWitness, request, &t); err != nil {
+				return // counted by the pool; the next round asks again
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			found = append(found, t)
+		})
+	}
+	asked.Wait()
+	return found
+}
+
+// maxWitnesses bounds the routers that are asked for the age of a record.
+const maxWitnesses = 400
+
 // Borrow implements prepaid.Peers. Lenders are asked one after the other, so that
 // no more is lent than needed.
 func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (string, int64) {
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -16,6 +16,8 @@
 		"The next try follows at once. Many of them mean that many VMs draw on nearly empty budgets.")
 	EventShareDelayed = register(1812, logrus.WarnLevel, "shares cannot be written",
 		"The log does not answer. Requests are served from the shares at hand.")
+	EventShareReleased = register(1815, logrus.InfoLevel, "unspent part of an earlier process released",
+		"Clocks prove that the earlier process of this VM cannot have spent it. No action.")
 	EventShareBorrowed = register(1814, logrus.InfoLevel, "part of a prepaid budget borrowed",
 		"Another VM lent what a request lacked. No action.")
 	EventShareTakenOver = register(1813, logrus.WarnLevel, "share of an earlier process of this VM counted as spent",
