--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -71,7 +71,7 @@
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.6, EqualShare: 0.35, OfflineAfter: 5500 * time.Millisecond, OpenShare: 0.35,
+		ShareOfUnspent: 0.6, EqualShare: 0.35, OfflineAfter: 6300 * time.Millisecond, OpenShare: 0.45,
 		OpenRequests: 2, Fresh: 5 * time.Second,
 	}
 }
@@ -115,6 +115,9 @@
 	// mean is the mean upper bound of the requests of late.
 	mean    float64
 	waiters []*waiter
+	// deniedAmount is what neither the log nor other VMs had at deniedAt.
+	deniedAmount int64
+	deniedAt     time.Time
 }
 
 // loan is a part that another VM has lent.
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -153,11 +153,14 @@
 	// retryHeld is told when other routers hold what is missing; they hand back
 	// within one interval.
 	retryHeld = time.Second
-	// retryLogAway is told while the log does not answer.
-	retryLogAway = 2 * time.Second
+	// retryLogAway is told while the log does not answer: another router may hold
+	// a larger share.
+	retryLogAway = 250 * time.Millisecond
 	// logAwayAfter is the time without an answer after which other VMs are asked
 	// at once.
 	logAwayAfter = 1500 * time.Millisecond
+	// deniedFor is how long no other VM is asked again for as much as none had.
+	deniedFor = 400 * time.Millisecond
 	// provenFor is how long a read of the log proves that a budget is used up.
 	// Running requests that end meanwhile may give back a part.
 	provenFor = 300 * time.Millisecond
@@ -218,6 +221,9 @@
 	if p.loaded && now.Sub(p.contact) < provenFor && a.remaining(prepaid, now, p.cfg.Policy.Fresh) < amount {
 		return nil, budget.ErrExhausted
 	}
+	if amount >= a.deniedAmount && now.Sub(a.deniedAt) < deniedFor && len(a.waiters) == 0 {
+		return nil, &budget.UnavailableError{RetryAfter: retryHeld, Cause: errHeld}
+	}
 	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
 	if now.Sub(p.contact) > logAwayAfter {
@@ -321,6 +327,7 @@
 		case p.ask(a, w) || w.pending:
 			kept = append(kept, w)
 		default:
+			a.deniedAt, a.deniedAmount = now, w.amount
 			w.done <- &budget.UnavailableError{RetryAfter: retryHeld, Cause: errHeld}
 		}
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -118,7 +118,7 @@
 	// upstreamGrace is how long removals are held back after the log's return.
 	upstreamGrace = 2200 * time.Millisecond
 	// reportInterval is the time between two reports of what was spent.
-	reportInterval = time.Second
+	reportInterval = 700 * time.Millisecond
 	// gatewaySlowStart is short because engines are at full speed at once; only
 	// their caches are empty.
 	gatewaySlowStart = 3 * time.Second
