--- /dev/null
+++ b/internal/coordination/beats/beats.go
@@ -0,0 +1,266 @@
+// Package beats tells which routers are alive, and how long a router that has
+// died can have lived after its last sign of life.
+//
+// Each router renews one record, its beat, in a keyed stream. From the stream
+// every router knows the live ones. A process that starts on a VM finds the last
+// beat of its predecessor and learns from clocks and from the other routers
+// whether the predecessor can have lived for longer than a given time after it.
+package beats
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/replica"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+)
+
+// Record is a router's beat.
+type Record struct {
+	Process string `cbor:"1,keyasint"`
+	// Address is where the router's peers reach it.
+	Address string `cbor:"2,keyasint,omitempty"`
+	Zone    string `cbor:"3,keyasint,omitempty"`
+	// Stamp is not later than the append.
+	Stamp Stamp `cbor:"4,keyasint"`
+	// Before is the stamp of the process's beat before, and BeforeEnd the end of
+	// the stream after it.
+	Before    Stamp  `cbor:"5,keyasint"`
+	BeforeEnd uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Config holds the settings of Beats.
+type Config struct {
+	Log    keyedlog.Log
+	Stream keyedlog.Stream
+	// VM names this VM. At most one process of a VM runs at a time.
+	VM string
+	// Self is this process's record without its stamps.
+	Self Record
+	// Interval is the least time between two beats; large fleets beat slower.
+	Interval time.Duration
+	// Silence is the time after the last beat from which Silent reports true.
+	Silence time.Duration
+	// Stamp reads the clocks of the VM.
+	Stamp func() Stamp
+	Now   func() time.Time
+	// Witnesses asks the other routers for the age of the beat at an offset.
+	Witnesses func(ctx context.Context, offset uint64) []Testimony
+	Logger    logrus.FieldLogger
+}
+
+const (
+	// callTimeout bounds one beat.
+	callTimeout = 1200 * time.Millisecond
+	// beatsPerSecond bounds the beats of the whole fleet.
+	beatsPerSecond = 50
+	// missed is the number of intervals without a beat after which a router
+	// counts as gone.
+	missed = 5
+	// minLife is the least time after which a router counts as gone.
+	minLife = 6 * time.Second
+	// retryPause follows a beat that the log did not take.
+	retryPause = 200 * time.Millisecond
+)
+
+// member is a router and when its record was last seen to change.
+type member struct {
+	Record
+	offset uint64
+	at     time.Time
+}
+
+// Beats sends this router's beats and follows those of the others. It is safe
+// for concurrent use.
+type Beats struct {
+	cfg     Config
+	replica *replica.Replica
+	// start is the state of the clocks when the process began.
+	start   Stamp
+	started time.Time
+
+	mu      sync.Mutex
+	members map[string]member
+	live    int
+	// last is the beat that was sent last and may have reached the log, and
+	// lastAt its time by the steady clock.
+	last   Record
+	lastAt time.Time
+	// unsure is true while a beat without an answer may still be carried out.
+	unsure      bool
+	predecessor predecessor
+	marks       marks
+}
+
+// New returns Beats that have not begun.
+func New(cfg Config) *Beats {
+	b := &Beats{
+		cfg: cfg, start: cfg.Stamp(), started: cfg.Now(), members: make(map[string]member), live: 1,
+		predecessor: predecessor{proven: make(chan struct{})},
+	}
+	b.replica = replica.New(replica.Config{
+		Log: cfg.Log, Stream: cfg.Stream, Interval: cfg.Interval, Now: cfg.Now, Changed: b.update, Logger: cfg.Logger,
+		Clock: func() int64 { return cfg.Stamp().BootMillis }, Read: b.mark, Pace: b.interval,
+	})
+	return b
+}
+
+// Replica returns the copy of the stream, for the exchange with peers.
+func (b *Beats) Replica() *replica.Replica { return b.replica }
+
+// Run beats until the context ends.
+func (b *Beats) Run(ctx context.Context) {
+	go b.replica.Run(ctx)
+	go b.collectEvidence(ctx)
+	for ctx.Err() == nil {
+		pause := b.interval()
+		// The predecessor's beat must be read before it is overwritten.
+		if !b.replica.Loaded() || b.beat(ctx) != nil {
+			pause = retryPause
+		}
+		b.update()
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (b *Beats) interval() time.Duration {
+	return max(b.cfg.Interval, time.Duration(b.Routers())*time.Second/beatsPerSecond)
+}
+
+// beat appends one beat.
+func (b *Beats) beat(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	next, undo := b.next()
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "encode beat")
+	}
+	end, err := b.cfg.Log.Append(ctx, b.cfg.Stream, []keyedlog.Record{{Key: b.cfg.VM, Value: value}}, keyedlog.Anywhere)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case err == nil:
+		b.unsure = false
+		b.cfg.Self.Before, b.cfg.Self.BeforeEnd = next.Stamp, end
+	case errors.Is(err, keyedlog.ErrUnavailable):
+		undo()
+		obs.BeatsFailedTotal.Add(1)
+	default:
+		b.unsure = true
+		obs.BeatsFailedTotal.Add(1)
+	}
+	return err
+}
+
+// next returns the beat to send. While a beat without an answer may still be
+// carried out, its stamp is sent again: the time that a successor measures from
+// it must not be shorter than that of Silent. undo takes back a beat that was
+// not carried out.
+func (b *Beats) next() (r Record, undo func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before, beforeAt := b.last, b.lastAt
+	if !b.unsure {
+		b.last, b.lastAt = b.cfg.Self, b.cfg.Now()
+		b.last.Stamp = b.cfg.Stamp()
+	}
+	return b.last, func() {
+		if !b.unsure {
+			b.last, b.lastAt = before, beforeAt
+		}
+	}
+}
+
+// Silent reports whether no beat of this process has reached the log for
+// Config.Silence.
+func (b *Beats) Silent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.lastAt.IsZero() && b.cfg.Now().Sub(b.lastAt) > b.cfg.Silence
+}
+
+// Leave removes this router's record.
+func (b *Beats) Leave(ctx context.Context) {
+	_, err := b.cfg.Log.Append(ctx, b.cfg.Stream, []keyedlog.Record{{Key: b.cfg.VM}}, keyedlog.Anywhere)
+	if err != nil {
+		// The others find out when no beat follows.
+		obs.BeatsFailedTotal.Add(1)
+	}
+}
+
+// update takes over changed records and counts the live routers. While the log is
+// away, the last known ones count on.
+func (b *Beats) update() {
+	records := b.replica.Records()
+	away := b.replica.Age(b.started)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.cfg.Now()
+	for vm, rec := range records {
+		b.take(vm, rec, now)
+	}
+	life := max(minLife, missed*max(b.cfg.Interval, time.Duration(b.live)*time.Second/beatsPerSecond))
+	live := 1
+	for vm, m := range b.members {
+		_, listed := records[vm]
+		if !listed || now.Sub(m.at)-away > life {
+			delete(b.members, vm)
+			continue
+		}
+		if vm != b.cfg.VM {
+			live++
+		}
+	}
+	if live != b.live {
+		obs.EventMemberChanged.Log(b.cfg.Logger, logrus.Fields{"routers": live, "before": b.live, "age_ms": away.Milliseconds()})
+	}
+	b.live = live
+}
+
+func (b *Beats) take(vm string, rec keyedlog.Record, now time.Time) {
+	known, ok := b.members[vm]
+	if ok && known.offset == rec.Offset {
+		return
+	}
+	var r Record
+	if err := cbor.Unmarshal(rec.Value, &r); err != nil {
+		obs.EventRecordMalformed.Log(b.cfg.Logger, logrus.Fields{
+			"stream": b.cfg.Stream.Name, "key": vm, "offset": rec.Offset, "error": err.Error(),
+		})
+		return
+	}
+	if vm == b.cfg.VM && r.Process != b.cfg.Self.Process {
+		b.foundPredecessor(r, rec.Offset)
+	}
+	b.members[vm] = member{r, rec.Offset, now}
+}
+
+// Routers returns the number of live routers, this one included.
+func (b *Beats) Routers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.live
+}
+
+// Addresses returns the peers' addresses of the other live routers by VM.
+func (b *Beats) Addresses() map[string]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]string, len(b.members))
+	for vm, m := range b.members {
+		if vm != b.cfg.VM && m.Address != "" {
+			out[vm] = m.Address
+		}
+	}
+	return out
+}
--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -7,11 +7,11 @@
 // has not changed since its writer read it. A VM spends its part without asking
 // anyone, and lends of it to others.
 //
-// A part has two bounds. Up to Open it is spent at any time; the rest only after
-// no record of the process has reached the log for Policy.OfflineAfter. A process
-// that starts on a VM where another one has died without handing back its part
-// counts as spent what was granted to it; or only what was open to it, if clocks
-// prove that it died within OfflineAfter of its last record.
+// A part has two bounds. Up to Open it is spent at any time; the rest only while
+// the VM is silent, that is, none of its beats reaches the log. A process that
+// starts on a VM where another one has died without handing back its part counts
+// as spent what was granted to it; or only what was open to it, if it is proven
+// that the dead process was never silent.
 package prepaid
 
 import (
@@ -54,9 +54,9 @@
 	// EqualShare is the part of that which is divided equally, for demand that
 	// has not shown yet. The rest is divided by demand.
 	EqualShare float64
-	// OfflineAfter is how long no record may have reached the log before more
-	// than the open part is spent. It is longer than a restart of a process.
-	OfflineAfter time.Duration
+	// OpenFor is how long the open part lasts at the present demand: until the VM
+	// counts as silent.
+	OpenFor time.Duration
 	// OpenShare is the least part of the target that is open. It is what the loss
 	// of all processes strands at the least.
 	OpenShare float64
@@ -66,13 +66,15 @@
 	// Fresh is for how long a record of another VM tells its demand and the
 	// requests that it runs.
 	Fresh time.Duration
+	// ReportAfter is the longest time for which spending stays unreported.
+	ReportAfter time.Duration
 }
 
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.6, EqualShare: 0.35, OfflineAfter: 6300 * time.Millisecond, OpenShare: 0.45,
-		OpenRequests: 2, Fresh: 5 * time.Second,
+		ShareOfUnspent: 0.6, EqualShare: 0.35, OpenFor: 6300 * time.Millisecond, OpenShare: 0.45,
+		OpenRequests: 2, Fresh: 10 * time.Second, ReportAfter: 3 * time.Second,
 	}
 }
 
@@ -100,10 +102,12 @@
 	// stranded what they left unreported in it.
 	base     int64
 	stranded int64
-	// dead is the record of the last earlier process, and deadRecent is true if
-	// only its open part counts as spent.
-	dead       holding
-	deadRecent bool
+	// dead is the record of the last earlier process, and deadOpen is true if only
+	// its open part counts as spent.
+	dead     holding
+	deadOpen bool
+	// reported is when the log last took a record.
+	reported time.Time
 	// spent and reserved are those of this process. What was borrowed is spent
 	// first.
 	spent    int64
@@ -201,7 +205,7 @@
 
 // window is the unused part that is open.
 func (a *account) window(now time.Time, p Policy, target int64) int64 {
-	return int64(max(openMargin*p.OfflineAfter.Seconds()*a.rate.perSecond(now), p.OpenRequests*a.mean, p.OpenShare*float64(target)))
+	return int64(max(openMargin*p.OpenFor.Seconds()*a.rate.perSecond(now), p.OpenRequests*a.mean, p.OpenShare*float64(target)))
 }
 
 // planning is what the plan of a record depends on besides the account.
@@ -227,15 +231,15 @@
 	free := max(0, in.prepaid-others.granted-a.logged.Granted)
 	granted := a.logged.Granted
 	switch {
-	case want > granted && (waiting > 0 || granted-used < target*3/4):
+	case want > granted && (waiting > 0 || granted-used < target*2/3):
 		granted = min(want, granted+free)
-	case want < granted && (granted-want > target/4 || a.overdrawn(in.prepaid)):
+	case want < granted && (granted-want > target*2/5 || a.overdrawn(in.prepaid)):
 		granted = want
 	}
 	granted = max(granted, used)
 	window := a.window(in.now, in.policy, target)
 	open := min(granted, used+waiting+window)
-	if l := a.logged.Open; l <= granted && waiting == 0 && l-used >= window*3/4 && l-used <= window*5/4 {
+	if l := a.logged.Open; l <= granted && waiting == 0 && l-used >= window/2 && l-used <= window*3/2 {
 		open = l
 	}
 	next := holding{
@@ -243,18 +247,52 @@
 		Stranded: a.stranded, Rate: int64(a.rate.perSecond(in.now)), Open: open, Lent: a.lent,
 		Borrowed: min(a.borrowed, a.spent),
 	}
-	return next, a.worthAppend(next)
+	return next, a.worthAppend(next, in)
 }
 
-// worthAppend reports whether a record says something new. The demand alone does
-// not.
-func (a *account) worthAppend(next holding) bool {
+// worthAppend reports whether a record says enough that is new: other bounds, or
+// spending that matters for what is left, or that is unreported for long.
+func (a *account) worthAppend(next holding, in planning) bool {
 	old := a.logged
-	if next.Granted == 0 && old == (holding{}) {
+	switch {
+	case next.Granted != old.Granted || next.Open != old.Open:
+		return true
+	case next.Spent == old.Spent && next.InFlight == old.InFlight:
 		return false
 	}
-	next.Rate = old.Rate
-	return next != old
+	unreported := float64(next.Spent - old.Spent)
+	matters := max(a.mean, float64(in.prepaid-old.Spent)/float64(reportPart*max(1, in.routers)))
+	return unreported >= matters || in.now.Sub(a.reported) > in.policy.ReportAfter
+}
+
+// reportPart divides what may be left of a budget for each VM into the amounts
+// that are reported at once.
+const reportPart = 8
+
+// takeOver counts what an earlier process of this VM was granted as spent, or
+// only what was open to it if it was never silent.
+func (a *account) takeOver(h holding, neverSilent bool) {
+	a.dead, a.deadOpen = h, neverSilent
+	used := h.Granted
+	if neverSilent {
+		used = min(h.Granted, h.Open)
+	}
+	a.stranded = h.Stranded + used - h.Spent
+	a.base = used
+	a.logged, a.granted, a.open = h, h.Granted, 0
+}
+
+// release gives free what an earlier process of this VM cannot have spent, and
+// returns how much that is.
+func (a *account) release() int64 {
+	if a.deadOpen || a.dead.Process == "" {
+		return 0
+	}
+	a.deadOpen = true
+	released := a.base - min(a.dead.Granted, a.dead.Open)
+	a.stranded -= released
+	a.base -= released
+	return released
 }
 
 // lenders returns the VMs that hold an unused part, the largest first.
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -69,13 +69,16 @@
 func (p *partition) cycle(ctx context.Context, handBack bool) error {
 	p.cycling.Lock()
 	defer p.cycling.Unlock()
+	if !handBack && !p.due() {
+		return nil
+	}
 	for conflict := range maxConflicts {
 		began := p.cfg.Now()
 		if err := p.read(ctx); err != nil {
 			return err
 		}
 		planned, at := p.plan(handBack)
-		if len(planned) == 0 && p.cfg.Now().Sub(p.beatAt) < p.cfg.Interval/2 {
+		if len(planned) == 0 {
 			p.answer(began)
 			return nil
 		}
@@ -97,6 +100,31 @@
 	return nil
 }
 
+// due reports whether a cycle is of use: something waits or is worth an append,
+// or the records of the others are old.
+func (p *partition) due() bool {
+	p.mu.Lock()
+	old := !p.loaded || p.cfg.Now().Sub(p.contact) > readAfter
+	p.mu.Unlock()
+	if old {
+		return true
+	}
+	records, _ := p.plan(false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waiting := false
+	for _, a := range p.accounts {
+		waiting = waiting || len(a.waiters) > 0
+		if p.unsure == nil {
+			a.confirm()
+		}
+	}
+	return waiting || len(records) > 0
+}
+
+// readAfter is the age from which the records of the other VMs are read again.
+const readAfter = 2 * time.Second
+
 // read takes over what was written since the last read.
 func (p *partition) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, cycleTimeout)
@@ -104,7 +132,6 @@
 	p.mu.Lock()
 	next, loaded := p.next, p.loaded
 	p.mu.Unlock()
-	began := p.cfg.Stamp().BootMillis
 	var page keyedlog.Page
 	err := keyedlog.ErrTrimmed
 	if loaded {
@@ -117,9 +144,6 @@
 		return err
 	}
 	p.fold(page)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.witness.add(readMark{began: began, end: p.next})
 	return nil
 }
 
@@ -157,7 +181,7 @@
 		next, changed := a.plan(planning{prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process)})
 		if handBack {
 			next.Granted, next.Open, next.Rate = a.logUsed(), a.logUsed(), 0
-			changed = a.worthAppend(next)
+			changed = next.Granted != a.logged.Granted || next.Spent != a.logged.Spent
 		}
 		if changed {
 			records = append(records, planned{a, next})
@@ -184,12 +208,7 @@
 func (p *partition) write(ctx context.Context, records []planned, at uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, cycleTimeout)
 	defer cancel()
-	b, undo := p.nextBeat()
-	value, err := cbor.Marshal(b)
-	if err != nil {
-		return errors.Wrap(err, "encode beat")
-	}
-	batch := []keyedlog.Record{{Key: keySeparator + p.cfg.VM, Value: value}}
+	batch := make([]keyedlog.Record, 0, len(records))
 	for _, r := range records {
 		value, err := cbor.Marshal(r.next)
 		if err != nil {
@@ -204,7 +223,6 @@
 	case err == nil:
 		p.written(records, end)
 	case errors.IsAny(err, keyedlog.ErrConflict, keyedlog.ErrUnavailable):
-		undo()
 		for _, r := range records {
 			if p.unsure == nil {
 				r.account.confirm()
@@ -216,36 +234,19 @@
 	return err
 }
 
-// nextBeat returns the beat of an append. While an append without an answer may
-// still be carried out, its beat is sent again: the time that a successor
-// measures from it must not be shorter than that of offline. undo takes the beat
-// back after an append that was not carried out.
-func (p *partition) nextBeat() (b beat, undo func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	before, beforeAt := p.beat, p.beatAt
-	if p.unsure == nil {
-		p.beat, p.beatAt = beat{
-			Process: string(p.cfg.Process), Stamp: p.cfg.Stamp(), Before: p.confirmed, BeforeEnd: p.beatEnd,
-		}, p.cfg.Now()
-	}
-	return p.beat, func() { p.beat, p.beatAt = before, beforeAt }
-}
-
 func (p *partition) written(records []planned, end uint64) {
 	now := p.cfg.Now()
 	p.next, p.contact, p.unsure = end, now, nil
-	p.confirmed, p.beatEnd = p.beat.Stamp, end
 	for _, r := range records {
 		a := r.account
 		if r.next.Granted != a.logged.Granted {
 			obs.EventShareGranted.Log(p.cfg.Logger, logrus.Fields{
 				"entry": a.entry, "granted": r.next.Granted, "before": a.logged.Granted, "open": r.next.Open,
-				"left": p.left(a, now),
+				"left":  p.left(a, now),
 				"spent": r.next.Spent, "in_flight": r.next.InFlight, "offset": end - 1, "waiting": len(a.waiters),
 			})
 		}
-		a.logged = r.next
+		a.logged, a.reported = r.next, now
 	}
 	for _, a := range p.accounts {
 		a.confirm()
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -36,10 +36,8 @@
 	// Routers returns the number of live routers.
 	Routers func() int
 	Policy  Policy
-	// Stamp reads the clocks of the VM. Start is their state when the process
-	// began, before it could spend anything.
-	Stamp func() Stamp
-	Start Stamp
+	// Life tells what the beats of this VM's processes prove.
+	Life Life
 	// Peers asks other VMs for loans. It may be nil.
 	Peers Peers
 	// Interval is the time between two reports of what was spent.
@@ -48,6 +46,17 @@
 	Logger   logrus.FieldLogger
 }
 
+// Life tells what the beats of this VM's processes prove.
+type Life interface {
+	// Silent reports whether none of this process's beats has reached the log for
+	// a time that is longer than a restart.
+	Silent() bool
+	// NeverSilent reports whether it is proven that an earlier process never was.
+	NeverSilent(process string) bool
+	// Proven is closed when NeverSilent becomes true for the last process.
+	Proven() <-chan struct{}
+}
+
 // Peers carries loans between the VMs.
 type Peers interface {
 	// Borrow asks VMs for an amount, those named first, and returns who has lent
@@ -56,8 +65,6 @@
 	// Repay tells a VM that a part of its loan was not used. An answer is not
 	// awaited: what is lost on the way counts as spent.
 	Repay(lender, entry string, amount int64)
-	// Witness asks the other routers for the age of a record.
-	Witness(ctx context.Context, partition int, offset uint64) []Testimony
 }
 
 // Manager reserves and settles budgets. It is safe for concurrent use.
@@ -73,7 +80,6 @@
 	manager *Manager
 	cfg     *Config
 	stream  keyedlog.Stream
-	index   int
 	kick    chan struct{}
 
 	// cycling is held during a cycle, before mu.
@@ -85,16 +91,6 @@
 	loaded   bool
 	contact  time.Time
 	failing  bool
-	// beat is the last one that may have reached the log, and beatAt its time by
-	// the steady clock.
-	beat   beat
-	beatAt time.Time
-	// confirmed is the stamp of the last confirmed beat, and beatEnd the end of
-	// the stream after it.
-	confirmed   Stamp
-	beatEnd     uint64
-	predecessor predecessor
-	witness     witness
 	// unsure is set while an append without an answer may still be carried out.
 	unsure *unsureAppend
 }
@@ -115,9 +111,9 @@
 // New returns a manager. It serves after Run has read the log.
 func New(cfg Config) *Manager {
 	m := &Manager{cfg: cfg}
-	for i, s := range cfg.Streams {
+	for _, s := range cfg.Streams {
 		m.partitions = append(m.partitions, &partition{
-			manager: m, cfg: &m.cfg, stream: s, index: i, kick: make(chan struct{}, 1), accounts: make(map[string]*account),
+			manager: m, cfg: &m.cfg, stream: s, kick: make(chan struct{}, 1), accounts: make(map[string]*account),
 		})
 	}
 	return m
@@ -134,7 +130,7 @@
 	var loops conc.WaitGroup
 	for _, p := range m.partitions {
 		loops.Go(func() { p.run(ctx) })
-		loops.Go(func() { p.collectEvidence(ctx) })
+		loops.Go(func() { p.awaitProof(ctx) })
 	}
 	loops.Wait()
 }
@@ -210,7 +206,7 @@
 	now := p.cfg.Now()
 	a := p.account(entry)
 	a.note(amount)
-	offline := p.offline(now)
+	offline := p.cfg.Life.Silent()
 	if len(a.waiters) == 0 && a.available(offline) >= amount && !a.overdrawn(prepaid) {
 		a.reserved += amount
 		if a.available(offline) < a.window(now, p.cfg.Policy, 0)/4 {
@@ -244,12 +240,6 @@
 // meanWeight is the weight of one request in the mean.
 const meanWeight = 0.05
 
-// offline reports whether the log has been silent for so long that all of the
-// parts may be spent.
-func (p *partition) offline(now time.Time) bool {
-	return !p.beatAt.IsZero() && now.Sub(p.beatAt) > p.cfg.Policy.OfflineAfter
-}
-
 func (p *partition) account(entry string) *account {
 	a := p.accounts[entry]
 	if a == nil {
@@ -313,7 +303,7 @@
 // serve answers the waiters that the share covers, and those that it does not
 // cover if they came before a read of the log that has ended.
 func (p *partition) serve(a *account, prepaid int64, readBegan, now time.Time) {
-	usable, offline := !a.overdrawn(prepaid), p.offline(now)
+	usable, offline := !a.overdrawn(prepaid), p.cfg.Life.Silent()
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
 		switch {
@@ -399,7 +389,7 @@
 	if a.overdrawn(prepaid) || len(a.waiters) > 0 {
 		return 0
 	}
-	return a.lend(amount, p.offline(p.cfg.Now()))
+	return a.lend(amount, p.cfg.Life.Silent())
 }
 
 // Repaid takes back a part of a loan. It must be called at most once for a part.
@@ -429,21 +419,13 @@
 // keySeparator stands between the entry and the VM in a record's key.
 const keySeparator = "\x00"
 
-// fold takes over records of the stream. Beats come first: what an earlier
-// process of this VM left is judged by its last one.
+// fold takes over records of the stream.
 func (p *partition) fold(page keyedlog.Page) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Now()
 	for _, rec := range page.Records {
-		if entry, vm, _ := strings.Cut(rec.Key, keySeparator); entry == "" {
-			p.foldBeat(vm, rec)
-		}
-	}
-	for _, rec := range page.Records {
-		if entry, vm, _ := strings.Cut(rec.Key, keySeparator); entry != "" {
-			p.foldHolding(entry, vm, rec, now)
-		}
+		p.foldHolding(rec, now)
 	}
 	p.next = max(p.next, page.Next)
 	if p.unsure != nil && p.next > p.unsure.at {
@@ -462,23 +444,54 @@
 	return false
 }
 
-func (p *partition) foldBeat(vm string, rec keyedlog.Record) {
-	var b beat
-	if p.decode(rec, &b) && vm == p.cfg.VM && b.Process != string(p.cfg.Process) {
-		p.foldPredecessor(b, rec.Offset)
-	}
-}
-
-func (p *partition) foldHolding(entry, vm string, rec keyedlog.Record, now time.Time) {
+func (p *partition) foldHolding(rec keyedlog.Record, now time.Time) {
+	entry, vm, _ := strings.Cut(rec.Key, keySeparator)
 	var h holding
 	if !p.decode(rec, &h) {
 		return
 	}
 	a := p.account(entry)
-	if vm == p.cfg.VM {
-		p.foldOwn(a, h, rec.Offset)
-	} else {
+	switch {
+	case vm != p.cfg.VM:
 		a.others[vm] = seen{h, now}
+	case h.Process == string(p.cfg.Process):
+		p.foldOwn(a, h, rec.Offset)
+	default:
+		a.takeOver(h, p.cfg.Life.NeverSilent(h.Process))
+		obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
+			"entry": entry, "process": h.Process, "offset": rec.Offset, "granted": h.Granted, "spent": h.Spent,
+			"stranded": a.base - h.Spent, "never_silent": a.deadOpen,
+		})
+	}
+}
+
+// foldOwn takes over a record of this process.
+func (p *partition) foldOwn(a *account, h holding, offset uint64) {
+	granted, open := a.granted, a.open
+	a.logged, a.granted, a.open = h, h.Granted, h.Open
+	if p.unsure != nil && offset < p.unsure.at {
+		// A smaller part may still be written.
+		a.granted, a.open = min(a.granted, granted), min(a.open, open)
+	}
+}
+
+// awaitProof gives free what the earlier process of this VM cannot have spent,
+// when that is proven.
+func (p *partition) awaitProof(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.cfg.Life.Proven():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	released := int64(0)
+	for _, a := range p.accounts {
+		released += a.release()
+	}
+	if released > 0 {
+		obs.EventShareReleased.Log(p.cfg.Logger, logrus.Fields{"partition": p.stream.Partition, "tokens": released})
+		p.wake()
 	}
 }
 
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -36,6 +36,12 @@
 	// leases that lapsed while the log was away are renewed in that time.
 	Grace time.Duration
 	Now   func() time.Time
+	// Pace returns a longer interval for large fleets; nil means Interval.
+	Pace func() time.Duration
+	// Clock is read before each call, and Read gets its value and the end of the
+	// stream after the call. Both may be nil.
+	Clock func() int64
+	Read  func(began int64, end uint64)
 	// Changed is called after each change, one call at a time.
 	Changed func()
 	Logger  logrus.FieldLogger
@@ -71,6 +77,9 @@
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := r.cfg.Interval
+		if r.cfg.Pace != nil {
+			pause = r.cfg.Pace()
+		}
 		if err := r.step(ctx); err != nil {
 			pause = max(pause, retryPause)
 		}
@@ -86,6 +95,10 @@
 	r.mu.Lock()
 	next, loaded := r.next, r.loaded
 	r.mu.Unlock()
+	began := int64(0)
+	if r.cfg.Clock != nil {
+		began = r.cfg.Clock()
+	}
 	var page keyedlog.Page
 	var err error
 	if loaded {
@@ -106,6 +119,9 @@
 		r.Merge(page)
 	}
 	r.release()
+	if r.cfg.Read != nil {
+		r.cfg.Read(began, max(page.Next, page.End))
+	}
 	return nil
 }
 
--- a/internal/coordination/routing/window.go
+++ b/internal/coordination/routing/window.go
@@ -44,7 +44,9 @@
 const windowMargin = 0.75
 
 // NewWindowBudget returns a budget without requests.
-func NewWindowBudget(cfg WindowConfig) *WindowBudget { return &WindowBudget{cfg: cfg, start: cfg.Now()} }
+func NewWindowBudget(cfg WindowConfig) *WindowBudget {
+	return &WindowBudget{cfg: cfg, start: cfg.Now()}
+}
 
 // forward drops the steps that have left the window.
 func (b *WindowBudget) forward() *windowSlot {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/beats"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/replica"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
@@ -86,7 +87,7 @@
 
 	config    *replica.Replica
 	upstreams *replica.Replica
-	members   *members
+	beats     *beats.Beats
 	peers     *gatewayPeers
 	// build guards the derivation of the snapshot.
 	build    sync.Mutex
@@ -117,7 +118,12 @@
 	upstreamInterval = 250 * time.Millisecond
 	// upstreamGrace is how long removals are held back after the log's return.
 	upstreamGrace = 2200 * time.Millisecond
-	// reportInterval is the time between two reports of what was spent.
+	// beatInterval is the time between two beats of a router in a small fleet.
+	beatInterval = 700 * time.Millisecond
+	// silence is how long a router's beats must not reach the log before it may
+	// spend all of its shares. It is longer than a restart of all processes.
+	silence = 6300 * time.Millisecond
+	// reportInterval is the time between two looks at what is worth a report.
 	reportInterval = 700 * time.Millisecond
 	// gatewaySlowStart is short because engines are at full speed at once; only
 	// their caches are empty.
@@ -127,6 +133,9 @@
 	blockSeconds = 0.005
 )
 
+// beatStream holds one record per router.
+var beatStream = keyedlog.Stream{Name: "routers"}
+
 // NewGateway returns a router that has not started.
 func NewGateway(cfg GatewayConfig, deps GatewayDeps, logger logrus.FieldLogger) (*Gateway, error) {
 	id, err := uuid.NewV7()
@@ -145,23 +154,28 @@
 		Log: deps.Log, Stream: deps.UpstreamStream, Interval: upstreamInterval, Grace: upstreamGrace, Now: time.Now,
 		Changed: g.rebuild, Logger: logger,
 	})
-	g.members = newMembers(cfg, string(g.holder), deps.Log, logger)
+	g.beats = beats.New(beats.Config{
+		Log: deps.Log, Stream: beatStream, VM: cfg.VM, Interval: beatInterval, Silence: silence, Stamp: readStamp,
+		Self:      beats.Record{Process: string(g.holder), Address: cfg.PeerListen, Zone: cfg.Zone},
+		Witnesses: func(ctx context.Context, offset uint64) []beats.Testimony { return g.peers.witnesses(ctx, offset) },
+		Now:       time.Now, Logger: logger,
+	})
 	if g.peers, err = newGatewayPeers(g, id.String()); err != nil {
 		return nil, err
 	}
 	g.retries = retryBudgets{cfg: routing.WindowConfig{
-		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Length: cfg.RetryWindow, Routers: g.members.routers, Now: time.Now,
+		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Length: cfg.RetryWindow, Routers: g.beats.Routers, Now: time.Now,
 	}, byService: make(map[string]*routing.WindowBudget)}
 	g.budget = prepaid.New(prepaid.Config{
 		Log: deps.Log, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaid,
-		Entries: g.entries, Routers: g.members.routers, Policy: prepaid.DefaultPolicy(), Interval: reportInterval,
-		Stamp: readStamp, Start: readStamp(), Peers: g.peers, Now: time.Now, Logger: logger,
+		Entries: g.entries, Routers: g.beats.Routers, Policy: prepaid.DefaultPolicy(), Interval: reportInterval,
+		Life: g.beats, Peers: g.peers, Now: time.Now, Logger: logger,
 	})
 	g.peers.serveBudget(g.budget)
 	weights := routing.DefaultWeights()
 	weights.Block, weights.ServiceZone = blockSeconds, gatewayServiceZone
 	g.routing = routing.New(routing.Config{
-		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.members.routers, Weights: weights,
+		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.beats.Routers, Weights: weights,
 		SlowStart: gatewaySlowStart, Notify: routing.LogChanges(logger),
 	})
 	g.admission = admission.New(admission.Config{Now: time.Now, Capacity: g.capacity, MaxWait: gatewayMaxWait})
@@ -225,11 +239,12 @@
 
 func (g *Gateway) capacity(pool string) int {
 	all := g.routing.Capacity(httpapi.PoolTarget(pool))
-	return min(all, max(minCapacity, all*capacitySpread/g.members.routers()))
+	return min(all, max(minCapacity, all*capacitySpread/g.beats.Routers()))
 }
 
-// minCapacity lets a router send at least a few requests to a small service.
-const minCapacity = 8
+// minCapacity lets a router that gets the traffic of a few large callers use most
+// of a small service; its upstreams refuse what is too much.
+const minCapacity = 24
 
 // retryBudgets holds one budget per service.
 type retryBudgets struct {
@@ -267,7 +282,7 @@
 	return &httpapi.API{
 		Config: g, Budget: g.budget, Admission: admitter{g.admission}, Routing: chooser{g.routing},
 		Forwarding: httpapi.Forwarding{
-			Forwarder: g.pool, Wire: g.deps.Wire, Retry: g.retries.of, Routers: g.members.routers,
+			Forwarder: g.pool, Wire: g.deps.Wire, Retry: g.retries.of, Routers: g.beats.Routers,
 			Stale: g.stale, Closing: g.closing.Load,
 		},
 		Requests: request.NewTable(request.Config{
@@ -307,7 +322,7 @@
 	}
 	loops.Go(func() { g.config.Run(background) })
 	loops.Go(func() { g.upstreams.Run(background) })
-	loops.Go(func() { g.members.run(background) })
+	loops.Go(func() { g.beats.Run(background) })
 	loops.Go(func() { g.peers.run(background) })
 	budgets, stopBudgets := context.WithCancel(background)
 	defer stopBudgets()
@@ -325,7 +340,7 @@
 	handBack, cancel := context.WithTimeout(context.Background(), gatewayHandBack)
 	defer cancel()
 	err = g.budget.Close(handBack)
-	g.members.leave(handBack)
+	g.beats.Leave(handBack)
 	stop()
 	for _, s := range servers {
 		_ = s.server.Close()
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -7,19 +7,20 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/beats"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 )
 
 // readStamp reads the clocks of the VM.
-func readStamp() prepaid.Stamp {
+func readStamp() beats.Stamp {
 	var boot unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
 		// The zero stamp proves nothing.
-		return prepaid.Stamp{}
+		return beats.Stamp{}
 	}
-	return prepaid.Stamp{BootMillis: boot.Nano() / int64(time.Millisecond), UnixMillis: time.Now().UnixMilli()}
+	return beats.Stamp{BootMillis: boot.Nano() / int64(time.Millisecond), UnixMillis: time.Now().UnixMilli()}
 }
 
 // loanRequest asks a router for a part of its share of a budget, or returns an
@@ -34,10 +35,9 @@
 	Lent int64 `json:"lent"`
 }
 
-// witnessRequest asks a router for the age of a record.
+// witnessRequest asks a router for the age of a beat.
 type witnessRequest struct {
-	Partition int    `json:"partition"`
-	Offset    uint64 `json:"offset"`
+	Offset uint64 `json:"offset"`
 }
 
 // Methods of budgets.
@@ -68,21 +68,24 @@
 		return loanResponse{}, nil
 	})
 	handle(p.server, methodWitness, func(_ context.Context, _ peerapi.Identity, r witnessRequest) (any, error) {
-		return m.Witness(r.Partition, r.Offset), nil
+		return p.gateway.beats.Witness(r.Offset), nil
 	})
 }
 
-// Witness implements prepaid.Peers.
-func (p *gatewayPeers) Witness(ctx context.Context, partition int, offset uint64) []prepaid.Testimony {
+// witnesses asks the other routers for the age of a beat.
+func (p *gatewayPeers) witnesses(ctx context.Context, offset uint64) []beats.Testimony {
+	if p.pool == nil {
+		return nil
+	}
 	var (
 		mu    sync.Mutex
-		found []prepaid.Testimony
+		found []beats.Testimony
 		asked sync.WaitGroup
 	)
 	for _, address := range p.choose(maxWitnesses) {
 		asked.Go(func() {
-			var t prepaid.Testimony
-			request := witnessRequest{Partition: partition, Offset: offset}
+			var t beats.Testimony
+			request := witnessRequest{Offset: offset}
 			if err := p.pool.Call(ctx, address, methodWitness, request, &t); err != nil {
 				return // counted by the pool; the next round asks again
 			}
@@ -135,10 +138,11 @@
 
 // lenders returns the preferred routers and then the others, in random order.
 func (p *gatewayPeers) lenders(preferred []string) []peerAddress {
+	addresses := p.gateway.beats.Addresses()
 	var out []peerAddress
 	known := make(map[string]bool)
 	for _, vm := range preferred {
-		if address, ok := p.gateway.members.address(vm); ok {
+		if address, ok := addresses[vm]; ok {
 			out = append(out, peerAddress{vm, address})
 			known[address] = true
 		}
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,7 +64,7 @@
 
 func newGatewayPeers(g *Gateway, incarnation string) (*gatewayPeers, error) {
 	p := &gatewayPeers{gateway: g, seeds: g.cfg.Seeds, replicas: map[string]*replica.Replica{
-		g.deps.ConfigStream.Name: g.config, g.deps.UpstreamStream.Name: g.upstreams, memberStream.Name: g.members.replica,
+		g.deps.ConfigStream.Name: g.config, g.deps.UpstreamStream.Name: g.upstreams, beatStream.Name: g.beats.Replica(),
 	}}
 	if g.cfg.PeerListen == "" || g.cfg.PeerKey == "" {
 		return p, nil
@@ -147,7 +149,7 @@
 
 // choose returns a few peers: those that the log has named, else the seeds.
 func (p *gatewayPeers) choose(most int) []string {
-	candidates := p.gateway.members.addresses()
+	candidates := slices.Collect(maps.Values(p.gateway.beats.Addresses()))
 	if len(candidates) < most {
 		p.mu.Lock()
 		for _, seed := range p.seeds {
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -30,12 +30,19 @@
 // LogCallsTotal counts calls to the log with keys.
 var LogCallsTotal = Counter("keyed_log_calls_total")
 
-// MemberRenewalsFailed counts renewals of this router's record that the log did
-// not confirm.
-var MemberRenewalsFailed = Counter("member_renewals_failed_total")
-
 // ShareAsksTotal counts requests for which other VMs were asked to hand back.
 var ShareAsksTotal = Counter("share_asks_total")
 
 // LoansLostTotal counts unused parts of loans that could not be returned.
 var LoansLostTotal = Counter("loans_lost_total")
+
+// Events of beats.
+var (
+	EventPredecessor = register(1820, logrus.InfoLevel, "beat of an earlier process of this VM found",
+		"The fields say how long before the start of this process the beat was sent, and whether that is proven.")
+	EventPredecessorProven = register(1821, logrus.InfoLevel, "earlier process of this VM was never silent",
+		"Other routers confirm it. What the process cannot have spent is given free.")
+)
+
+// BeatsFailedTotal counts beats that the log did not confirm.
+var BeatsFailedTotal = Counter("beats_failed_total")
--- a/internal/protocol/keyedlog/keyedlog.go
+++ b/internal/protocol/keyedlog/keyedlog.go
@@ -29,8 +29,8 @@
 	ErrOutcomeUnknown = errors.New("outcome of the append is unknown")
 )
 
-// AnyOffset appends wherever the stream ends.
-const AnyOffset = math.MaxUint64
+// Anywhere appends wherever the stream ends.
+const Anywhere = math.MaxUint64
 
 // Stream names one totally ordered sequence of records.
 type Stream struct {
@@ -50,13 +50,16 @@
 	Records []Record
 	// Next is the offset from which a Read goes on.
 	Next uint64
+	// End is the end of the stream when it was read; it is above Next if there is
+	// more to read.
+	End uint64
 }
 
 // Log is a log service. Its methods are safe for concurrent use.
 type Log interface {
 	// Append adds the records in one step and returns the offset after them.
 	// They are appended only if the stream ends at the offset at, unless that is
-	// AnyOffset.
+	// Anywhere.
 	Append(ctx context.Context, s Stream, records []Record, at uint64) (end uint64, err error)
 	// Read returns records from an offset on, in order. It waits up to the given
 	// time for the first one. A page without records is no error.
--- a/internal/protocol/keyedlog/memory.go
+++ b/internal/protocol/keyedlog/memory.go
@@ -58,7 +58,7 @@
 
 // Publish appends without a condition.
 func (m *Memory) Publish(name Stream, records ...Record) uint64 {
-	end, _ := m.append(name, records, AnyOffset)
+	end, _ := m.append(name, records, Anywhere)
 	return end
 }
 
@@ -66,7 +66,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(name)
-	if at != AnyOffset && at != s.end() {
+	if at != Anywhere && at != s.end() {
 		return 0, ErrConflict
 	}
 	for _, r := range records {
@@ -104,7 +104,7 @@
 		return Page{}, ErrTrimmed
 	}
 	from = min(from, s.end())
-	return Page{Records: slices.Clone(s.records[from-s.first:]), Next: s.end()}, nil
+	return Page{Records: slices.Clone(s.records[from-s.first:]), Next: s.end(), End: s.end()}, nil
 }
 
 // Newest implements Log.
@@ -115,5 +115,5 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(name)
-	return Page{Records: slices.Collect(maps.Values(s.newest)), Next: s.end()}, nil
+	return Page{Records: slices.Collect(maps.Values(s.newest)), Next: s.end(), End: s.end()}, nil
 }
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -148,15 +148,15 @@
 	// Remote may be nil.
 	Remote Remote
 	// Lease fails while the configuration at hand may be out of date. It may be nil.
-	Lease    func() error
+	Lease func() error
 	// Forwarding is set for a router that forwards requests by host and path.
 	Forwarding Forwarding
 	Requests   *request.Table
-	Unknown  *Resolver
-	Holder   record.HolderID
-	Limits   Limits
-	Logger   logrus.FieldLogger
-	Now      func() time.Time
+	Unknown    *Resolver
+	Holder     record.HolderID
+	Limits     Limits
+	Logger     logrus.FieldLogger
+	Now        func() time.Time
 
 	open atomic.Int64
 }
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -498,4 +498,3 @@
 
 // minConnections is the least number of connections of a router to an upstream.
 const minConnections = 2
-
