Refuse early when the processor or the link of a router is full

Cause: one large caller fills the 10 Mbit/s link of a small router; answers wait in the link past their callers' time.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -200,7 +200,29 @@
 	if sum := own + float64(t.rate); sum > 0 {
 		part = p.EqualShare*part + (1-p.EqualShare)*own/sum
 	}
-	return int64(unspent * part)
+	share := unspent * part
+	if share < max(a.mean*usefulRequests, usefulTokens) {
+		// A share below one request only keeps the budget in pieces.
+		return 0
+	}
+	return int64(share)
+}
+
+const (
+	// usefulRequests is the number of mean requests that a share must cover, and
+	// usefulTokens what it must cover while the requests are not known.
+	usefulRequests = 1.5
+	usefulTokens   = 4096
+	// chunkRequests is the number of mean requests for which a part is taken when
+	// one is short, and chunkPart the part of what is left that it may be.
+	chunkRequests = 3
+	chunkPart     = 8
+)
+
+// chunk is what is taken besides a request for which a part is short.
+func (a *account) chunk(prepaid int64, now time.Time, p Policy, routers int) int64 {
+	left := a.remaining(prepaid, now, p.Fresh)
+	return max(0, min(int64(chunkRequests*a.mean), left/int64(chunkPart*max(1, routers/chunkPart))))
 }
 
 // window is the unused part that is open.
@@ -226,14 +248,15 @@
 	for _, w := range a.waiters {
 		waiting += w.amount
 	}
-	want := used + target + waiting
+	held := max(target, a.chunk(in.prepaid, in.now, in.policy, in.routers))
+	want := used + held + waiting
 	others := a.totals(in.now, in.policy.Fresh)
 	free := max(0, in.prepaid-others.granted-a.logged.Granted)
 	granted := a.logged.Granted
 	switch {
 	case want > granted && (waiting > 0 || granted-used < target*2/3):
 		granted = min(want, granted+free)
-	case want < granted && (granted-want > target*2/5 || a.overdrawn(in.prepaid)):
+	case want < granted && (granted-want > held*2/5 || a.overdrawn(in.prepaid)):
 		granted = want
 	}
 	granted = max(granted, used)
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -104,7 +104,12 @@
 // or the records of the others are old.
 func (p *partition) due() bool {
 	p.mu.Lock()
-	old := !p.loaded || p.cfg.Now().Sub(p.contact) > readAfter
+	now := p.cfg.Now()
+	after := readAfter
+	if now.Sub(p.used) > readAfter {
+		after = idleReadAfter
+	}
+	old := !p.loaded || now.Sub(p.contact) > after
 	p.mu.Unlock()
 	if old {
 		return true
@@ -122,8 +127,12 @@
 	return waiting || len(records) > 0
 }
 
-// readAfter is the age from which the records of the other VMs are read again.
-const readAfter = 2 * time.Second
+const (
+	// readAfter is the age from which the records of the other VMs are read again,
+	// and idleReadAfter that of budgets on which nobody draws here.
+	readAfter     = 2 * time.Second
+	idleReadAfter = 6 * time.Second
+)
 
 // read takes over what was written since the last read.
 func (p *partition) read(ctx context.Context) error {
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -91,6 +91,8 @@
 	loaded   bool
 	contact  time.Time
 	failing  bool
+	// used is when a request last drew on a budget of the stream.
+	used time.Time
 	// unsure is set while an append without an answer may still be carried out.
 	unsure *unsureAppend
 }
@@ -155,6 +157,9 @@
 	// logAwayAfter is the time without an answer after which other VMs are asked
 	// at once.
 	logAwayAfter = 1500 * time.Millisecond
+	// refillPause is the least time between two looks for a larger share while
+	// nothing waits.
+	refillPause = 200 * time.Millisecond
 	// deniedFor is how long no other VM is asked again for as much as none had.
 	deniedFor = 400 * time.Millisecond
 	// provenFor is how long a read of the log proves that a budget is used up.
@@ -209,7 +214,8 @@
 	offline := p.cfg.Life.Silent()
 	if len(a.waiters) == 0 && a.available(offline) >= amount && !a.overdrawn(prepaid) {
 		a.reserved += amount
-		if a.available(offline) < a.window(now, p.cfg.Policy, 0)/4 {
+		p.used = now
+		if a.available(offline) < a.window(now, p.cfg.Policy, 0)/4 && now.Sub(p.contact) > refillPause {
 			p.wake()
 		}
 		return nil, nil
@@ -222,6 +228,7 @@
 	}
 	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
+	p.used = now
 	if now.Sub(p.contact) > logAwayAfter {
 		p.ask(a, w)
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/beats"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/overload"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/replica"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
@@ -24,6 +25,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 )
 
@@ -41,6 +43,9 @@
 	PeerKey    string
 	// MaxSockets bounds the open sockets of the process.
 	MaxSockets int
+	// LinkBandwidth is that of the VM's link, in bytes per second; 0 means that it
+	// is not known.
+	LinkBandwidth float64
 	// GracePeriod is the time from the order to stop until the process is killed.
 	GracePeriod time.Duration
 	// RetryRatio and RetryExtra bound the retries of the fleet in any RetryWindow.
@@ -100,6 +105,7 @@
 	pool      *relay.Pool
 	api       *httpapi.API
 	retries   retryBudgets
+	guard     *overload.Guard
 	started   time.Time
 	ready     atomic.Bool
 	draining  atomic.Bool
@@ -109,7 +115,7 @@
 const (
 	// budgetStreams is the number of streams over which budgets are spread. More
 	// streams mean fewer conflicts and more calls.
-	budgetStreams = 2
+	budgetStreams = 8
 	// configWait is how long a read waits at the log for a new configuration. It
 	// is short enough to notice soon that the log is away.
 	configWait = 1200 * time.Millisecond
@@ -133,6 +139,18 @@
 	blockSeconds = 0.005
 )
 
+// upstreamPace reads the upstreams' records less often in a large fleet.
+func (g *Gateway) upstreamPace() time.Duration {
+	return min(maxUpstreamInterval, max(upstreamInterval, time.Duration(g.beats.Routers())*upstreamReads))
+}
+
+const (
+	// maxUpstreamInterval leaves time to stop using an upstream that leaves.
+	maxUpstreamInterval = 600 * time.Millisecond
+	// upstreamReads bounds the reads of the whole fleet to a hundred a second.
+	upstreamReads = 10 * time.Millisecond
+)
+
 // beatStream holds one record per router.
 var beatStream = keyedlog.Stream{Name: "routers"}
 
@@ -144,14 +162,14 @@
 	}
 	g := &Gateway{
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
-		pool: relay.NewPool(deps.AnswerID), started: time.Now(),
+		pool: relay.NewPool(deps.AnswerID), guard: overload.New(overload.Config{}), started: time.Now(),
 	}
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
 	g.config = replica.New(replica.Config{
 		Log: deps.Log, Stream: deps.ConfigStream, Wait: configWait, Now: time.Now, Changed: g.rebuild, Logger: logger,
 	})
 	g.upstreams = replica.New(replica.Config{
-		Log: deps.Log, Stream: deps.UpstreamStream, Interval: upstreamInterval, Grace: upstreamGrace, Now: time.Now,
+		Log: deps.Log, Stream: deps.UpstreamStream, Interval: upstreamInterval, Pace: g.upstreamPace, Grace: upstreamGrace, Now: time.Now,
 		Changed: g.rebuild, Logger: logger,
 	})
 	g.beats = beats.New(beats.Config{
@@ -283,7 +301,7 @@
 		Config: g, Budget: g.budget, Admission: admitter{g.admission}, Routing: chooser{g.routing},
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Wire: g.deps.Wire, Retry: g.retries.of, Routers: g.beats.Routers,
-			Stale: g.stale, Closing: g.closing.Load,
+			Stale: g.stale, Closing: g.closing.Load, Shed: g.guard.Refuse, Busy: g.guard.Busy,
 		},
 		Requests: request.NewTable(request.Config{
 			Retention: gatewayRetention, MaxFinished: gatewayMaxFinished, Now: time.Now,
@@ -329,6 +347,7 @@
 	var budgetLoops conc.WaitGroup
 	budgetLoops.Go(func() { g.budget.Run(budgets) })
 	loops.Go(func() { every(background, advanceInterval, g.admission.Advance) })
+	loops.Go(func() { g.watchLag(background) })
 	loops.Go(func() { every(background, time.Second, g.pool.Sweep) })
 	obs.EventStarted.Log(g.logger, logrus.Fields{
 		"address": g.cfg.Listen, "vm": g.cfg.VM, "zone": g.cfg.Zone, "process": string(g.holder),
@@ -351,6 +370,25 @@
 	return err
 }
 
+// watchLag measures how late timers fire and how full the link is.
+func (g *Gateway) watchLag(ctx context.Context) {
+	last, lastIn, lastOut := time.Now(), netopt.Traffic.In.Load(), netopt.Traffic.Out.Load()
+	for ctx.Err() == nil {
+		time.Sleep(overload.Interval)
+		now, in, out := time.Now(), netopt.Traffic.In.Load(), netopt.Traffic.Out.Load()
+		took, link := now.Sub(last), 0.0
+		if g.cfg.LinkBandwidth > 0 {
+			link = float64(max(in-lastIn, out-lastOut)) / took.Seconds() / g.cfg.LinkBandwidth
+		}
+		if refused, changed := g.guard.Tick(took, link); changed {
+			obs.EventOverload.Log(g.logger, logrus.Fields{
+				"refused": refused, "lag_ms": (took - overload.Interval).Milliseconds(), "link": link, "open": g.api.Open(),
+			})
+		}
+		last, lastIn, lastOut = now, in, out
+	}
+}
+
 // gatewayHandBack bounds the time to hand back shares at a stop.
 const gatewayHandBack = 700 * time.Millisecond
 
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -56,14 +56,13 @@
 }
 
 func listenTCP(address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: netopt.KeepAlive, Control: netopt.Control}
-	listener, err := config.Listen(context.Background(), "tcp4", address)
+	listener, err := netopt.Listen(address)
 	return listener, errors.Wrapf(err, "listen on %s", address)
 }
 
 // answerReady tells the balancer whether new connections are welcome.
 func (g *Gateway) answerReady(w http.ResponseWriter) {
-	if !g.ready.Load() || g.draining.Load() {
+	if !g.ready.Load() || g.draining.Load() || g.guard.Busy() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -102,6 +102,10 @@
 	Stale func() bool
 	// Closing reports whether the process is about to end and takes no new work.
 	Closing func() bool
+	// Shed decides whether the router is too busy for a request of a rank, and
+	// Busy whether its callers should connect to other routers.
+	Shed func(rank int) bool
+	Busy func() bool
 }
 
 // forwardSteps take a forwarded request from its headers to its answer.
@@ -157,6 +161,13 @@
 	if e := x.findRoute(j); e != nil {
 		return e
 	}
+	if x.api.Forwarding.Busy() {
+		// The next connection may reach another router.
+		x.w.Header().Set("Connection", "close")
+	}
+	if x.api.Forwarding.Shed(j.route.Priority) {
+		return refuse(http.StatusServiceUnavailable, CodeOverloaded, "the router is too busy").after(closingRetryAfter)
+	}
 	timeout := j.route.Timeout
 	if caller.Timeout > 0 && (timeout <= 0 || caller.Timeout < timeout) {
 		timeout = caller.Timeout
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,9 +43,62 @@
 
 var dialer = net.Dialer{KeepAliveConfig: KeepAlive, Control: Control}
 
+// Traffic counts the bytes of the process's connections.
+var Traffic struct{ In, Out atomic.Int64 }
+
+// conn counts its bytes.
+type conn struct{ *net.TCPConn }
+
+// Read implements net.Conn.
+func (c conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	Traffic.In.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c conn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	Traffic.Out.Add(int64(n))
+	return n, err
+}
+
+func counted(c net.Conn) net.Conn {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return conn{tcp}
+	}
+	return c
+}
+
+// listener counts the bytes of the connections that it accepts.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return counted(c), nil
+}
+
+// Listen opens a listener on an address of an IP number and a port.
+func Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: KeepAlive, Control: Control}
+	l, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return listener{l}, nil
+}
+
 // Dial opens a connection to an address of an IP number and a port.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	return dialer.DialContext(ctx, "tcp4", address)
+	c, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return counted(c), nil
 }
 
 // Quiet reports whether an idle connection is open and has nothing to read. Data
