--- /dev/null
+++ b/internal/coordination/prepaid/share_test.go
@@ -0,0 +1,189 @@
+package prepaid
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+)
+
+// scenario runs a test on a model with three VMs.
+func scenario(t *testing.T, run func(is *is.I, m *model)) {
+	t.Helper()
+	done := false
+	rapid.Check(t, func(rt *rapid.T) {
+		if !done {
+			run(is.New(t), newModel(rt))
+		}
+		done = true
+	})
+}
+
+func (vm *modelVM) partition() *partition { return vm.m.partitions[0] }
+
+func (vm *modelVM) account() *account { return vm.partition().account(modelEntry) }
+
+func (vm *modelVM) cycle(is *is.I) {
+	is.Helper()
+	is.NoErr(vm.partition().cycle(context.Background(), false))
+}
+
+var modelStream = keyedlog.Stream{Name: "budgets"}
+
+// Guards against a grant on the strength of an old read: another VM took the rest
+// of the budget between the read and the append.
+func TestGrantNeedsAnUnchangedStream(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a, b := m.vms[0], m.vms[1]
+		is.True(m.reserve(a, 1000))
+		raced := false
+		m.memory.Fault = func(call string, _ keyedlog.Stream, done bool) error {
+			if call == "append" && !done && !raced {
+				raced = true
+				is.True(m.reserve(b, 18_000))
+			}
+			return nil
+		}
+		is.True(!m.reserve(a, 12_000))
+		m.check()
+	})
+}
+
+// Guards against spending a part that is being handed back: the append that lowers
+// it is under way.
+func TestLoweredPartIsNotSpentDuringTheAppend(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a := m.vms[0]
+		is.True(m.reserve(a, 20_000))
+		m.spent += 1000
+		a.open = nil
+		p := a.partition()
+		acct := a.account()
+		p.mu.Lock()
+		acct.reserved, acct.spent = 0, 1000
+		p.mu.Unlock()
+		before := acct.available(true)
+		m.memory.Fault = func(call string, _ keyedlog.Stream, done bool) error {
+			if call == "append" && done {
+				is.True(acct.logged.Granted > acct.granted)
+				is.True(acct.available(true) < before)
+			}
+			return nil
+		}
+		a.cycle(is)
+		m.memory.Fault = nil
+	})
+}
+
+// Guards against spending a part whose handing back had no answer and may still be
+// carried out, after the records were listed again.
+func TestUnsureLoweringBinds(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a := m.vms[0]
+		is.True(m.reserve(a, 20_000))
+		p, acct := a.partition(), a.account()
+		p.mu.Lock()
+		acct.reserved, acct.spent = 0, 1000
+		p.mu.Unlock()
+		a.log.mode = logLate
+		is.True(p.cycle(context.Background(), false) != nil)
+		lowered := acct.granted
+		is.True(lowered < acct.logged.Granted)
+		page, err := m.memory.Newest(context.Background(), modelStream)
+		is.NoErr(err)
+		p.fold(page)
+		is.Equal(acct.granted, lowered)
+	})
+}
+
+// Guards against spending all of a part while the VM is not silent: after a crash
+// only the open part would count as spent.
+func TestOnlyTheOpenPartIsSpentWhileHeard(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a := m.vms[0]
+		is.True(m.reserve(a, 1000))
+		acct := a.account()
+		acct.granted, acct.open = 10_000, 3_000
+		is.Equal(acct.available(false), int64(2_000))
+		is.Equal(acct.available(true), int64(9_000))
+	})
+}
+
+// Guards against a part that two VMs may spend after a loan or its return.
+func TestLoansMoveParts(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a, b := m.vms[0], m.vms[1]
+		is.True(m.reserve(a, 1000))
+		lender, borrower := a.account(), b.account()
+		lender.granted, lender.open = 20_000, 20_000
+		had := lender.available(false)
+		lent := a.m.Lend(modelEntry, 2_000)
+		is.True(lent >= 2_000)
+		is.Equal(lender.available(false), had-lent)
+		b.partition().borrowed(borrower, &waiter{}, "vm-0", lent)
+		is.Equal(borrower.available(false), lent)
+		back, ok := borrower.repay()
+		is.True(ok)
+		is.Equal(borrower.available(false), lent-back.amount)
+		a.m.Repaid(modelEntry, back.amount)
+		is.Equal(lender.available(false), had-lent+back.amount)
+		a.m.Repaid(modelEntry, 1<<40) // more than was lent is not believed
+		is.Equal(lender.available(false), had-lent+back.amount)
+	})
+}
+
+// Guards against a dead process whose part is spent a second time, and against one
+// whose part stays lost although it was never silent.
+func TestSuccessorCountsWhatMayBeSpent(t *testing.T) {
+	for name, c := range map[string]struct {
+		prove  bool
+		silent bool
+		want   func(h holding) int64
+	}{
+		"unproven":     {want: func(h holding) int64 { return h.Granted }},
+		"never silent": {prove: true, want: func(h holding) int64 { return h.Open }},
+		"was silent":   {prove: true, silent: true, want: func(h holding) int64 { return h.Granted }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			scenario(t, func(is *is.I, m *model) {
+				a := m.vms[0]
+				is.True(m.reserve(a, 1000))
+				a.life.silent = c.silent
+				a.life.Silent()
+				left := a.account().logged
+				is.True(left.Granted > left.Open)
+				a.life.prove = c.prove
+				m.start(a)
+				a.cycle(is)
+				is.Equal(a.account().base, c.want(left))
+			})
+		})
+	}
+}
+
+// Guards against a stop that leaves an unused part behind.
+func TestCloseHandsBack(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a := m.vms[0]
+		is.True(m.reserve(a, 1000))
+		a.m.Release(a.open[0])
+		is.NoErr(a.m.Close(context.Background()))
+		is.Equal(a.account().logged.Granted, int64(0))
+		is.True(m.reserve(m.vms[1], m.prepaid))
+	})
+}
+
+// Guards against spending after a budget was lowered below what is granted.
+func TestLoweredBudgetStopsSpending(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a, b := m.vms[0], m.vms[1]
+		is.True(m.reserve(a, 8_000))
+		is.True(m.reserve(b, 8_000))
+		m.prepaid = 10_000
+		is.True(!m.reserve(a, 5_000))
+		is.True(!m.reserve(b, 5_000))
+	})
+}
