Give recovered upstreams work again; test replicas, beats, routing of shared prompts

Cause: a failure long past still told equal idle upstreams apart, so that one that had recovered got no work (found by TestFailingUpstreamGetsLessWork).

--- /dev/null
+++ b/internal/coordination/replica/replica_test.go
@@ -0,0 +1,116 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+)
+
+var stream = keyedlog.Stream{Name: "s"}
+
+func newReplica(log keyedlog.Log, now func() time.Time) *Replica {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return New(Config{Log: log, Stream: stream, Grace: 2 * time.Second, Now: now, Logger: logger})
+}
+
+func value(r *Replica, key string) string { return string(r.Records()[key].Value) }
+
+// Guards against a record that returns after a newer one was seen, whatever the
+// order in which the log and the peers tell them.
+func TestNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		log := keyedlog.NewMemory()
+		for i := range rapid.IntRange(1, 30).Draw(rt, "records") {
+			rec := keyedlog.Record{Key: strconv.Itoa(rapid.IntRange(0, 3).Draw(rt, "key"))}
+			if rapid.IntRange(0, 3).Draw(rt, "kind") > 0 {
+				rec.Value = []byte(strconv.Itoa(i))
+			}
+			log.Publish(stream, rec)
+		}
+		all, _ := log.Read(context.Background(), stream, 0, 0)
+		newest, _ := log.Newest(context.Background(), stream)
+		r := newReplica(log, time.Now)
+		seen := make(map[string]uint64)
+		for range rapid.IntRange(1, 30).Draw(rt, "merges") {
+			from := rapid.IntRange(0, len(all.Records)-1).Draw(rt, "from")
+			to := rapid.IntRange(from+1, len(all.Records)).Draw(rt, "to")
+			r.Merge(keyedlog.Page{Records: all.Records[from:to]})
+			for key, rec := range r.Records() {
+				if rec.Offset < seen[key] {
+					rt.Fatalf("key %s went from %d back to %d", key, seen[key], rec.Offset)
+				}
+				seen[key] = rec.Offset
+			}
+		}
+		r.Merge(all)
+		if len(r.Records()) != len(newest.Records) {
+			rt.Fatalf("%d keys, want %d", len(r.Records()), len(newest.Records))
+		}
+	})
+}
+
+// Guards against a replica that keeps keys whose removal has expired from the log.
+func TestListsAfterExpiry(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	log.Publish(stream, keyedlog.Record{Key: "a", Value: []byte("1")}, keyedlog.Record{Key: "b", Value: []byte("1")})
+	r := newReplica(log, time.Now)
+	is.NoErr(r.step(context.Background()))
+	log.Publish(stream, keyedlog.Record{Key: "a"}, keyedlog.Record{Key: "c", Value: []byte("1")})
+	log.Trim(stream, 4)
+	is.NoErr(r.step(context.Background()))
+	is.Equal(value(r, "a"), "")
+	is.Equal(value(r, "b"), "1")
+	is.Equal(value(r, "c"), "1")
+}
+
+// Guards against upstreams that are dropped because their leases lapsed while the
+// log was away, and against those that are kept though they do not come back.
+func TestHoldsRemovalsAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	log := keyedlog.NewMemory()
+	log.Publish(stream, keyedlog.Record{Key: "lives", Value: []byte("1")}, keyedlog.Record{Key: "gone", Value: []byte("1")})
+	r := newReplica(log, func() time.Time { return now })
+	is.NoErr(r.step(context.Background()))
+	down := errors.Mark(errors.New("down"), keyedlog.ErrUnavailable)
+	log.Fault = func(string, keyedlog.Stream, bool) error { return down }
+	now = now.Add(5 * time.Second)
+	is.True(r.step(context.Background()) != nil)
+	log.Fault = nil
+	log.Publish(stream, keyedlog.Record{Key: "lives"}, keyedlog.Record{Key: "gone"})
+	is.NoErr(r.step(context.Background()))
+	is.Equal(value(r, "lives"), "1")
+	is.Equal(value(r, "gone"), "1")
+	log.Publish(stream, keyedlog.Record{Key: "lives", Value: []byte("2")})
+	for range 6 {
+		now = now.Add(500 * time.Millisecond)
+		is.NoErr(r.step(context.Background()))
+	}
+	is.Equal(value(r, "lives"), "2")
+	is.Equal(value(r, "gone"), "")
+}
+
+// Guards against a removal that waits although the log was there all the time.
+func TestRemovesAtOnceOtherwise(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	log := keyedlog.NewMemory()
+	log.Publish(stream, keyedlog.Record{Key: "a", Value: []byte("1")})
+	r := newReplica(log, func() time.Time { return now })
+	is.NoErr(r.step(context.Background()))
+	now = now.Add(300 * time.Millisecond)
+	log.Publish(stream, keyedlog.Record{Key: "a"})
+	is.NoErr(r.step(context.Background()))
+	is.Equal(value(r, "a"), "")
+}
--- a/internal/coordination/routing/failures.go
+++ b/internal/coordination/routing/failures.go
@@ -12,6 +12,9 @@
 	// failurePrior is the number of successes that every upstream is credited
 	// with: one failure alone says little.
 	failurePrior = 4
+	// failureNoise is the share below which an upstream counts as sound. Without
+	// it, equal upstreams would be told apart by failures long past.
+	failureNoise = 0.05
 )
 
 // outcome notes how an attempt ended.
@@ -42,5 +45,9 @@
 		return 0
 	}
 	s.fade(now)
-	return s.recentFailures / (s.recentResults + failurePrior)
+	share := s.recentFailures / (s.recentResults + failurePrior)
+	if share < failureNoise {
+		return 0
+	}
+	return share
 }
