--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -73,7 +73,7 @@
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.6, EqualShare: 0.35, OpenFor: 6300 * time.Millisecond, OpenShare: 0.45,
+		ShareOfUnspent: 0.6, EqualShare: 0.35, OpenFor: 3800 * time.Millisecond, OpenShare: 0.35,
 		OpenRequests: 2, Fresh: 10 * time.Second, ReportAfter: 3 * time.Second,
 	}
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -125,10 +125,10 @@
 	// upstreamGrace is how long removals are held back after the log's return.
 	upstreamGrace = 2200 * time.Millisecond
 	// beatInterval is the time between two beats of a router in a small fleet.
-	beatInterval = 700 * time.Millisecond
+	beatInterval = 500 * time.Millisecond
 	// silence is how long a router's beats must not reach the log before it may
 	// spend all of its shares. It is longer than a restart of all processes.
-	silence = 6300 * time.Millisecond
+	silence = 3800 * time.Millisecond
 	// reportInterval is the time between two looks at what is worth a report.
 	reportInterval = 700 * time.Millisecond
 	// gatewaySlowStart is short because engines are at full speed at once; only
