--- a/internal/coordination/overload/guard_test.go
+++ b/internal/coordination/overload/guard_test.go
@@ -11,7 +11,7 @@
 func run(g *Guard, lag time.Duration, steps int) (refused float64) {
 	for range steps {
 		for range 5 {
-			refused, _ = g.Tick(Interval, 0)
+			g.Tick(Interval, 0)
 		}
 		refused, _ = g.Tick(Interval+lag, 0)
 	}
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -139,7 +139,6 @@
 
 // errors of a reservation that may succeed later.
 var (
-	errNotLoaded = errors.New("the shares were not read yet")
 	errLogAway   = errors.New("the share is used up and the log does not answer")
 	errHeld      = errors.New("the rest of the budget is held by other routers")
 )
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -12,8 +12,6 @@
 		"A record does not decode. Find its writer by stream, key and offset.")
 	EventShareGranted = register(1810, logrus.InfoLevel, "share of a prepaid budget changed",
 		"The log accepted this VM's share of the budget. No action.")
-	EventShareConflict = register(1811, logrus.DebugLevel, "share was not written: another VM wrote first",
-		"The next try follows at once. Many of them mean that many VMs draw on nearly empty budgets.")
 	EventShareDelayed = register(1812, logrus.WarnLevel, "shares cannot be written",
 		"The log does not answer. Requests are served from the shares at hand.")
 	EventShareReleased = register(1815, logrus.InfoLevel, "unspent part of an earlier process released",
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -57,6 +57,8 @@
 func (j wholeJob) target() string   { return j.model }
 func (j wholeJob) cancelable() bool { return true }
 
+func (j wholeJob) result(err error) routing.Result { return result(err) }
+
 func (j wholeJob) send(ctx context.Context, x *exchange, call upstream.Call, attempt int) error {
 	ctx, answered := x.attemptContext(ctx)
 	defer answered()
@@ -106,6 +108,8 @@
 func (j streamJob) target() string   { return j.model }
 func (j streamJob) cancelable() bool { return true }
 
+func (j streamJob) result(err error) routing.Result { return result(err) }
+
 func (j streamJob) send(ctx context.Context, x *exchange, call upstream.Call, attempt int) error {
 	ctx, answered := x.attemptContext(ctx)
 	defer answered()
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -77,6 +77,8 @@
 	// send runs one attempt and delivers its answer. An error means that no
 	// answer was settled.
 	send(ctx context.Context, x *exchange, call upstream.Call, attempt int) error
+	// result tells the routing how an attempt ended.
+	result(err error) routing.Result
 	// cancelable reports whether the upstream can stop a run and tell its usage.
 	cancelable() bool
 }
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -209,18 +209,19 @@
 	}
 }
 
-// forwardResult tells the routing how an attempt of a forwarded request ended.
-func forwardResult(err error) (routing.Result, bool) {
+// result implements job. A lost connection says less about an upstream than its
+// own failure does: connections are reset for other reasons too.
+func (j *forwardJob) result(err error) routing.Result {
 	switch {
 	case errors.Is(err, errUpstreamFailed):
-		return routing.ResultError, true
+		return routing.ResultError
 	case errors.Is(err, relay.ErrConnectionLimit):
-		return routing.ResultRefused, true
+		return routing.ResultRefused
 	case errors.Is(err, upstream.ErrNotSent):
-		return routing.ResultUnreachable, true
+		return routing.ResultUnreachable
 	case errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, context.Canceled):
-		return routing.ResultFailed, true
+		return routing.ResultFailed
 	default:
-		return 0, false
+		return result(err)
 	}
 }
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -88,7 +88,7 @@
 		// The engine that was chosen did not come back.
 		attempt.Done(routing.ResultCrashed)
 	} else {
-		attempt.Done(result(err))
+		attempt.Done(x.job.result(err))
 	}
 	return err
 }
@@ -100,9 +100,6 @@
 // result tells the routing how an attempt ended. A caller that left and an
 // answer that was delivered say nothing against the upstream.
 func result(err error) routing.Result {
-	if r, ok := forwardResult(err); ok {
-		return r
-	}
 	var refused *upstream.RefusedError
 	switch {
 	case errors.Is(err, errReplaced):
--- a/internal/transport/httpapi/services.go
+++ b/internal/transport/httpapi/services.go
@@ -78,6 +78,8 @@
 func (j serviceJob) target() string   { return j.service }
 func (j serviceJob) cancelable() bool { return false }
 
+func (j serviceJob) result(err error) routing.Result { return result(err) }
+
 func (j serviceJob) send(ctx context.Context, x *exchange, call upstream.Call, attempt int) error {
 	ctx, answered := x.attemptContext(ctx)
 	defer answered()
