--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -51,6 +51,11 @@
 type Policy struct {
 	// ShareOfUnspent bounds the sum of all shares, as a part of what is unspent.
 	ShareOfUnspent float64
+	// Horizon bounds a share by the time for which it lasts at the present demand,
+	// but not below HeldRequests requests of mean size. Without it the first
+	// router with a request for a budget would take most of it.
+	Horizon      time.Duration
+	HeldRequests float64
 	// EqualShare is the part of that which is divided equally, for demand that
 	// has not shown yet. The rest is divided by demand.
 	EqualShare float64
@@ -73,7 +78,7 @@
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.6, EqualShare: 0.35, OpenFor: 3800 * time.Millisecond, OpenShare: 0.35,
+		ShareOfUnspent: 0.6, Horizon: 30 * time.Second, HeldRequests: 4, EqualShare: 0.35, OpenFor: 3800 * time.Millisecond, OpenShare: 0.35,
 		OpenRequests: 2, Fresh: 10 * time.Second, ReportAfter: 3 * time.Second,
 	}
 }
@@ -201,6 +206,9 @@
 		part = p.EqualShare*part + (1-p.EqualShare)*own/sum
 	}
 	share := unspent * part
+	if a.mean > 0 {
+		share = min(share, max(p.Horizon.Seconds()*own, p.HeldRequests*a.mean))
+	}
 	if share < max(a.mean*usefulRequests, usefulTokens) {
 		// A share below one request only keeps the budget in pieces.
 		return 0
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -139,8 +139,8 @@
 
 // errors of a reservation that may succeed later.
 var (
-	errLogAway   = errors.New("the share is used up and the log does not answer")
-	errHeld      = errors.New("the rest of the budget is held by other routers")
+	errLogAway = errors.New("the share is used up and the log does not answer")
+	errHeld    = errors.New("the rest of the budget is held by other routers")
 )
 
 const (
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -64,7 +64,9 @@
 	// of a forwarded request.
 	attempt    Attempt
 	boundEntry catalogue.BoundEntry
-	began      time.Time
+	// refusedBy is why the budget was not reserved.
+	refusedBy error
+	began     time.Time
 	// moved is true once another engine took over a stream.
 	moved  bool
 	answer *request.Answer
@@ -221,6 +223,7 @@
 	obs.EndSpan(span, err)
 	if err != nil {
 		x.countFalseRefusal(err)
+		x.refusedBy = err
 		return x.stopped(budgetError(err))
 	}
 	x.reservation, x.reserved = res, true
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -440,6 +440,9 @@
 	}
 	x.span.RecordError(e)
 	j.status, j.code = e.Status, e.Code
+	if j.cause = errors.CombineErrors(j.cause, x.refusedBy); j.cause == nil {
+		j.cause = e
+	}
 	header := x.w.Header()
 	x.api.Forwarding.Wire.Refusal(header, x.id, time.Duration(e.RetryAfterMS)*time.Millisecond)
 	header.Set("Content-Type", contentJSON)
