--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -118,7 +118,7 @@
 	spent    int64
 	reserved int64
 	borrowed int64
-	loans    []loan
+	loans    []Loan
 	lent     int64
 	rate     demand
 	// mean is the mean upper bound of the requests of late.
@@ -129,10 +129,10 @@
 	deniedAt     time.Time
 }
 
-// loan is a part that another VM has lent.
-type loan struct {
-	lender string
-	amount int64
+// Loan is a part that another VM has lent.
+type Loan struct {
+	Lender string
+	Amount int64
 }
 
 func newAccount(entry string) *account {
@@ -274,7 +274,7 @@
 		open = l
 	}
 	next := holding{
-		Process: in.process, Granted: granted, Spent: a.logSpent(), InFlight: used - a.logSpent(),
+		Process: in.process, Granted: granted, Spent: a.logSpent(), InFlight: min(used+waiting, granted) - a.logSpent(),
 		Stranded: a.stranded, Rate: int64(a.rate.perSecond(in.now)), Open: open, Lent: a.lent,
 		Borrowed: min(a.borrowed, a.spent),
 	}
@@ -342,14 +342,14 @@
 
 func (h holding) idle() int64 { return h.Granted - h.Spent - h.InFlight }
 
-// lend gives away a part for a request of another VM: the amount, and more if
-// there is plenty.
+// lend gives away a part for a request of another VM: the amount, more if there
+// is plenty, or what there is.
 func (a *account) lend(amount int64, offline bool) int64 {
 	idle := a.available(offline)
-	if idle < amount {
+	if idle < min(amount, leastLoan) {
 		return 0
 	}
-	given := max(amount, min(lendFactor*amount, idle/lendPart))
+	given := min(idle, max(amount, min(lendFactor*amount, idle/lendPart)))
 	a.spent += given
 	a.lent += given
 	return given
@@ -360,18 +360,20 @@
 	// next requests need no loan.
 	lendFactor = 4
 	lendPart   = 4
+	// leastLoan is the least part that is worth a loan, in tokens.
+	leastLoan = 256
 )
 
 // repay returns an idle loan, the latest first.
-func (a *account) repay() (loan, bool) {
+func (a *account) repay() (Loan, bool) {
 	idle := a.borrowed - a.spent - a.reserved
 	if idle <= 0 || len(a.loans) == 0 || len(a.waiters) > 0 {
-		return loan{}, false
+		return Loan{}, false
 	}
 	last := &a.loans[len(a.loans)-1]
-	back := loan{lender: last.lender, amount: min(idle, last.amount)}
-	a.borrowed -= back.amount
-	if last.amount -= back.amount; last.amount == 0 {
+	back := Loan{Lender: last.Lender, Amount: min(idle, last.Amount)}
+	a.borrowed -= back.Amount
+	if last.Amount -= back.Amount; last.Amount == 0 {
 		a.loans = a.loans[:len(a.loans)-1]
 	}
 	return back, true
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -294,7 +294,7 @@
 	}
 	for entry, a := range p.accounts {
 		if back, ok := a.repay(); ok {
-			go p.cfg.Peers.Repay(back.lender, entry, back.amount)
+			go p.cfg.Peers.Repay(back.Lender, entry, back.Amount)
 		}
 	}
 }
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -59,9 +59,9 @@
 
 // Peers carries loans between the VMs.
 type Peers interface {
-	// Borrow asks VMs for an amount, those named first, and returns who has lent
-	// how much; nothing if none did.
-	Borrow(ctx context.Context, preferred []string, entry string, amount int64) (lender string, lent int64)
+	// Borrow asks VMs for an amount, those named first, until it is covered, and
+	// returns what they have lent.
+	Borrow(ctx context.Context, preferred []string, entry string, amount int64) []Loan
 	// Repay tells a VM that a part of its loan was not used. An answer is not
 	// awaited: what is lost on the way counts as spent.
 	Repay(lender, entry string, amount int64)
@@ -348,8 +348,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		defer cancel()
-		lender, amount := p.cfg.Peers.Borrow(ctx, lenders, a.entry, w.amount)
-		p.borrowed(a, w, lender, amount)
+		p.borrowed(a, w, p.cfg.Peers.Borrow(ctx, lenders, a.entry, w.amount))
 	}()
 	return true
 }
@@ -357,18 +356,18 @@
 // borrowTimeout bounds the search for a lender.
 const borrowTimeout = 250 * time.Millisecond
 
-// borrowed takes over a loan and answers the waiters.
-func (p *partition) borrowed(a *account, w *waiter, lender string, amount int64) {
+// borrowed takes over loans and answers the waiters.
+func (p *partition) borrowed(a *account, w *waiter, loans []Loan) {
 	prepaid, _ := p.cfg.Prepaid(a.entry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w.pending = false
 	now := p.cfg.Now()
-	if amount > 0 {
-		a.borrowed += amount
-		a.loans = append(a.loans, loan{lender, amount})
+	for _, l := range loans {
+		a.borrowed += l.Amount
+		a.loans = append(a.loans, l)
 		obs.EventShareBorrowed.Log(p.cfg.Logger, logrus.Fields{
-			"entry": a.entry, "lender": lender, "amount": amount, "needed": w.amount,
+			"entry": a.entry, "lender": l.Lender, "amount": l.Amount, "needed": w.amount,
 			"log_age_ms": now.Sub(p.contact).Milliseconds(),
 		})
 	}
@@ -381,8 +380,8 @@
 	p.serve(a, prepaid, now.Add(time.Nanosecond), now)
 }
 
-// Lend gives a part of this VM's share to a request of another VM. It returns 0
-// if there is not enough.
+// Lend gives a part of this VM's share to a request of another VM. It returns
+// less than the amount if there is not enough.
 func (m *Manager) Lend(entry string, amount int64) int64 {
 	prepaid, limited := m.cfg.Prepaid(entry)
 	if !limited || amount <= 0 {
--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -282,7 +282,7 @@
 				}
 				amount := rapid.Int64Range(1, 6_000).Draw(t, "amount")
 				p := to.m.partitions[0]
-				p.borrowed(p.account(modelEntry), &waiter{}, from.name, from.m.Lend(modelEntry, amount))
+				p.borrowed(p.account(modelEntry), &waiter{}, []Loan{{from.name, from.m.Lend(modelEntry, amount)}})
 			},
 			"repay": func(t *rapid.T) {
 				m.t = t
@@ -291,8 +291,8 @@
 				p.mu.Lock()
 				back, ok := p.account(modelEntry).repay()
 				p.mu.Unlock()
-				if ok && back.lender == from.name && rapid.Bool().Draw(t, "arrives") {
-					from.m.Repaid(modelEntry, back.amount)
+				if ok && back.Lender == from.name && rapid.Bool().Draw(t, "arrives") {
+					from.m.Repaid(modelEntry, back.Amount)
 				}
 			},
 			"topup": func(t *rapid.T) { m.prepaid += rapid.Int64Range(0, 500).Draw(t, "tokens") },
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -123,15 +123,15 @@
 		lent := a.m.Lend(modelEntry, 2_000)
 		is.True(lent >= 2_000)
 		is.Equal(lender.available(false), had-lent)
-		b.partition().borrowed(borrower, &waiter{}, "vm-0", lent)
+		b.partition().borrowed(borrower, &waiter{}, []Loan{{"vm-0", lent}})
 		is.Equal(borrower.available(false), lent)
 		back, ok := borrower.repay()
 		is.True(ok)
-		is.Equal(borrower.available(false), lent-back.amount)
-		a.m.Repaid(modelEntry, back.amount)
-		is.Equal(lender.available(false), had-lent+back.amount)
+		is.Equal(borrower.available(false), lent-back.Amount)
+		a.m.Repaid(modelEntry, back.Amount)
+		is.Equal(lender.available(false), had-lent+back.Amount)
 		a.m.Repaid(modelEntry, 1<<40) // more than was lent is not believed
-		is.Equal(lender.available(false), had-lent+back.amount)
+		is.Equal(lender.available(false), had-lent+back.Amount)
 	})
 }
 
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -49,7 +49,7 @@
 
 const (
 	// borrowAsks bounds the routers that are asked for one request.
-	borrowAsks = 6
+	borrowAsks = 8
 	// borrowCall bounds one question, and repayCall one repayment.
 	borrowCall = 100 * time.Millisecond
 	repayCall  = time.Second
@@ -103,24 +103,24 @@
 
 // Borrow implements prepaid.Peers. Lenders are asked one after the other, so that
 // no more is lent than needed.
-func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (string, int64) {
+func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []prepaid.Loan) {
 	if p.pool == nil {
-		return "", 0
+		return nil
 	}
-	asked := 0
-	for _, peer := range p.lenders(preferred) {
-		if asked++; asked > borrowAsks || ctx.Err() != nil {
+	for i, peer := range p.lenders(preferred) {
+		if i == borrowAsks || amount <= 0 || ctx.Err() != nil {
 			break
 		}
 		call, cancel := context.WithTimeout(ctx, borrowCall)
 		var response loanResponse
 		err := p.pool.Call(call, peer.address, methodBorrow, loanRequest{Entry: entry, Amount: amount}, &response)
 		cancel()
-		if err == nil && response.Lent >= amount {
-			return peer.address, response.Lent
+		if err == nil && response.Lent > 0 {
+			loans = append(loans, prepaid.Loan{Lender: peer.address, Amount: response.Lent})
+			amount -= response.Lent
 		}
 	}
-	return "", 0
+	return loans
 }
 
 // Repay implements prepaid.Peers. Lenders are named by their addresses.
