Do not take a process for never silent before the log shows what it spent in a silence

A router was cut off, spent beyond its open part, beat again when the cut ended and died 1.5 s later, before its record was written: its successor counted the old open part only. Ruled out: the charge of streams (an event counts its most tokens), loans. Change: a beat says whether the log shows all that was spent; such records are written at once.

--- a/internal/coordination/beats/beats.go
+++ b/internal/coordination/beats/beats.go
@@ -33,6 +33,9 @@
 	// the stream after it.
 	Before    Stamp  `cbor:"5,keyasint"`
 	BeforeEnd uint64 `cbor:"6,keyasint,omitempty"`
+	// Beyond is true if the process has done what only a silent one may do, and
+	// the log does not show it yet.
+	Beyond bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Config holds the settings of Beats.
@@ -50,6 +53,10 @@
 	// Stamp reads the clocks of the VM.
 	Stamp func() Stamp
 	Now   func() time.Time
+	// Beyond reports whether the process has done what only a silent one may do,
+	// and the log does not show it yet. It is called after Silent has become
+	// false. It may be nil.
+	Beyond func() bool
 	// Witnesses asks the other routers for the age of the beat at an offset.
 	Witnesses func(ctx context.Context, offset uint64) []Testimony
 	Logger    logrus.FieldLogger
@@ -166,14 +173,21 @@
 // carried out, its stamp is sent again: the time that a successor measures from
 // it must not be shorter than that of Silent. undo takes back a beat that was
 // not carried out.
+//
+// Silent becomes false before Beyond is asked: what was begun while it was true is
+// seen, and nothing more is begun.
 func (b *Beats) next() (r Record, undo func()) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	before, beforeAt := b.last, b.lastAt
 	if !b.unsure {
 		b.last, b.lastAt = b.cfg.Self, b.cfg.Now()
 		b.last.Stamp = b.cfg.Stamp()
 	}
+	b.mu.Unlock()
+	beyond := b.cfg.Beyond != nil && b.cfg.Beyond()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.last.Beyond = b.last.Beyond && b.unsure || beyond
 	return b.last, func() {
 		if !b.unsure {
 			b.last, b.lastAt = before, beforeAt
--- a/internal/coordination/beats/beats_test.go
+++ b/internal/coordination/beats/beats_test.go
@@ -131,6 +131,31 @@
 	}
 }
 
+// Guards against a predecessor that was silent, did what only a silent process may
+// do, was heard again and died before the log showed it: found by a hunt
+// (ndiaye-pli, hunt-45a9-27: a cut, then a power loss 1.5 s after its end).
+func TestPredecessorThatWentBeyond(t *testing.T) {
+	is := is.New(t)
+	clk, log := newClock(), keyedlog.NewMemory()
+	first := newBeats(log, "vm-1", "p1", clk)
+	beyond := true
+	first.cfg.Beyond = func() bool {
+		is.True(!first.Silent())
+		return beyond
+	}
+	is.NoErr(first.beat(context.Background()))
+	clk.pass(time.Second)
+	next := newBeats(log, "vm-1", "p2", clk)
+	next.read(is, log)
+	is.True(!next.NeverSilent("p1"))
+	beyond = false
+	is.NoErr(first.beat(context.Background()))
+	clk.pass(time.Second)
+	next = newBeats(log, "vm-1", "p2", clk)
+	next.read(is, log)
+	is.True(next.NeverSilent("p1"))
+}
+
 // Guards against a verdict on less than one witness that was there, or on less
 // than half of the clocks.
 func TestVerdict(t *testing.T) {
--- a/internal/coordination/beats/predecessor.go
+++ b/internal/coordination/beats/predecessor.go
@@ -15,7 +15,8 @@
 	// at is the offset of its last beat.
 	at    uint64
 	known bool
-	// recent is true once it is proven that the process was never silent.
+	// recent is true once it is proven that the process was never silent, or that
+	// the log shows what it did then.
 	recent bool
 	// proven is closed then.
 	proven chan struct{}
@@ -38,12 +39,12 @@
 	}
 	age, same := sameBoot(r.Stamp, b.start)
 	b.predecessor.record, b.predecessor.at, b.predecessor.known = r, offset, true
-	if same && recent(age, b.cfg.Silence) {
+	if same && recent(age, b.cfg.Silence) && !r.Beyond {
 		b.prove()
 	}
 	obs.EventPredecessor.Log(b.cfg.Logger, logrus.Fields{
 		"process": r.Process, "offset": offset, "age_ms": age.Milliseconds(), "same_boot": same,
-		"wall_ms": wallBetween(r.Stamp, b.start).Milliseconds(), "recent": b.predecessor.recent,
+		"wall_ms": wallBetween(r.Stamp, b.start).Milliseconds(), "recent": b.predecessor.recent, "beyond": r.Beyond,
 	})
 }
 
@@ -55,7 +56,7 @@
 }
 
 // NeverSilent reports whether it is proven that an earlier process of this VM was
-// never silent up to its end.
+// never silent up to its end, or that the log shows what it did then.
 func (b *Beats) NeverSilent(process string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -77,7 +78,7 @@
 		b.mu.Lock()
 		p := b.predecessor
 		b.mu.Unlock()
-		if p.recent || b.replica.Loaded() && !p.known {
+		if p.recent || p.record.Beyond || b.replica.Loaded() && !p.known {
 			return
 		}
 		if !p.known {
--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -286,7 +286,7 @@
 func (a *account) worthAppend(next holding, in planning) bool {
 	old := a.logged
 	switch {
-	case next.Granted != old.Granted || next.Open != old.Open:
+	case next.Granted != old.Granted || next.Open != old.Open || a.beyond():
 		return true
 	case next.Spent == old.Spent && next.InFlight == old.InFlight:
 		return false
@@ -296,6 +296,9 @@
 	return unreported >= matters || in.now.Sub(a.reported) > in.policy.ReportAfter
 }
 
+// beyond reports whether more than the open part was used that the log shows.
+func (a *account) beyond() bool { return a.logUsed() > max(a.logged.Open, a.base) }
+
 // reportPart divides what may be left of a budget for each VM into the amounts
 // that are reported at once.
 const reportPart = 8
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -51,7 +51,8 @@
 	// Silent reports whether none of this process's beats has reached the log for
 	// a time that is longer than a restart.
 	Silent() bool
-	// NeverSilent reports whether it is proven that an earlier process never was.
+	// NeverSilent reports whether it is proven that an earlier process never was,
+	// or that the log showed all that it spent then (Manager.Beyond).
 	NeverSilent(process string) bool
 	// Proven is closed when NeverSilent becomes true for the last process.
 	Proven() <-chan struct{}
@@ -409,6 +410,28 @@
 	}
 }
 
+// Beyond reports whether this process has spent more than the open part that the
+// log shows of any budget.
+func (m *Manager) Beyond() bool {
+	for _, p := range m.partitions {
+		if p.beyond() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *partition) beyond() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.accounts {
+		if a.beyond() {
+			return true
+		}
+	}
+	return false
+}
+
 // Balance returns what is left of an entry's budget as far as this VM knows.
 func (m *Manager) Balance(key record.EntryKey) budget.Balance {
 	prepaid, limited := m.cfg.Prepaid(key.Name)
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -187,3 +187,23 @@
 		is.True(!m.reserve(b, 5_000))
 	})
 }
+
+// Guards against a process that is heard again after a silence and dies before the
+// log shows what it spent beyond its open part.
+func TestSpendingBeyondTheOpenPartShows(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a := m.vms[0]
+		is.True(m.reserve(a, 1000))
+		is.True(!a.m.Beyond())
+		a.life.silent = true
+		open := a.account().logged.Open
+		is.True(a.account().available(true) > a.account().available(false))
+		is.True(m.reserve(a, a.account().available(true)))
+		is.True(a.account().logUsed() > open)
+		is.True(a.m.Beyond())
+		a.life.silent = false
+		a.cycle(is)
+		is.True(!a.m.Beyond())
+		is.True(a.account().logged.Open >= a.account().logUsed())
+	})
+}
