--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 )
@@ -35,9 +36,7 @@
 			pause = failurePause
 			p.delayed(err)
 		}
-		if sleep(ctx, pause) != nil {
-			return
-		}
+		follow.Sleep(ctx, pause)
 		timer := time.NewTimer(p.interval())
 		select {
 		case <-ctx.Done():
@@ -53,17 +52,6 @@
 	return time.Duration(float64(p.cfg.Interval) * (0.75 + 0.5*rand.Float64()))
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // cycle reads the stream to its end, writes this VM's records and answers the
 // waiters. With handBack, shares are reduced to what was spent.
 func (p *partition) cycle(ctx context.Context, handBack bool) error {
@@ -91,7 +79,8 @@
 			return err
 		}
 		obs.ShareConflictsTotal.Add(1)
-		if sleep(ctx, time.Duration(rand.Int64N(int64(conflictPause<<conflict)))) != nil {
+		follow.Sleep(ctx, time.Duration(rand.Int64N(int64(conflictPause<<conflict))))
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
@@ -318,7 +307,7 @@
 	for _, p := range m.partitions {
 		err := p.cycle(ctx, true)
 		for err != nil && ctx.Err() == nil {
-			_ = sleep(ctx, failurePause)
+			follow.Sleep(ctx, failurePause)
 			err = p.cycle(ctx, true)
 		}
 		errs = errors.CombineErrors(errs, err)
--- /dev/null
+++ b/internal/coordination/prepaid/fold.go
@@ -0,0 +1,106 @@
+package prepaid
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+)
+
+// keySeparator stands between the entry and the VM in a record's key.
+const keySeparator = "\x00"
+
+// fold takes over records of the stream.
+func (p *partition) fold(page keyedlog.Page) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Now()
+	for _, rec := range page.Records {
+		p.foldHolding(rec, now)
+	}
+	p.next = max(p.next, page.Next)
+	if p.unsure != nil && p.next > p.unsure.at {
+		p.settleUnsure()
+	}
+	p.contact, p.loaded = now, true
+}
+
+func (p *partition) decode(rec keyedlog.Record, out any) bool {
+	if rec.Value != nil && cbor.Unmarshal(rec.Value, out) == nil {
+		return true
+	}
+	obs.EventRecordMalformed.Log(p.cfg.Logger, logrus.Fields{
+		"stream": p.stream.Name, "partition": p.stream.Partition, "key": rec.Key, "offset": rec.Offset,
+	})
+	return false
+}
+
+func (p *partition) foldHolding(rec keyedlog.Record, now time.Time) {
+	entry, vm, _ := strings.Cut(rec.Key, keySeparator)
+	var h holding
+	if !p.decode(rec, &h) {
+		return
+	}
+	a := p.account(entry)
+	switch {
+	case vm != p.cfg.VM:
+		a.others[vm] = seen{h, now}
+	case h.Process == string(p.cfg.Process):
+		p.foldOwn(a, h, rec.Offset)
+	default:
+		a.takeOver(h, p.cfg.Life.NeverSilent(h.Process))
+		obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
+			"entry": entry, "process": h.Process, "offset": rec.Offset, "granted": h.Granted, "spent": h.Spent,
+			"stranded": a.base - h.Spent, "never_silent": a.deadOpen,
+		})
+	}
+}
+
+// foldOwn takes over a record of this process.
+func (p *partition) foldOwn(a *account, h holding, offset uint64) {
+	granted, open := a.granted, a.open
+	a.logged, a.granted, a.open = h, h.Granted, h.Open
+	if p.unsure != nil && offset < p.unsure.at {
+		// A smaller part may still be written.
+		a.granted, a.open = min(a.granted, granted), min(a.open, open)
+	}
+}
+
+// awaitProof gives free what the earlier process of this VM cannot have spent,
+// when that is proven.
+func (p *partition) awaitProof(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.cfg.Life.Proven():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	released := int64(0)
+	for _, a := range p.accounts {
+		released += a.release()
+	}
+	if released > 0 {
+		obs.EventShareReleased.Log(p.cfg.Logger, logrus.Fields{"partition": p.stream.Partition, "tokens": released})
+		p.wake()
+	}
+}
+
+// settleUnsure ends the doubt about an append: the stream has moved, so that the
+// log's record is final.
+func (p *partition) settleUnsure() {
+	p.unsure = nil
+	for _, a := range p.accounts {
+		a.confirm()
+	}
+}
+
+// confirm makes what the log has usable.
+func (a *account) confirm() {
+	a.granted, a.open = a.logged.Granted, a.logged.Open
+}
