Hold half of what is unspent, at most sixteen seconds of demand

All VMs lost power 3.5 s into an outage of the store; their whole grants, 0.6 of what was unspent, counted as spent.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -78,7 +78,7 @@
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.6, Horizon: 30 * time.Second, HeldRequests: 4, EqualShare: 0.35, OpenFor: 3800 * time.Millisecond, OpenShare: 0.35,
+		ShareOfUnspent: 0.5, Horizon: 16 * time.Second, HeldRequests: 4, EqualShare: 0.35, OpenFor: 3800 * time.Millisecond, OpenShare: 0.35,
 		OpenRequests: 2, Fresh: 10 * time.Second, ReportAfter: 3 * time.Second,
 	}
 }
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 )
 
@@ -207,3 +209,29 @@
 		is.True(a.account().logged.Open >= a.account().logUsed())
 	})
 }
+
+// Guards against a fleet that cannot serve after it has lost all VMs in a silence:
+// found by a hunt (bladeline-mu, trouble-1 --seed 134842887328: RECOVER broken).
+func TestLossOfAllVMsInASilenceLeavesEnough(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		for range 8 {
+			for _, vm := range m.vms {
+				is.True(m.reserve(vm, 200))
+				vm.m.Settle(vm.open[0], budgetOf(200))
+				vm.open = vm.open[1:]
+				m.spent += 200
+				vm.cycle(is)
+			}
+			m.now = m.now.Add(time.Second)
+		}
+		unspent := m.prepaid - m.spent
+		for _, vm := range m.vms {
+			m.start(vm)
+			vm.cycle(is)
+		}
+		// Callers are refused when less than a quarter can be served.
+		is.True(m.reserve(m.vms[0], unspent*2/5))
+	})
+}
+
+func budgetOf(charged int64) budget.Settlement { return budget.Settlement{Charged: charged} }
