Let a router's first requests wait for the log

The time of the last answer now begins with the process. Test: TestFirstRequestWaitsForTheLog (fails before).

--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -50,7 +50,8 @@
 			"log_age_ms": now.Sub(p.contact).Milliseconds(),
 		})
 	}
-	if p.loaded && now.Sub(p.contact) < logAwayAfter {
+	if now.Sub(p.contact) < logAwayAfter {
+		// A read that has not begun yet may find more.
 		p.serve(a, prepaid, time.Time{}, now)
 		p.wake()
 		return
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -86,8 +86,9 @@
 	accounts map[string]*account
 	next     uint64
 	loaded   bool
-	contact  time.Time
-	failing  bool
+	// contact is when the log answered last, or the start of the process.
+	contact time.Time
+	failing bool
 	// used is when a request last drew on a budget of the stream.
 	used time.Time
 	// unsure is set while an append without an answer may still be carried out.
@@ -113,6 +114,7 @@
 	for _, s := range cfg.Streams {
 		m.partitions = append(m.partitions, &partition{
 			manager: m, cfg: &m.cfg, stream: s, kick: make(chan struct{}, 1), accounts: make(map[string]*account),
+			contact: cfg.Now(),
 		})
 	}
 	return m
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -235,3 +235,25 @@
 }
 
 func budgetOf(charged int64) budget.Settlement { return budget.Settlement{Charged: charged} }
+
+// noPeers lends nothing.
+type noPeers struct{}
+
+func (noPeers) Borrow(context.Context, []string, string, int64) []Loan { return nil }
+func (noPeers) Repay(string, string, int64)                            {}
+
+// Guards against a router that refuses its first requests because it has not read
+// the log yet and its peers lend nothing.
+func TestFirstRequestWaitsForTheLog(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a := m.vms[0]
+		a.m.cfg.Peers = noPeers{}
+		p := a.partition()
+		w, err := p.reserve(modelEntry, 1000, m.prepaid)
+		is.NoErr(err)
+		p.borrowed(a.account(), w, nil)
+		is.Equal(len(w.done), 0)
+		m.now = m.now.Add(time.Millisecond)
+		is.True(a.take(w, 1000))
+	})
+}
