Remove what the forwarding wrote twice; derive the open part's time from the silence

Found in a last read: a field of an answer that nothing sets, a condition that another one implies, an expression that has a name, and one time in two places. Two comments were behind the code.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -56,7 +56,7 @@
 	// router with a request for a budget would take most of it.
 	Horizon      time.Duration
 	HeldRequests float64
-	// EqualShare is the part of that which is divided equally, for demand that
+	// EqualShare is the part of all shares that is divided equally, for demand that
 	// has not shown yet. The rest is divided by demand.
 	EqualShare float64
 	// OpenFor is how long the open part lasts at the present demand: until the VM
@@ -78,8 +78,8 @@
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.5, Horizon: 16 * time.Second, HeldRequests: 4, EqualShare: 0.35, OpenFor: 3800 * time.Millisecond, OpenShare: 0.35,
-		OpenRequests: 2, Fresh: 10 * time.Second, ReportAfter: 3 * time.Second,
+		ShareOfUnspent: 0.5, Horizon: 16 * time.Second, HeldRequests: 4, EqualShare: 0.35,
+		OpenFor: 3800 * time.Millisecond, OpenShare: 0.35, OpenRequests: 2, Fresh: 10 * time.Second, ReportAfter: 3 * time.Second,
 	}
 }
 
@@ -333,7 +333,7 @@
 func (a *account) lenders() []string {
 	var names []string
 	for vm, h := range a.others {
-		if h.Granted-h.Spent-h.InFlight > 0 {
+		if h.idle() > 0 {
 			names = append(names, vm)
 		}
 	}
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -20,8 +20,8 @@
 	// reserveWait bounds the wait for a larger share. A log that is slow by a
 	// factor of 20 answers within it.
 	reserveWait = 400 * time.Millisecond
-	// retryHeld is told when other routers hold what is missing; they hand back
-	// within one interval.
+	// retryHeld is told when other routers hold what is missing; what they do not
+	// need goes back to the log within their next reports.
 	retryHeld = time.Second
 	// retryLogAway is told while the log does not answer: another router may hold
 	// a larger share.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -185,9 +185,11 @@
 	g.retries = retryBudgets{cfg: routing.WindowConfig{
 		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Length: cfg.RetryWindow, Routers: g.beats.Routers, Now: time.Now,
 	}, byService: make(map[string]*routing.WindowBudget)}
+	policy := prepaid.DefaultPolicy()
+	policy.OpenFor = silence
 	g.budget = prepaid.New(prepaid.Config{
 		Log: deps.Log, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaid,
-		Entries: g.entries, Routers: g.beats.Routers, Policy: prepaid.DefaultPolicy(), Interval: reportInterval,
+		Entries: g.entries, Routers: g.beats.Routers, Policy: policy, Interval: reportInterval,
 		Life: g.beats, Peers: g.peers, Now: time.Now, Logger: logger,
 	})
 	g.peers.serveBudget(g.budget)
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -73,8 +73,6 @@
 	OtherInstance bool
 	// Genuine is false for bytes that no upstream of the deployment would send.
 	Genuine bool
-	// Leaving is true when the upstream closes its connections.
-	Leaving bool
 	// Load is nil when the upstream does not tell it.
 	Load *UpstreamLoad
 }
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -40,11 +40,11 @@
 		// The body is read so that the connection can be kept.
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxEventBytes))
 		return &upstream.RefusedError{
-			Status: answer.Status, Message: "not run", Leaving: info.Leaving || info.OtherInstance,
+			Status: answer.Status, Message: "not run", Leaving: info.OtherInstance,
 		}
 	case !info.Genuine:
 		return errors.Mark(errors.Newf("answer %d bears no mark of an upstream", answer.Status), upstream.ErrMismatch)
-	case answer.Status < http.StatusInternalServerError && j.route.Stream && answer.Status == http.StatusOK:
+	case j.route.Stream && answer.Status == http.StatusOK:
 		return j.attemptError(ctx, j.stream(x, answer, answered))
 	default:
 		return j.attemptError(ctx, j.whole(x, answer))
