Bound what a dead process strands by its proven gap

A dead process left its whole open part behind, which lasts for the silence of 3.8 s at the demand, although it lived for 1 to 2.8 s after its last beat.

Change: the open part lasts for 0.8 s and grows with the gap since the last beat; a beat that leaves something unreported does not end the gap. The successor counts what the proven gap allowed. The proof is a bound of the age instead of a yes or no. A beat follows soon while something is unreported.

--- a/internal/coordination/beats/beats.go
+++ b/internal/coordination/beats/beats.go
@@ -33,9 +33,9 @@
 	// the stream after it.
 	Before    Stamp  `cbor:"5,keyasint"`
 	BeforeEnd uint64 `cbor:"6,keyasint,omitempty"`
-	// Beyond is true if the process has done what only a silent one may do, and
-	// the log does not show it yet.
-	Beyond bool `cbor:"7,keyasint,omitempty"`
+	// Since is the BootMillis of the last beat up to which the log showed all that
+	// the process had done (Config.Beyond): that of Stamp, or an earlier one.
+	Since int64 `cbor:"7,keyasint"`
 }
 
 // Config holds the settings of Beats.
@@ -48,14 +48,13 @@
 	Self Record
 	// Interval is the least time between two beats; large fleets beat slower.
 	Interval time.Duration
-	// Silence is the time after the last beat from which Silent reports true.
+	// Silence is the longest gap of a predecessor that is worth a proof.
 	Silence time.Duration
 	// Stamp reads the clocks of the VM.
 	Stamp func() Stamp
 	Now   func() time.Time
-	// Beyond reports whether the process has done what only a silent one may do,
-	// and the log does not show it yet. It is called after Silent has become
-	// false. It may be nil.
+	// Beyond reports whether the process has done what only a gap allows, and the
+	// log does not show it yet. It is called while Gap is short. It may be nil.
 	Beyond func() bool
 	// Witnesses asks the other routers for the age of the beat at an offset.
 	Witnesses func(ctx context.Context, offset uint64) []Testimony
@@ -72,7 +71,7 @@
 	missed = 5
 	// minLife is the least time after which a router counts as gone.
 	minLife = 6 * time.Second
-	// retryPause follows a beat that the log did not take.
+	// retryPause follows a beat that did not end the gap.
 	retryPause = 200 * time.Millisecond
 )
 
@@ -95,10 +94,10 @@
 	mu      sync.Mutex
 	members map[string]member
 	live    int
-	// last is the beat that was sent last and may have reached the log, and
-	// lastAt its time by the steady clock.
-	last   Record
-	lastAt time.Time
+	// last is the beat that was sent last and may have reached the log.
+	last Record
+	// base is when the last of these beats was made that left nothing to show.
+	base moment
 	// unsure is true while a beat without an answer may still be carried out.
 	unsure      bool
 	predecessor predecessor
@@ -128,7 +127,8 @@
 	for ctx.Err() == nil {
 		pause := b.interval()
 		// The predecessor's beat must be read before it is overwritten.
-		if !b.replica.Loaded() || b.beat(ctx) != nil {
+		if !b.replica.Loaded() || b.beat(ctx) != nil || b.Gap() > pause {
+			// Something is left to show, or the log does not answer.
 			pause = retryPause
 		}
 		b.update()
@@ -169,38 +169,52 @@
 	return err
 }
 
+// moment is a time by the steady clock and by the clocks of the VM.
+type moment struct {
+	at    time.Time
+	stamp Stamp
+}
+
 // next returns the beat to send. While a beat without an answer may still be
-// carried out, its stamp is sent again: the time that a successor measures from
-// it must not be shorter than that of Silent. undo takes back a beat that was
-// not carried out.
+// carried out, it is sent again unchanged: the time that a successor measures from
+// it must not be shorter than Gap. undo takes back a beat that was not carried out.
 //
-// Silent becomes false before Beyond is asked: what was begun while it was true is
-// seen, and nothing more is begun.
+// Gap becomes short before Beyond is asked: what was begun before is seen, and
+// nothing more is begun.
 func (b *Beats) next() (r Record, undo func()) {
 	b.mu.Lock()
-	before, beforeAt := b.last, b.lastAt
-	if !b.unsure {
-		b.last, b.lastAt = b.cfg.Self, b.cfg.Now()
-		b.last.Stamp = b.cfg.Stamp()
+	if b.unsure {
+		defer b.mu.Unlock()
+		return b.last, func() {}
 	}
+	last, base := b.last, b.base
+	made := moment{b.cfg.Now(), b.cfg.Stamp()}
+	b.base = made
 	b.mu.Unlock()
 	beyond := b.cfg.Beyond != nil && b.cfg.Beyond()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.last.Beyond = b.last.Beyond && b.unsure || beyond
-	return b.last, func() {
-		if !b.unsure {
-			b.last, b.lastAt = before, beforeAt
+	b.last = b.cfg.Self
+	b.last.Stamp, b.last.Since = made.stamp, made.stamp.BootMillis
+	if beyond {
+		b.base = base
+		b.last.Since = base.stamp.BootMillis
+		if base.at.IsZero() {
+			b.last.Since = made.stamp.BootMillis - b.cfg.Silence.Milliseconds()
 		}
 	}
+	return b.last, func() { b.last, b.base = last, base }
 }
 
-// Silent reports whether no beat of this process has reached the log for
-// Config.Silence.
-func (b *Beats) Silent() bool {
+// Gap is the time since the last beat that may have reached the log and left
+// nothing to show. A successor never measures less.
+func (b *Beats) Gap() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.lastAt.IsZero() && b.cfg.Now().Sub(b.lastAt) > b.cfg.Silence
+	if b.base.at.IsZero() {
+		return 0
+	}
+	return b.cfg.Now().Sub(b.base.at)
 }
 
 // Leave removes this router's record.
--- a/internal/coordination/beats/clocks.go
+++ b/internal/coordination/beats/clocks.go
@@ -1,6 +1,9 @@
 package beats
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Stamp is a moment by two clocks of a VM that are set independently.
 type Stamp struct {
@@ -12,20 +15,14 @@
 }
 
 const (
-	// restartMargin is kept between the time proven by the clocks and
-	// Config.Silence, for the resolution of timers.
+	// restartMargin is added to the time proven by the clocks, for their resolution
+	// and for the difference between two clocks of a VM.
 	restartMargin = 300 * time.Millisecond
 	// clockAgreement is how far the two clocks of a VM may differ in the time
 	// since a stamp. Beyond it one of them was set, or the VM was restarted.
 	clockAgreement = 250 * time.Millisecond
 )
 
-// recent reports whether an upper bound of the time between the last beat of a
-// process and its end proves that it was never silent.
-func recent(age, silence time.Duration) bool {
-	return age >= 0 && age < silence-restartMargin
-}
-
 // sameBoot returns the time between two stamps of a VM, if both clocks agree on
 // it. After a restart of the VM they do not.
 func sameBoot(from, to Stamp) (time.Duration, bool) {
@@ -47,26 +44,35 @@
 	WallAge time.Duration
 }
 
-// verdict decides whether a beat was recent when this process started,
-// sinceStart ago. own is its age by the time of day of this VM, which also covers
-// the time until its append was carried out. The others confirm it, since the
-// time of day may have been set back: one router is enough that was there all the
-// time, else more than half must agree. Clocks are set on some VMs at a time, not
-// on most.
-func verdict(own time.Duration, testimonies []Testimony, routers int, sinceStart, silence time.Duration) bool {
-	if !recent(own, silence) {
-		return false
+// verdict returns an upper bound of the age that a beat had when this process
+// started, sinceStart ago. own is its age by the time of day of this VM, which also
+// covers the time until its append was carried out. The others confirm it, since
+// the time of day may have been set back: one router is enough that was there all
+// the time, else more than half must agree. Clocks are set on some VMs at a time,
+// not on most.
+func verdict(own time.Duration, testimonies []Testimony, routers int, sinceStart time.Duration) (time.Duration, bool) {
+	if own < 0 {
+		return 0, false
 	}
-	agree := 1
+	witnessed := time.Duration(-1)
+	clocks := []time.Duration{own}
 	for _, t := range testimonies {
-		if t.Age >= 0 && recent(max(0, t.Age-sinceStart), silence) {
-			return true
+		if age := max(0, t.Age-sinceStart); t.Age >= 0 && (witnessed < 0 || age < witnessed) {
+			witnessed = age
 		}
-		if t.WallAge >= 0 && recent(max(0, t.WallAge-sinceStart), silence) {
-			agree++
+		if t.WallAge >= 0 {
+			clocks = append(clocks, max(0, t.WallAge-sinceStart))
 		}
 	}
-	return 2*agree > routers
+	if witnessed >= 0 {
+		return max(own, witnessed), true
+	}
+	majority := routers/2 + 1
+	if len(clocks) < majority {
+		return 0, false
+	}
+	slices.Sort(clocks)
+	return max(own, clocks[majority-1]), true
 }
 
 // readMark says that at a time the stream ended at or before an offset.
--- a/internal/coordination/beats/predecessor.go
+++ b/internal/coordination/beats/predecessor.go
@@ -15,13 +15,18 @@
 	// at is the offset of its last beat.
 	at    uint64
 	known bool
-	// recent is true once it is proven that the process was never silent, or that
-	// the log shows what it did then.
-	recent bool
-	// proven is closed then.
+	// gap is an upper bound of its last gap, once that is proven to be below
+	// Config.Silence; proven is closed then.
+	gap    time.Duration
+	found  bool
 	proven chan struct{}
 }
 
+// unshown is the part of the last gap that came before the last beat.
+func (p predecessor) unshown() time.Duration {
+	return time.Duration(p.record.Stamp.BootMillis-p.record.Since) * time.Millisecond
+}
+
 const (
 	// evidenceInterval is the time between two rounds of questions.
 	evidenceInterval = 400 * time.Millisecond
@@ -32,38 +37,51 @@
 	evidenceCall = 300 * time.Millisecond
 )
 
-// foundPredecessor takes over the last beat of an earlier process of this VM.
+// foundPredecessor takes over the last beat of an earlier process of this VM. A beat
+// of another process, or an earlier one of the same, was appended late.
 func (b *Beats) foundPredecessor(r Record, offset uint64) {
-	if b.predecessor.known && offset <= b.predecessor.at {
+	p := &b.predecessor
+	if p.known && (r.Process != p.record.Process || r.Stamp.BootMillis <= p.record.Stamp.BootMillis) {
 		return
 	}
+	p.record, p.at, p.known = r, offset, true
 	age, same := sameBoot(r.Stamp, b.start)
-	b.predecessor.record, b.predecessor.at, b.predecessor.known = r, offset, true
-	if same && recent(age, b.cfg.Silence) && !r.Beyond {
-		b.prove()
+	if same {
+		b.prove(age)
 	}
 	obs.EventPredecessor.Log(b.cfg.Logger, logrus.Fields{
 		"process": r.Process, "offset": offset, "age_ms": age.Milliseconds(), "same_boot": same,
-		"wall_ms": wallBetween(r.Stamp, b.start).Milliseconds(), "recent": b.predecessor.recent, "beyond": r.Beyond,
+		"wall_ms": wallBetween(r.Stamp, b.start).Milliseconds(), "unshown_ms": p.unshown().Milliseconds(),
+		"proven": p.found, "gap_ms": p.gap.Milliseconds(),
 	})
 }
 
-func (b *Beats) prove() {
-	if !b.predecessor.recent {
-		b.predecessor.recent = true
-		close(b.predecessor.proven)
+// prove takes over an upper bound of the age of the predecessor's last beat at the
+// start of this process. It reports whether the bound is short enough.
+func (b *Beats) prove(age time.Duration) bool {
+	p := &b.predecessor
+	gap := p.unshown() + age + restartMargin
+	if gap >= b.cfg.Silence {
+		return false
 	}
+	if !p.found {
+		p.gap, p.found = gap, true
+		close(p.proven)
+	}
+	p.gap = min(p.gap, gap)
+	return true
 }
 
-// NeverSilent reports whether it is proven that an earlier process of this VM was
-// never silent up to its end, or that the log shows what it did then.
-func (b *Beats) NeverSilent(process string) bool {
+// LastGap returns an upper bound of the last gap of an earlier process of this VM,
+// if one below Config.Silence is proven.
+func (b *Beats) LastGap(process string) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.predecessor.recent && b.predecessor.record.Process == process
+	p := b.predecessor
+	return p.gap, p.found && p.record.Process == process
 }
 
-// Proven is closed when NeverSilent becomes true for the last process of this VM.
+// Proven is closed when LastGap becomes known for the last process of this VM.
 func (b *Beats) Proven() <-chan struct{} { return b.predecessor.proven }
 
 // collectEvidence asks the other routers how old the predecessor's last beat was
@@ -78,7 +96,7 @@
 		b.mu.Lock()
 		p := b.predecessor
 		b.mu.Unlock()
-		if p.recent || p.record.Beyond || b.replica.Loaded() && !p.known {
+		if p.found || p.unshown() >= b.cfg.Silence || b.replica.Loaded() && !p.known {
 			return
 		}
 		if !p.known {
@@ -88,21 +106,23 @@
 		testimonies := b.cfg.Witnesses(call, p.at)
 		cancel()
 		own := wallBetween(p.record.Stamp, b.start)
-		if verdict(own, testimonies, b.Routers(), b.sinceStart(), b.cfg.Silence) {
-			b.accept(testimonies, own)
+		if age, ok := verdict(own, testimonies, b.Routers(), b.sinceStart()); ok && b.accept(testimonies, age) {
 			return
 		}
 	}
 }
 
-func (b *Beats) accept(testimonies []Testimony, own time.Duration) {
+func (b *Beats) accept(testimonies []Testimony, age time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.prove()
+	if !b.prove(age) {
+		return false
+	}
 	obs.EventPredecessorProven.Log(b.cfg.Logger, logrus.Fields{
 		"process": b.predecessor.record.Process, "offset": b.predecessor.at, "testimonies": len(testimonies),
-		"routers": b.live, "wall_ms": own.Milliseconds(),
+		"routers": b.live, "age_ms": age.Milliseconds(), "gap_ms": b.predecessor.gap.Milliseconds(),
 	})
+	return true
 }
 
 // sinceStart is the time since this process started, also while the VM was
--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -7,11 +7,12 @@
 // has not changed since its writer read it. A VM spends its part without asking
 // anyone, and lends of it to others.
 //
-// A part has two bounds. Up to Open it is spent at any time; the rest only while
-// the VM is silent, that is, none of its beats reaches the log. A process that
-// starts on a VM where another one has died without handing back its part counts
-// as spent what was granted to it; or only what was open to it, if it is proven
-// that the dead process was never silent.
+// How much of a part a VM may use depends on its gap, the time since its last beat
+// that reached the log: up to Open without a gap, more at the rate Ramp while the
+// gap lasts, and all that was granted after Policy.AllAfter. A process that starts
+// on a VM where another one has died without handing back its part counts as spent
+// what was granted to it; or only what its last gap allowed, if a bound of that is
+// proven.
 package prepaid
 
 import (
@@ -35,8 +36,10 @@
 	Stranded int64 `cbor:"5,keyasint,omitempty"`
 	// Rate is the VM's demand in tokens per second.
 	Rate int64 `cbor:"6,keyasint,omitempty"`
-	// Open is the part of Granted that is spent at any time.
+	// Open is the part of Granted that is used without a gap, and Ramp the tokens
+	// per second that a gap adds to it.
 	Open int64 `cbor:"7,keyasint"`
+	Ramp int64 `cbor:"10,keyasint,omitempty"`
 	// Lent is the part of Spent that other VMs were lent, and Borrowed what this
 	// VM has spent of the parts of others.
 	Lent     int64 `cbor:"8,keyasint,omitempty"`
@@ -59,12 +62,21 @@
 	// EqualShare is the part of all shares that is divided equally, for demand that
 	// has not shown yet. The rest is divided by demand.
 	EqualShare float64
-	// OpenFor is how long the open part lasts at the present demand: until the VM
-	// counts as silent.
+	// OpenFor is how long the open part lasts at the present demand: until the next
+	// report has reached the log.
 	OpenFor time.Duration
 	// OpenShare is the least part of the target that is open. It is what the loss
 	// of all processes strands at the least.
 	OpenShare float64
+	// RampFactor is how much more than the present demand a gap adds to the open
+	// part.
+	RampFactor float64
+	// RampFor is the gap up to which the open part grows with the demand. It covers
+	// a restart of all VMs.
+	RampFor time.Duration
+	// AllAfter is the gap after which all that was granted may be spent. Proofs of
+	// shorter gaps bound what the death of a process strands.
+	AllAfter time.Duration
 	// OpenRequests is the least number of requests of mean size that the open
 	// part covers.
 	OpenRequests float64
@@ -79,13 +91,12 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		ShareOfUnspent: 0.5, Horizon: 16 * time.Second, HeldRequests: 4, EqualShare: 0.35,
-		OpenFor: 3800 * time.Millisecond, OpenShare: 0.35, OpenRequests: 2, Fresh: 10 * time.Second, ReportAfter: 3 * time.Second,
+		OpenFor: 800 * time.Millisecond, OpenShare: 0.05, OpenRequests: 1, RampFactor: 1.3, RampFor: 3 * time.Second,
+		AllAfter: 7 * time.Second,
+		Fresh:    10 * time.Second, ReportAfter: 3 * time.Second,
 	}
 }
 
-// openMargin is how much more than the mean demand the open part covers.
-const openMargin = 1.3
-
 // seen is a record and when it was read.
 type seen struct {
 	holding
@@ -99,18 +110,17 @@
 	others map[string]seen
 	// logged is this VM's record as the log has it.
 	logged holding
-	// granted and open are what this process may use; they are below those of
-	// logged while a smaller part may still be written.
-	granted int64
-	open    int64
+	// bounds are those of logged, or lower ones while a smaller part may still be
+	// written.
+	bounds bounds
 	// base is the part that earlier processes of this VM account for, and
 	// stranded what they left unreported in it.
 	base     int64
 	stranded int64
-	// dead is the record of the last earlier process, and deadOpen is true if only
-	// its open part counts as spent.
-	dead     holding
-	deadOpen bool
+	// dead is the record of the last earlier process, and proven is true if only
+	// what its last gap allowed counts as spent.
+	dead   holding
+	proven bool
 	// reported is when the log last took a record.
 	reported time.Time
 	// spent and reserved are those of this process. What was borrowed is spent
@@ -139,14 +149,27 @@
 	return &account{entry: entry, others: make(map[string]seen)}
 }
 
-// available is what a new request may take without asking. While the log is
-// silent for long, that is all that was granted.
-func (a *account) available(offline bool) int64 {
-	bound := a.granted
-	if !offline {
-		bound = min(bound, a.open)
-	}
-	return max(0, bound-a.base) + a.borrowed - a.spent - a.reserved
+// bounds are what a process may use of a part, see holding.
+type bounds struct{ granted, open, ramp int64 }
+
+func (h holding) bounds() bounds { return bounds{h.Granted, h.Open, h.Ramp} }
+
+// lower returns the lower one of each bound: what both records allow.
+func (b bounds) lower(o bounds) bounds {
+	return bounds{min(b.granted, o.granted), min(b.open, o.open), min(b.ramp, o.ramp)}
+}
+
+// allowed is what may be used of the part after a gap: the open part, what demand
+// adds to it up to Policy.RampFor, and then all of the part by Policy.AllAfter.
+func (b bounds) allowed(gap time.Duration, p Policy) int64 {
+	grown := min(b.granted, b.open+int64(float64(b.ramp)*min(gap, p.RampFor).Seconds()))
+	late := min(1, max(0, (gap-p.RampFor).Seconds()/(p.AllAfter-p.RampFor).Seconds()))
+	return grown + int64(late*float64(b.granted-grown))
+}
+
+// available is what a new request may take without asking after a gap.
+func (a *account) available(gap time.Duration, p Policy) int64 {
+	return max(0, a.bounds.allowed(gap, p)-a.base) + a.borrowed - a.spent - a.reserved
 }
 
 // logSpent and logUsed are what is spent, and spent or reserved, of the part that
@@ -235,7 +258,13 @@
 
 // window is the unused part that is open.
 func (a *account) window(now time.Time, p Policy, target int64) int64 {
-	return int64(max(openMargin*p.OpenFor.Seconds()*a.rate.perSecond(now), p.OpenRequests*a.mean, p.OpenShare*float64(target)))
+	return int64(max(p.OpenFor.Seconds()*a.rate.perSecond(now), p.OpenRequests*a.mean, p.OpenShare*float64(target)))
+}
+
+// ramp is what a gap adds to the open part in a second: the present demand, or that
+// for which the target is held.
+func (a *account) ramp(now time.Time, p Policy, target int64) int64 {
+	return int64(max(p.RampFactor*a.rate.perSecond(now), float64(target)/p.Horizon.Seconds()))
 }
 
 // planning is what the plan of a record depends on besides the account.
@@ -273,9 +302,13 @@
 	if l := a.logged.Open; l <= granted && waiting == 0 && l-used >= window/2 && l-used <= window*3/2 {
 		open = l
 	}
+	ramp := a.ramp(in.now, in.policy, target)
+	if l := a.logged.Ramp; ramp >= l*2/3 && ramp <= l*3/2 || math.Abs(float64(ramp-l))*in.policy.AllAfter.Seconds() < a.mean {
+		ramp = l
+	}
 	next := holding{
 		Process: in.process, Granted: granted, Spent: a.logSpent(), InFlight: min(used+waiting, granted) - a.logSpent(),
-		Stranded: a.stranded, Rate: int64(a.rate.perSecond(in.now)), Open: open, Lent: a.lent,
+		Stranded: a.stranded, Rate: int64(a.rate.perSecond(in.now)), Open: open, Ramp: ramp, Lent: a.lent,
 		Borrowed: min(a.borrowed, a.spent),
 	}
 	return next, a.worthAppend(next, in)
@@ -286,7 +319,7 @@
 func (a *account) worthAppend(next holding, in planning) bool {
 	old := a.logged
 	switch {
-	case next.Granted != old.Granted || next.Open != old.Open || a.beyond():
+	case next.Granted != old.Granted || next.Open != old.Open || next.Ramp != old.Ramp || a.beyond():
 		return true
 	case next.Spent == old.Spent && next.InFlight == old.InFlight:
 		return false
@@ -303,27 +336,22 @@
 // that are reported at once.
 const reportPart = 8
 
-// takeOver counts what an earlier process of this VM was granted as spent, or
-// only what was open to it if it was never silent.
-func (a *account) takeOver(h holding, neverSilent bool) {
-	a.dead, a.deadOpen = h, neverSilent
-	used := h.Granted
-	if neverSilent {
-		used = min(h.Granted, h.Open)
-	}
-	a.stranded = h.Stranded + used - h.Spent
-	a.base = used
-	a.logged, a.granted, a.open = h, h.Granted, 0
+// takeOver counts what an earlier process of this VM was granted as spent.
+func (a *account) takeOver(h holding) {
+	a.dead, a.proven = h, false
+	a.stranded = h.Stranded + h.Granted - h.Spent
+	a.base = h.Granted
+	a.logged, a.bounds = h, bounds{granted: h.Granted}
 }
 
-// release gives free what an earlier process of this VM cannot have spent, and
-// returns how much that is.
-func (a *account) release() int64 {
-	if a.deadOpen || a.dead.Process == "" {
+// release gives free what an earlier process of this VM cannot have spent in its
+// last gap, and returns how much that is.
+func (a *account) release(gap time.Duration, p Policy) int64 {
+	if a.proven || a.dead.Process == "" {
 		return 0
 	}
-	a.deadOpen = true
-	released := a.base - min(a.dead.Granted, a.dead.Open)
+	a.proven = true
+	released := a.base - a.dead.bounds().allowed(gap, p)
 	a.stranded -= released
 	a.base -= released
 	return released
@@ -347,8 +375,8 @@
 
 // lend gives away a part for a request of another VM: the amount, more if there
 // is plenty, or what there is.
-func (a *account) lend(amount int64, offline bool) int64 {
-	idle := a.available(offline)
+func (a *account) lend(amount int64, gap time.Duration, p Policy) int64 {
+	idle := a.available(gap, p)
 	if idle < min(amount, leastLoan) {
 		return 0
 	}
@@ -382,28 +410,34 @@
 	return back, true
 }
 
-// demand measures tokens per second.
+// demand measures tokens per second over a long window, and over a short one that
+// shows a jump soon.
 type demand struct {
-	level float64
-	at    time.Time
+	long, short float64
+	at          time.Time
 }
 
-// demandWindow is the time constant of the measured demand.
-const demandWindow = 12 * time.Second
+// longWindow and shortWindow are the time constants of the measured demand.
+const (
+	longWindow  = 12 * time.Second
+	shortWindow = 3 * time.Second
+)
 
 func (d *demand) decay(now time.Time) {
 	if dt := now.Sub(d.at); dt > 0 {
-		d.level *= math.Exp(-dt.Seconds() / demandWindow.Seconds())
+		d.long *= math.Exp(-dt.Seconds() / longWindow.Seconds())
+		d.short *= math.Exp(-dt.Seconds() / shortWindow.Seconds())
 		d.at = now
 	}
 }
 
 func (d *demand) add(tokens int64, now time.Time) {
 	d.decay(now)
-	d.level += float64(tokens)
+	d.long += float64(tokens)
+	d.short += float64(tokens)
 }
 
 func (d *demand) perSecond(now time.Time) float64 {
 	d.decay(now)
-	return d.level / demandWindow.Seconds()
+	return max(d.long/longWindow.Seconds(), d.short/shortWindow.Seconds())
 }
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -178,13 +178,13 @@
 		}
 		next, changed := a.plan(planning{prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process)})
 		if handBack {
-			next.Granted, next.Open, next.Rate = a.logUsed(), a.logUsed(), 0
+			next.Granted, next.Open, next.Ramp, next.Rate = a.logUsed(), a.logUsed(), 0, 0
 			changed = next.Granted != a.logged.Granted || next.Spent != a.logged.Spent
 		}
 		if changed {
 			records = append(records, planned{a, next})
 			// Until the log has answered, the smaller part holds.
-			a.granted, a.open = min(a.granted, next.Granted), min(a.open, next.Open)
+			a.bounds = a.bounds.lower(next.bounds())
 		}
 	}
 	return records, p.next
--- a/internal/coordination/prepaid/fold.go
+++ b/internal/coordination/prepaid/fold.go
@@ -53,21 +53,26 @@
 	case h.Process == string(p.cfg.Process):
 		p.foldOwn(a, h, rec.Offset)
 	default:
-		a.takeOver(h, p.cfg.Life.NeverSilent(h.Process))
+		a.takeOver(h)
+		gap, proven := p.cfg.Life.LastGap(h.Process)
+		if proven {
+			a.release(gap, p.cfg.Policy)
+		}
 		obs.EventShareTakenOver.Log(p.cfg.Logger, logrus.Fields{
 			"entry": entry, "process": h.Process, "offset": rec.Offset, "granted": h.Granted, "spent": h.Spent,
-			"stranded": a.base - h.Spent, "never_silent": a.deadOpen,
+			"in_flight": h.InFlight, "open": h.Open, "ramp": h.Ramp,
+			"stranded": a.base - h.Spent, "proven": proven, "gap_ms": gap.Milliseconds(),
 		})
 	}
 }
 
 // foldOwn takes over a record of this process.
 func (p *partition) foldOwn(a *account, h holding, offset uint64) {
-	granted, open := a.granted, a.open
-	a.logged, a.granted, a.open = h, h.Granted, h.Open
+	before := a.bounds
+	a.logged, a.bounds = h, h.bounds()
 	if p.unsure != nil && offset < p.unsure.at {
 		// A smaller part may still be written.
-		a.granted, a.open = min(a.granted, granted), min(a.open, open)
+		a.bounds = a.bounds.lower(before)
 	}
 }
 
@@ -83,7 +88,9 @@
 	defer p.mu.Unlock()
 	released := int64(0)
 	for _, a := range p.accounts {
-		released += a.release()
+		if gap, proven := p.cfg.Life.LastGap(a.dead.Process); proven {
+			released += a.release(gap, p.cfg.Policy)
+		}
 	}
 	if released > 0 {
 		obs.EventShareReleased.Log(p.cfg.Logger, logrus.Fields{"partition": p.stream.Partition, "tokens": released})
@@ -102,5 +109,5 @@
 
 // confirm makes what the log has usable.
 func (a *account) confirm() {
-	a.granted, a.open = a.logged.Granted, a.logged.Open
+	a.bounds = a.logged.bounds()
 }
--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -74,7 +74,7 @@
 	if a.overdrawn(prepaid) || len(a.waiters) > 0 {
 		return 0
 	}
-	return a.lend(amount, p.cfg.Life.Silent())
+	return a.lend(amount, p.cfg.Life.Gap(), p.cfg.Policy)
 }
 
 // Repaid takes back a part of a loan. It must be called at most once for a part.
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -44,13 +44,13 @@
 
 // Life tells what the beats of this VM's processes prove.
 type Life interface {
-	// Silent reports whether none of this process's beats has reached the log for
-	// a time that is longer than a restart.
-	Silent() bool
-	// NeverSilent reports whether it is proven that an earlier process never was,
-	// or that the log showed all that it spent then (Manager.Beyond).
-	NeverSilent(process string) bool
-	// Proven is closed when NeverSilent becomes true for the last process.
+	// Gap is the time since the last beat of this process that may have reached the
+	// log and was made while Manager.Beyond was false.
+	Gap() time.Duration
+	// LastGap returns an upper bound of what Gap was when an earlier process ended,
+	// if one is proven.
+	LastGap(process string) (time.Duration, bool)
+	// Proven is closed when LastGap becomes known for the last process.
 	Proven() <-chan struct{}
 }
 
@@ -152,15 +152,14 @@
 	}
 }
 
-// Beyond reports whether this process has spent more than the open part that the
-// log shows of any budget.
+// Beyond reports whether this process has used more than the open part that the
+// log shows of any budget. What it finds is reported at once.
 func (m *Manager) Beyond() bool {
+	beyond := false
 	for _, p := range m.partitions {
-		if p.beyond() {
-			return true
-		}
+		beyond = p.beyond() || beyond
 	}
-	return false
+	return beyond
 }
 
 func (p *partition) beyond() bool {
@@ -168,6 +167,7 @@
 	defer p.mu.Unlock()
 	for _, a := range p.accounts {
 		if a.beyond() {
+			p.wake()
 			return true
 		}
 	}
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -31,7 +31,7 @@
 	logAwayAfter = 1500 * time.Millisecond
 	// refillPause is the least time between two looks for a larger share while
 	// nothing waits.
-	refillPause = 200 * time.Millisecond
+	refillPause = 100 * time.Millisecond
 	// deniedFor is how long no other VM is asked again for as much as none had.
 	deniedFor = 400 * time.Millisecond
 	// provenFor is how long a read of the log proves that a budget is used up.
@@ -83,11 +83,10 @@
 	now := p.cfg.Now()
 	a := p.account(entry)
 	a.note(amount)
-	offline := p.cfg.Life.Silent()
-	if len(a.waiters) == 0 && a.available(offline) >= amount && !a.overdrawn(prepaid) {
+	if len(a.waiters) == 0 && p.available(a) >= amount && !a.overdrawn(prepaid) {
 		a.reserved += amount
 		p.used = now
-		if a.available(offline) < a.window(now, p.cfg.Policy, 0)/4 && now.Sub(p.contact) > refillPause {
+		if a.available(0, p.cfg.Policy) < a.window(now, p.cfg.Policy, 0)/2 && now.Sub(p.contact) > refillPause {
 			p.wake()
 		}
 		return nil, nil
@@ -108,6 +107,11 @@
 	return w, nil
 }
 
+// available is what a new request may take of a budget without asking.
+func (p *partition) available(a *account) int64 {
+	return a.available(p.cfg.Life.Gap(), p.cfg.Policy)
+}
+
 // note takes the bound of a request into the mean.
 func (a *account) note(amount int64) {
 	if a.mean == 0 {
@@ -166,11 +170,11 @@
 // serve answers the waiters that the share covers, and those that it does not
 // cover if they came before a read of the log that has ended.
 func (p *partition) serve(a *account, prepaid int64, readBegan, now time.Time) {
-	usable, offline := !a.overdrawn(prepaid), p.cfg.Life.Silent()
+	usable := !a.overdrawn(prepaid)
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
 		switch {
-		case usable && a.available(offline) >= w.amount:
+		case usable && p.available(a) >= w.amount:
 			a.reserved += w.amount
 			w.done <- nil
 		case !w.since.Before(readBegan):
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -126,9 +126,6 @@
 	upstreamGrace = 2200 * time.Millisecond
 	// beatInterval is the time between two beats of a router in a small fleet.
 	beatInterval = 500 * time.Millisecond
-	// silence is how long a router's beats must not reach the log before it may
-	// spend all of its shares. It is longer than a restart of all processes.
-	silence = 3800 * time.Millisecond
 	// reportInterval is the time between two looks at what is worth a report.
 	reportInterval = 700 * time.Millisecond
 	// gatewaySlowStart is short because engines are at full speed at once; only
@@ -172,8 +169,9 @@
 		Log: deps.Log, Stream: deps.UpstreamStream, Interval: upstreamInterval, Pace: g.upstreamPace, Grace: upstreamGrace, Now: time.Now,
 		Changed: g.rebuild, Logger: logger,
 	})
+	policy := prepaid.DefaultPolicy()
 	g.beats = beats.New(beats.Config{
-		Log: deps.Log, Stream: beatStream, VM: cfg.VM, Interval: beatInterval, Silence: silence, Stamp: readStamp,
+		Log: deps.Log, Stream: beatStream, VM: cfg.VM, Interval: beatInterval, Silence: policy.AllAfter, Stamp: readStamp,
 		Self:      beats.Record{Process: string(g.holder), Address: cfg.PeerListen, Zone: cfg.Zone},
 		Beyond:    func() bool { return g.budget.Beyond() },
 		Witnesses: func(ctx context.Context, offset uint64) []beats.Testimony { return g.peers.witnesses(ctx, offset) },
@@ -185,8 +183,6 @@
 	g.retries = retryBudgets{cfg: routing.WindowConfig{
 		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Length: cfg.RetryWindow, Routers: g.beats.Routers, Now: time.Now,
 	}, byService: make(map[string]*routing.WindowBudget)}
-	policy := prepaid.DefaultPolicy()
-	policy.OpenFor = silence
 	g.budget = prepaid.New(prepaid.Config{
 		Log: deps.Log, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaid,
 		Entries: g.entries, Routers: g.beats.Routers, Policy: policy, Interval: reportInterval,
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -38,8 +38,8 @@
 var (
 	EventPredecessor = register(1820, logrus.InfoLevel, "beat of an earlier process of this VM found",
 		"The fields say how long before the start of this process the beat was sent, and whether that is proven.")
-	EventPredecessorProven = register(1821, logrus.InfoLevel, "earlier process of this VM was never silent",
-		"Other routers confirm it. What the process cannot have spent is given free.")
+	EventPredecessorProven = register(1821, logrus.InfoLevel, "last gap of the earlier process of this VM is proven",
+		"Other routers confirm it. What the process cannot have spent in the gap is given free.")
 )
 
 // BeatsFailedTotal counts beats that the log did not confirm.
