Report spending by a fenced producer instead of by conditional appends

Cause: a report of what was spent was appended only if nobody else had written since the last read. While the store is slow, or when all routers come back after a cut, the reports conflict and the last gap goes on.

Change: records that raise no part are appended by a producer of the VM. Its epoch, claimed before the first read, shuts out late reports of earlier processes; its sequence numbers shut out late reports of the process itself. A report without an answer is sent again before anything else is written. Only records that raise a part still need an unchanged stream.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -110,6 +110,9 @@
 	others map[string]seen
 	// logged is this VM's record as the log has it.
 	logged holding
+	// loggedEnd is the end of the stream after that record, and 0 if it is not of
+	// this process.
+	loggedEnd uint64
 	// bounds are those of logged, or lower ones while a smaller part may still be
 	// written.
 	bounds bounds
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -52,25 +52,36 @@
 	return time.Duration(float64(p.cfg.Interval) * (0.75 + 0.5*rand.Float64()))
 }
 
-// cycle reads the stream to its end, writes this VM's records and answers the
-// waiters. With handBack, shares are reduced to what was spent.
+// cycle writes this VM's records and answers the waiters. Records that raise no
+// part are reported at once. For the others, and for waiters that the parts do not
+// cover, the stream is read to its end first. With handBack, shares are reduced to
+// what was spent.
 func (p *partition) cycle(ctx context.Context, handBack bool) error {
 	p.cycling.Lock()
 	defer p.cycling.Unlock()
 	if !handBack && !p.due() {
 		return nil
 	}
+	if err := p.resend(ctx); err != nil {
+		return err
+	}
+	if done, err := p.reportOnly(ctx, handBack); done || err != nil {
+		return err
+	}
 	for conflict := range maxConflicts {
 		began := p.cfg.Now()
 		if err := p.read(ctx); err != nil {
 			return err
 		}
 		planned, at := p.plan(handBack)
-		if len(planned) == 0 {
-			p.answer(began)
-			return nil
+		var err error
+		switch {
+		case len(planned) == 0:
+		case raises(planned):
+			err = p.write(ctx, planned, at)
+		default:
+			err = p.report(ctx, planned)
 		}
-		err := p.write(ctx, planned, at)
 		if err == nil {
 			p.answer(began)
 			return nil
@@ -94,11 +105,7 @@
 func (p *partition) due() bool {
 	p.mu.Lock()
 	now := p.cfg.Now()
-	after := readAfter
-	if now.Sub(p.used) > readAfter {
-		after = idleReadAfter
-	}
-	old := !p.loaded || now.Sub(p.contact) > after
+	old := !p.loaded || now.Sub(p.contact) > p.readAfter()
 	p.mu.Unlock()
 	if old {
 		return true
@@ -109,13 +116,19 @@
 	waiting := false
 	for _, a := range p.accounts {
 		waiting = waiting || len(a.waiters) > 0
-		if p.unsure == nil {
-			a.confirm()
-		}
 	}
+	p.settle()
 	return waiting || len(records) > 0
 }
 
+// readAfter is the age from which the records of the other VMs are read again.
+func (p *partition) readAfter() time.Duration {
+	if p.cfg.Now().Sub(p.used) > readAfter {
+		return idleReadAfter
+	}
+	return readAfter
+}
+
 const (
 	// readAfter is the age from which the records of the other VMs are read again,
 	// and idleReadAfter that of budgets on which nobody draws here.
@@ -127,6 +140,9 @@
 func (p *partition) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, cycleTimeout)
 	defer cancel()
+	if err := p.claim(ctx); err != nil {
+		return err
+	}
 	p.mu.Lock()
 	next, loaded := p.next, p.loaded
 	p.mu.Unlock()
@@ -206,13 +222,9 @@
 func (p *partition) write(ctx context.Context, records []planned, at uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, cycleTimeout)
 	defer cancel()
-	batch := make([]keyedlog.Record, 0, len(records))
-	for _, r := range records {
-		value, err := cbor.Marshal(r.next)
-		if err != nil {
-			return errors.Wrap(err, "encode share")
-		}
-		batch = append(batch, keyedlog.Record{Key: r.account.entry + keySeparator + p.cfg.VM, Value: value})
+	batch, err := p.encode(records)
+	if err != nil {
+		return err
 	}
 	end, err := p.cfg.Log.Append(ctx, p.stream, batch, at)
 	p.mu.Lock()
@@ -221,20 +233,35 @@
 	case err == nil:
 		p.written(records, end)
 	case errors.IsAny(err, keyedlog.ErrConflict, keyedlog.ErrUnavailable):
-		for _, r := range records {
-			if p.unsure == nil {
-				r.account.confirm()
-			}
-		}
+		p.settle()
 	default:
 		p.unsure = &unsureAppend{at: at}
 	}
 	return err
 }
 
+func (p *partition) encode(records []planned) ([]keyedlog.Record, error) {
+	batch := make([]keyedlog.Record, 0, len(records))
+	for _, r := range records {
+		value, err := cbor.Marshal(r.next)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode share")
+		}
+		batch = append(batch, keyedlog.Record{Key: r.account.entry + keySeparator + p.cfg.VM, Value: value})
+	}
+	return batch, nil
+}
+
+// written takes over an append that nobody else's came before.
 func (p *partition) written(records []planned, end uint64) {
+	p.next, p.contact, p.unsure = end, p.cfg.Now(), nil
+	p.logged(records, end)
+	p.settle()
+}
+
+// logged takes over records that the log has.
+func (p *partition) logged(records []planned, end uint64) {
 	now := p.cfg.Now()
-	p.next, p.contact, p.unsure = end, now, nil
 	for _, r := range records {
 		a := r.account
 		if r.next.Granted != a.logged.Granted {
@@ -244,10 +271,7 @@
 				"spent": r.next.Spent, "in_flight": r.next.InFlight, "offset": end - 1, "waiting": len(a.waiters),
 			})
 		}
-		a.logged, a.reported = r.next, now
-	}
-	for _, a := range p.accounts {
-		a.confirm()
+		a.logged, a.loggedEnd, a.reported = r.next, end, now
 	}
 	if p.failing {
 		p.failing = false
--- a/internal/coordination/prepaid/fold.go
+++ b/internal/coordination/prepaid/fold.go
@@ -25,7 +25,13 @@
 	}
 	p.next = max(p.next, page.Next)
 	if p.unsure != nil && p.next > p.unsure.at {
-		p.settleUnsure()
+		// The stream has moved, so that its record is final.
+		p.unsure = nil
+		p.settle()
+	}
+	if p.fenced {
+		p.fenced = false
+		p.settle()
 	}
 	p.contact, p.loaded = now, true
 }
@@ -51,7 +57,9 @@
 	case vm != p.cfg.VM:
 		a.others[vm] = seen{h, now}
 	case h.Process == string(p.cfg.Process):
-		p.foldOwn(a, h, rec.Offset)
+		if rec.Offset >= a.loggedEnd {
+			p.foldOwn(a, h, rec.Offset)
+		}
 	default:
 		a.takeOver(h)
 		gap, proven := p.cfg.Life.LastGap(h.Process)
@@ -69,7 +77,7 @@
 // foldOwn takes over a record of this process.
 func (p *partition) foldOwn(a *account, h holding, offset uint64) {
 	before := a.bounds
-	a.logged, a.bounds = h, h.bounds()
+	a.logged, a.loggedEnd, a.bounds = h, offset+1, h.bounds()
 	if p.unsure != nil && offset < p.unsure.at {
 		// A smaller part may still be written.
 		a.bounds = a.bounds.lower(before)
@@ -98,15 +106,6 @@
 	}
 }
 
-// settleUnsure ends the doubt about an append: the stream has moved, so that the
-// log's record is final.
-func (p *partition) settleUnsure() {
-	p.unsure = nil
-	for _, a := range p.accounts {
-		a.confirm()
-	}
-}
-
 // confirm makes what the log has usable.
 func (a *account) confirm() {
 	a.bounds = a.logged.bounds()
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -93,6 +93,18 @@
 	used time.Time
 	// unsure is set while an append without an answer may still be carried out.
 	unsure *unsureAppend
+	// producer orders the reports of this VM's processes; claimed is true once its
+	// epoch shuts out those of earlier processes. Epochs are times of day in
+	// microseconds, so that no two processes have the same one.
+	producer keyedlog.Producer
+	claimed  bool
+	// pending is a report without an answer. It is sent again before anything else
+	// is written.
+	pending []planned
+	// resent is true once the pending report may have been carried out.
+	resent bool
+	// fenced is true after a report was shut out, until the stream was read again.
+	fenced bool
 }
 
 // unsureAppend is an append whose outcome is unknown. It can only be carried out
@@ -114,7 +126,7 @@
 	for _, s := range cfg.Streams {
 		m.partitions = append(m.partitions, &partition{
 			manager: m, cfg: &m.cfg, stream: s, kick: make(chan struct{}, 1), accounts: make(map[string]*account),
-			contact: cfg.Now(),
+			contact: cfg.Now(), producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())},
 		})
 	}
 	return m
--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -39,11 +39,7 @@
 )
 
 // lateAppend is an append that the log may carry out at any later time.
-type lateAppend struct {
-	stream  keyedlog.Stream
-	records []keyedlog.Record
-	at      uint64
-}
+type lateAppend func()
 
 // modelLog is one VM's way to the log.
 type modelLog struct {
@@ -59,7 +55,9 @@
 	case logDown:
 		return 0, errModelDown
 	case logLate:
-		*l.late = append(*l.late, lateAppend{s, records, at})
+		*l.late = append(*l.late, func() {
+			_, _ = l.Memory.Append(ctx, s, records, at) // a conflict is one outcome
+		})
 		return 0, errors.Mark(errors.New("late"), keyedlog.ErrOutcomeUnknown)
 	}
 	end, err := l.Memory.Append(ctx, s, records, at)
@@ -69,6 +67,23 @@
 	return end, err
 }
 
+func (l *modelLog) AppendAs(ctx context.Context, s keyedlog.Stream, records []keyedlog.Record, p keyedlog.Producer) (uint64, error) {
+	switch l.mode {
+	case logDown:
+		return 0, errModelDown
+	case logLate:
+		*l.late = append(*l.late, func() {
+			_, _ = l.Memory.AppendAs(ctx, s, records, p) // to be fenced is one outcome
+		})
+		return 0, errors.Mark(errors.New("late"), keyedlog.ErrOutcomeUnknown)
+	}
+	end, err := l.Memory.AppendAs(ctx, s, records, p)
+	if err == nil && l.mode == logLoses {
+		return 0, errors.Mark(errors.New("lost"), keyedlog.ErrOutcomeUnknown)
+	}
+	return end, err
+}
+
 func (l *modelLog) Read(ctx context.Context, s keyedlog.Stream, from uint64, wait time.Duration) (keyedlog.Page, error) {
 	if l.mode == logDown {
 		return keyedlog.Page{}, errModelDown
@@ -153,6 +168,7 @@
 	if vm.m != nil {
 		vm.life.last[vm.life.process] = vm.life.Gap()
 	}
+	m.now = m.now.Add(time.Microsecond)
 	vm.life.process = fmt.Sprintf("%s/%d", vm.name, vm.count)
 	vm.life.base = m.now
 	logger := logrus.New()
@@ -281,9 +297,9 @@
 					return
 				}
 				i := rapid.IntRange(0, len(m.late)-1).Draw(t, "append")
-				a := m.late[i]
+				carryOut := m.late[i]
 				m.late = append(m.late[:i], m.late[i+1:]...)
-				_, _ = m.memory.Append(context.Background(), a.stream, a.records, a.at) // a conflict is one outcome
+				carryOut()
 			},
 			"trim": func(*rapid.T) {
 				page, _ := m.memory.Read(context.Background(), keyedlog.Stream{Name: "budgets"}, 0, 0)
--- a/internal/protocol/keyedlog/keyedlog.go
+++ b/internal/protocol/keyedlog/keyedlog.go
@@ -24,6 +24,9 @@
 	ErrTrimmed = errors.New("records have expired")
 	// ErrUnavailable reports a call that was not carried out.
 	ErrUnavailable = errors.New("log is unavailable")
+	// ErrFenced reports an append of a producer whose epoch or sequence number is
+	// not the one that is due. Nothing was appended.
+	ErrFenced = errors.New("producer is fenced")
 	// ErrOutcomeUnknown reports an append without an answer. It may be carried
 	// out later.
 	ErrOutcomeUnknown = errors.New("outcome of the append is unknown")
@@ -38,6 +41,16 @@
 	Partition int
 }
 
+// Producer names a writer of a stream and orders its appends. A higher epoch shuts
+// out the appends of lower ones, also those that are carried out late. Within an
+// epoch the sequence numbers count up by one, and an append that is sent again takes
+// effect once.
+type Producer struct {
+	ID       string
+	Epoch    uint64
+	Sequence uint64
+}
+
 // Record is one record. A nil Value removes the key.
 type Record struct {
 	Key    string
@@ -61,6 +74,10 @@
 	// They are appended only if the stream ends at the offset at, unless that is
 	// Anywhere.
 	Append(ctx context.Context, s Stream, records []Record, at uint64) (end uint64, err error)
+	// AppendAs adds the records in one step wherever the stream ends, in the order
+	// of the producer's appends, and returns the offset after them. Without records
+	// it only sets the producer's epoch and sequence number.
+	AppendAs(ctx context.Context, s Stream, records []Record, p Producer) (end uint64, err error)
 	// Read returns records from an offset on, in order. It waits up to the given
 	// time for the first one. A page without records is no error.
 	Read(ctx context.Context, s Stream, from uint64, wait time.Duration) (Page, error)
--- a/internal/protocol/keyedlog/memory.go
+++ b/internal/protocol/keyedlog/memory.go
@@ -20,17 +20,28 @@
 }
 
 type memoryStream struct {
-	first   uint64
-	records []Record
-	newest  map[string]Record
+	first     uint64
+	records   []Record
+	newest    map[string]Record
+	producers map[string]*memoryProducer
 }
 
+// memoryProducer is the last append of a producer, and the ends after its recent
+// ones.
+type memoryProducer struct {
+	epoch, sequence uint64
+	ends            map[uint64]uint64
+}
+
+// repeats is the number of a producer's appends of which a repeat is known.
+const repeats = 5
+
 // NewMemory returns an empty log.
 func NewMemory() *Memory { return &Memory{streams: make(map[Stream]*memoryStream)} }
 
 func (m *Memory) stream(s Stream) *memoryStream {
 	if m.streams[s] == nil {
-		m.streams[s] = &memoryStream{newest: make(map[string]Record)}
+		m.streams[s] = &memoryStream{newest: make(map[string]Record), producers: make(map[string]*memoryProducer)}
 	}
 	return m.streams[s]
 }
@@ -69,6 +80,47 @@
 	if at != Anywhere && at != s.end() {
 		return 0, ErrConflict
 	}
+	return s.add(records), nil
+}
+
+// AppendAs implements Log.
+func (m *Memory) AppendAs(_ context.Context, name Stream, records []Record, p Producer) (uint64, error) {
+	if err := m.fault("append", name, false); err != nil {
+		return 0, err
+	}
+	end, err := m.appendAs(name, records, p)
+	if err != nil {
+		return 0, err
+	}
+	return end, m.fault("append", name, true)
+}
+
+func (m *Memory) appendAs(name Stream, records []Record, p Producer) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stream(name)
+	known, ok := s.producers[p.ID]
+	switch {
+	case !ok || p.Epoch > known.epoch:
+		known = &memoryProducer{epoch: p.Epoch, ends: make(map[uint64]uint64)}
+		s.producers[p.ID] = known
+	case p.Epoch < known.epoch:
+		return 0, ErrFenced
+	default:
+		if end, repeated := known.ends[p.Sequence]; repeated {
+			return end, nil
+		}
+		if p.Sequence != known.sequence+1 {
+			return 0, ErrFenced
+		}
+	}
+	known.sequence = p.Sequence
+	known.ends[p.Sequence] = s.add(records)
+	delete(known.ends, p.Sequence-repeats)
+	return s.end(), nil
+}
+
+func (s *memoryStream) add(records []Record) uint64 {
 	for _, r := range records {
 		r.Offset = s.end()
 		s.records = append(s.records, r)
@@ -78,7 +130,7 @@
 			s.newest[r.Key] = r
 		}
 	}
-	return s.end(), nil
+	return s.end()
 }
 
 // Trim drops the records before an offset; the newest of each key stays.
