Lend small budgets from one home router

Cause: a team with few requests a second has its budget in pieces on 58 routers.

A router without demand for a share of its own borrows from the home just what a request lacks, and asks the log only if the home does not lend. The home's demand includes what it lends.

--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -60,6 +60,9 @@
 	p.cycling.Lock()
 	defer p.cycling.Unlock()
 	if !handBack && !p.due() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.repay()
 		return nil
 	}
 	if err := p.resend(ctx); err != nil {
@@ -115,7 +118,9 @@
 	defer p.mu.Unlock()
 	waiting := false
 	for _, a := range p.accounts {
-		waiting = waiting || len(a.waiters) > 0
+		for _, w := range a.waiters {
+			waiting = waiting || !w.atHome
+		}
 	}
 	p.settle()
 	return waiting || len(records) > 0
@@ -192,6 +197,7 @@
 		if !ok && a.logged == (holding{}) {
 			continue
 		}
+		a.place = p.place(entry)
 		next, changed := a.plan(planning{prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process)})
 		if handBack {
 			next.Granted, next.Open, next.Ramp, next.Rate = a.logUsed(), a.logUsed(), 0, 0
--- a/internal/coordination/prepaid/report.go
+++ b/internal/coordination/prepaid/report.go
@@ -85,7 +85,9 @@
 	for _, a := range p.accounts {
 		waiting := int64(0)
 		for _, w := range a.waiters {
-			waiting += w.amount
+			if !w.atHome {
+				waiting += w.amount
+			}
 		}
 		if waiting > 0 && open[a]-a.logUsed() < waiting {
 			return false
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -83,12 +83,11 @@
 	now := p.cfg.Now()
 	a := p.account(entry)
 	a.note(amount)
+	a.place = p.place(entry)
 	if len(a.waiters) == 0 && p.available(a) >= amount && !a.overdrawn(prepaid) {
 		a.reserved += amount
 		p.used = now
-		if a.available(0, p.cfg.Policy) < a.window(now, p.cfg.Policy, 0)/2 && now.Sub(p.contact) > refillPause {
-			p.wake()
-		}
+		p.refill(a)
 		return nil, nil
 	}
 	if p.loaded && now.Sub(p.contact) < provenFor && a.remaining(prepaid, now, p.cfg.Policy.Fresh) < amount {
@@ -100,6 +99,9 @@
 	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
 	p.used = now
+	if p.loaded && a.target(prepaid, now, p.cfg.Policy, p.cfg.Routers()) == 0 && p.askHome(a, w) {
+		return w, nil
+	}
 	if now.Sub(p.contact) > logAwayAfter {
 		p.ask(a, w)
 	}
@@ -107,6 +109,26 @@
 	return w, nil
 }
 
+// refill asks for a larger open part before it is used up.
+func (p *partition) refill(a *account) {
+	now := p.cfg.Now()
+	if a.available(0, p.cfg.Policy) < a.window(now, p.cfg.Policy, 0)/2 && now.Sub(p.contact) > refillPause {
+		p.wake()
+	}
+}
+
+// place tells where this VM stands to the home of an entry's budget.
+func (p *partition) place(entry string) place {
+	switch {
+	case p.cfg.Home == nil:
+		return placeAlone
+	case p.cfg.Home(entry) == p.cfg.VM:
+		return placeHome
+	default:
+		return placeAway
+	}
+}
+
 // available is what a new request may take of a budget without asking.
 func (p *partition) available(a *account) int64 {
 	return a.available(p.cfg.Life.Gap(), p.cfg.Policy)
@@ -181,7 +203,7 @@
 			kept = append(kept, w)
 		case a.remaining(prepaid, now, p.cfg.Policy.Fresh) < w.amount:
 			w.done <- budget.ErrExhausted
-		case p.ask(a, w) || w.pending:
+		case w.pending || p.ask(a, w):
 			kept = append(kept, w)
 		default:
 			a.deniedAt, a.deniedAmount = now, w.amount
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
 
 // scenario runs a test on a model with three VMs.
@@ -269,13 +270,18 @@
 	})
 }
 
+func reservationOf(amount int64) budget.Reservation {
+	return budget.Reservation{Entry: record.EntryKey{Name: modelEntry}, Amount: amount}
+}
+
 func budgetOf(charged int64) budget.Settlement { return budget.Settlement{Charged: charged} }
 
 // noPeers lends nothing.
 type noPeers struct{}
 
-func (noPeers) Borrow(context.Context, []string, string, int64) []Loan { return nil }
-func (noPeers) Repay(string, string, int64)                            {}
+func (noPeers) Borrow(context.Context, []string, string, int64) []Loan   { return nil }
+func (noPeers) BorrowFrom(context.Context, string, string, int64) []Loan { return nil }
+func (noPeers) Repay(string, string, int64)                              {}
 
 // Guards against a router that refuses its first requests because it has not read
 // the log yet and its peers lend nothing.
