--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -59,9 +59,9 @@
 	// router with a request for a budget would take most of it.
 	Horizon      time.Duration
 	HeldRequests float64
-	// HomeRequests takes the place of HeldRequests at the home of a budget. Without
-	// a home, a router holds a share for whatever demand it has; with one, only if
-	// HeldRequests come within Horizon.
+	// HomeRequests takes the place of HeldRequests at the home of a budget that is
+	// too small to be divided among all routers. The others hold a share of such a
+	// budget only if HeldRequests come within Horizon.
 	HomeRequests float64
 	// EqualShare is the part of all shares that is divided equally, for demand that
 	// has not shown yet. The rest is divided by demand.
@@ -252,11 +252,13 @@
 		part = p.EqualShare*part + (1-p.EqualShare)*own/sum
 	}
 	least := p.HeldRequests * a.mean
+	// A budget that does not give each router a share of use is lent by its home.
+	scarce := unspent < float64(routers)*max(least, usefulTokens)
 	switch {
-	case a.place == placeHome:
+	case scarce && a.place == placeHome:
 		part = max(part, p.EqualShare)
 		least = p.HomeRequests * a.mean
-	case a.place == placeAway && p.Horizon.Seconds()*a.rate.steady(now) < least:
+	case scarce && a.place == placeAway && p.Horizon.Seconds()*a.rate.steady(now) < least:
 		return 0
 	}
 	share := unspent * part
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -138,7 +138,7 @@
 	// readAfter is the age from which the records of the other VMs are read again,
 	// and idleReadAfter that of budgets on which nobody draws here.
 	readAfter     = 2 * time.Second
-	idleReadAfter = 6 * time.Second
+	idleReadAfter = 15 * time.Second
 )
 
 // read takes over what was written since the last read.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,7 +116,7 @@
 const (
 	// budgetStreams is the number of streams over which budgets are spread. More
 	// streams mean fewer conflicts and more calls.
-	budgetStreams = 8
+	budgetStreams = 24
 	// configWait is how long a read waits at the log for a new configuration. It
 	// is short enough to notice soon that the log is away.
 	configWait = 1200 * time.Millisecond
@@ -215,8 +216,9 @@
 
 func (g *Gateway) budgetStreams() []keyedlog.Stream {
 	streams := make([]keyedlog.Stream, 0, budgetStreams)
-	for i := range min(budgetStreams, g.deps.Partitions) {
-		streams = append(streams, keyedlog.Stream{Name: "budgets", Partition: i})
+	parts := min(budgetStreams, g.deps.Partitions)
+	for i := range budgetStreams {
+		streams = append(streams, keyedlog.Stream{Name: "budgets-" + strconv.Itoa(i/parts), Partition: i % parts})
 	}
 	return streams
 }
