--- a/internal/coordination/beats/beats.go
+++ b/internal/coordination/beats/beats.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
@@ -274,28 +273,6 @@
 	return b.live
 }
 
-// Home returns the router that all routers choose for a name, by rendezvous hashing
-// over the live ones.
-func (b *Beats) Home(name string) (home string) {
-	key := xxhash.Sum64String(name)
-	home, highest := b.cfg.VM, rank(key, b.cfg.VM)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for vm := range b.members {
-		if r := rank(key, vm); r > highest || r == highest && vm < home {
-			home, highest = vm, r
-		}
-	}
-	return home
-}
-
-func rank(key uint64, vm string) uint64 {
-	var digest xxhash.Digest
-	digest.ResetWithSeed(key)
-	_, _ = digest.WriteString(vm)
-	return digest.Sum64()
-}
-
 // Addresses returns the peers' addresses of the other live routers by VM.
 func (b *Beats) Addresses() map[string]string {
 	b.mu.Lock()
--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -59,10 +59,6 @@
 	// router with a request for a budget would take most of it.
 	Horizon      time.Duration
 	HeldRequests float64
-	// HomeRequests takes the place of HeldRequests at the home of a budget that is
-	// too small to be divided among all routers. The others hold a share of such a
-	// budget only if HeldRequests come within Horizon.
-	HomeRequests float64
 	// EqualShare is the part of all shares that is divided equally, for demand that
 	// has not shown yet. The rest is divided by demand.
 	EqualShare float64
@@ -94,7 +90,7 @@
 // DefaultPolicy returns the policy used when none is set.
 func DefaultPolicy() Policy {
 	return Policy{
-		ShareOfUnspent: 0.5, Horizon: 16 * time.Second, HeldRequests: 4, HomeRequests: 16, EqualShare: 0.35,
+		ShareOfUnspent: 0.5, Horizon: 16 * time.Second, HeldRequests: 4, EqualShare: 0.35,
 		OpenFor: 800 * time.Millisecond, OpenShare: 0.05, OpenRequests: 1, RampFactor: 1.3, RampFor: 3 * time.Second,
 		AllAfter: 7 * time.Second,
 		Fresh:    10 * time.Second, ReportAfter: 3 * time.Second,
@@ -107,20 +103,9 @@
 	at time.Time
 }
 
-// place is where a VM stands to the home of a budget.
-type place int
-
-// Places. Without a home, each VM holds shares on its own.
-const (
-	placeAlone place = iota
-	placeHome
-	placeAway
-)
-
 // account is this VM's view of one budget.
 type account struct {
 	entry string
-	place place
 	// others holds the records of the other VMs.
 	others map[string]seen
 	// logged is this VM's record as the log has it.
@@ -251,19 +236,9 @@
 	if sum := own + float64(t.rate); sum > 0 {
 		part = p.EqualShare*part + (1-p.EqualShare)*own/sum
 	}
-	least := p.HeldRequests * a.mean
-	// A budget that does not give each router a share of use is lent by its home.
-	scarce := unspent < float64(routers)*max(least, usefulTokens)
-	switch {
-	case scarce && a.place == placeHome:
-		part = max(part, p.EqualShare)
-		least = p.HomeRequests * a.mean
-	case scarce && a.place == placeAway && p.Horizon.Seconds()*a.rate.steady(now) < least:
-		return 0
-	}
 	share := unspent * part
 	if a.mean > 0 {
-		share = min(share, max(p.Horizon.Seconds()*own, least))
+		share = min(share, max(p.Horizon.Seconds()*own, p.HeldRequests*a.mean))
 	}
 	if share < max(a.mean*usefulRequests, usefulTokens) {
 		// A share below one request only keeps the budget in pieces.
@@ -316,14 +291,9 @@
 	target := a.target(in.prepaid, in.now, in.policy, in.routers)
 	waiting := int64(0)
 	for _, w := range a.waiters {
-		if !w.atHome {
-			waiting += w.amount
-		}
-	}
-	held := target
-	if a.place != placeAway || waiting > 0 {
-		held = max(target, a.chunk(in.prepaid, in.now, in.policy, in.routers))
+		waiting += w.amount
 	}
+	held := max(target, a.chunk(in.prepaid, in.now, in.policy, in.routers))
 	want := used + held + waiting
 	others := a.totals(in.now, in.policy.Fresh)
 	free := max(0, in.prepaid-others.granted-a.logged.Granted)
@@ -419,25 +389,20 @@
 
 // lend gives away a part for a request of another VM: the amount, more if there
 // is plenty, or what there is.
-func (a *account) lend(amount int64, gap time.Duration, p Policy, now time.Time) int64 {
+func (a *account) lend(amount int64, gap time.Duration, p Policy) int64 {
 	idle := a.available(gap, p)
 	if idle < min(amount, leastLoan) {
 		return 0
 	}
-	given := min(idle, amount)
-	if a.place != placeHome {
-		given = min(idle, max(amount, min(lendFactor*amount, idle/lendPart)))
-	}
+	given := min(idle, max(amount, min(lendFactor*amount, idle/lendPart)))
 	a.spent += given
 	a.lent += given
-	a.rate.add(given, now)
 	return given
 }
 
 const (
 	// lendFactor and lendPart bound what is lent beyond the amount, so that the
-	// next requests need no loan. A home lends only what a request lacks, so that
-	// the budget is not kept in pieces.
+	// next requests need no loan.
 	lendFactor = 4
 	lendPart   = 4
 	// leastLoan is the least part that is worth a loan, in tokens.
@@ -486,12 +451,6 @@
 	d.short += float64(tokens)
 }
 
-// steady is the rate over the long window, in which one request is no demand.
-func (d *demand) steady(now time.Time) float64 {
-	d.decay(now)
-	return d.long / longWindow.Seconds()
-}
-
 func (d *demand) perSecond(now time.Time) float64 {
 	d.decay(now)
 	return max(d.long/longWindow.Seconds(), d.short/shortWindow.Seconds())
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -60,9 +60,6 @@
 	p.cycling.Lock()
 	defer p.cycling.Unlock()
 	if !handBack && !p.due() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.repay()
 		return nil
 	}
 	if err := p.resend(ctx); err != nil {
@@ -118,9 +115,7 @@
 	defer p.mu.Unlock()
 	waiting := false
 	for _, a := range p.accounts {
-		for _, w := range a.waiters {
-			waiting = waiting || !w.atHome
-		}
+		waiting = waiting || len(a.waiters) > 0
 	}
 	p.settle()
 	return waiting || len(records) > 0
@@ -197,7 +192,6 @@
 		if !ok && a.logged == (holding{}) {
 			continue
 		}
-		a.place = p.place(entry)
 		next, changed := a.plan(planning{prepaid, now, p.cfg.Policy, routers, string(p.cfg.Process)})
 		if handBack {
 			next.Granted, next.Open, next.Ramp, next.Rate = a.logUsed(), a.logUsed(), 0, 0
@@ -280,12 +274,23 @@
 		}
 		a.logged, a.loggedEnd, a.reported = r.next, end, now
 	}
+	p.regained()
+}
+
+// regained logs the end of an outage.
+func (p *partition) regained() {
 	if p.failing {
 		p.failing = false
 		obs.EventStreamRegained.Log(p.cfg.Logger, logrus.Fields{"stream": p.stream.Name, "partition": p.stream.Partition})
 	}
 }
 
+// away reports whether the log will not answer a request in time. Without a failed
+// call an old contact means only that nobody drew on the stream.
+func (p *partition) away(now time.Time) bool {
+	return p.failing && now.Sub(p.contact) > logAwayAfter
+}
+
 // left is what is left of a budget, for the log.
 func (p *partition) left(a *account, now time.Time) int64 {
 	prepaid, _ := p.cfg.Prepaid(a.entry)
--- a/internal/coordination/prepaid/fold.go
+++ b/internal/coordination/prepaid/fold.go
@@ -34,6 +34,7 @@
 		p.settle()
 	}
 	p.contact, p.loaded = now, true
+	p.regained()
 }
 
 func (p *partition) decode(rec keyedlog.Record, out any) bool {
--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -22,30 +22,14 @@
 		return false
 	}
 	w.asked, w.pending = true, true
-	lenders, amount := a.lenders(), w.amount
-	p.borrow(w, a, func(ctx context.Context) []Loan { return p.cfg.Peers.Borrow(ctx, lenders, a.entry, amount) })
-	return true
-}
-
-// askHome borrows from the home of the budget what a waiter lacks. It reports
-// whether it has begun to.
-func (p *partition) askHome(a *account, w *waiter) bool {
-	if a.place != placeAway || p.cfg.Peers == nil {
-		return false
-	}
-	w.pending, w.atHome = true, true
-	home, lacking := p.cfg.Home(a.entry), w.amount-max(0, p.available(a))
-	p.borrow(w, a, func(ctx context.Context) []Loan { return p.cfg.Peers.BorrowFrom(ctx, home, a.entry, lacking) })
-	return true
-}
-
-func (p *partition) borrow(w *waiter, a *account, call func(context.Context) []Loan) {
 	obs.ShareAsksTotal.Add(1)
+	lenders := a.lenders()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		defer cancel()
-		p.borrowed(a, w, call(ctx))
+		p.borrowed(a, w, p.cfg.Peers.Borrow(ctx, lenders, a.entry, w.amount))
 	}()
+	return true
 }
 
 // borrowTimeout bounds the search for a lender.
@@ -56,8 +40,7 @@
 	prepaid, _ := p.cfg.Prepaid(a.entry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	atHome := w.atHome
-	w.pending, w.atHome = false, false
+	w.pending = false
 	now := p.cfg.Now()
 	for _, l := range loans {
 		a.borrowed += l.Amount
@@ -67,7 +50,7 @@
 			"log_age_ms": now.Sub(p.contact).Milliseconds(),
 		})
 	}
-	if atHome || now.Sub(p.contact) < logAwayAfter {
+	if !p.away(now) {
 		// A read that has not begun yet may find more.
 		p.serve(a, prepaid, time.Time{}, now)
 		p.wake()
@@ -91,8 +74,7 @@
 	if a.overdrawn(prepaid) || len(a.waiters) > 0 {
 		return 0
 	}
-	a.note(amount)
-	lent := a.lend(amount, p.cfg.Life.Gap(), p.cfg.Policy, p.cfg.Now())
+	lent := a.lend(amount, p.cfg.Life.Gap(), p.cfg.Policy)
 	p.refill(a)
 	return lent
 }
@@ -106,6 +88,5 @@
 	if amount > 0 && amount <= a.lent {
 		a.lent -= amount
 		a.spent -= amount
-		a.rate.add(-amount, p.cfg.Now())
 	}
 }
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -31,11 +31,7 @@
 	Entries func() []string
 	// Routers returns the number of live routers.
 	Routers func() int
-	// Home returns the VM that lends parts of an entry's budget to routers with too
-	// little demand for a share of their own. All routers name the same one while
-	// they know the same members. It may be nil.
-	Home   func(entry string) string
-	Policy Policy
+	Policy  Policy
 	// Life tells what the beats of this VM's processes prove.
 	Life Life
 	// Peers asks other VMs for loans. It may be nil.
@@ -63,8 +59,6 @@
 	// Borrow asks VMs for an amount, those named first, until it is covered, and
 	// returns what they have lent.
 	Borrow(ctx context.Context, preferred []string, entry string, amount int64) []Loan
-	// BorrowFrom asks one VM.
-	BorrowFrom(ctx context.Context, vm, entry string, amount int64) []Loan
 	// Repay tells a VM that a part of its loan was not used. An answer is not
 	// awaited: what is lost on the way counts as spent.
 	Repay(lender, entry string, amount int64)
@@ -123,9 +117,7 @@
 	// asked is true once other VMs were asked for a loan, and pending until they
 	// have answered.
 	asked, pending bool
-	// atHome is true while only the home was asked.
-	atHome bool
-	done   chan error
+	done           chan error
 }
 
 // New returns a manager. It serves after Run has read the log.
--- a/internal/coordination/prepaid/report.go
+++ b/internal/coordination/prepaid/report.go
@@ -85,9 +85,7 @@
 	for _, a := range p.accounts {
 		waiting := int64(0)
 		for _, w := range a.waiters {
-			if !w.atHome {
-				waiting += w.amount
-			}
+			waiting += w.amount
 		}
 		if waiting > 0 && open[a]-a.logUsed() < waiting {
 			return false
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -26,8 +26,8 @@
 	// retryLogAway is told while the log does not answer: another router may hold
 	// a larger share.
 	retryLogAway = 250 * time.Millisecond
-	// logAwayAfter is the time without an answer after which other VMs are asked
-	// at once.
+	// logAwayAfter is the time without an answer after a failed call, after which
+	// other VMs are asked at once.
 	logAwayAfter = 1500 * time.Millisecond
 	// refillPause is the least time between two looks for a larger share while
 	// nothing waits.
@@ -83,7 +83,6 @@
 	now := p.cfg.Now()
 	a := p.account(entry)
 	a.note(amount)
-	a.place = p.place(entry)
 	if len(a.waiters) == 0 && p.available(a) >= amount && !a.overdrawn(prepaid) {
 		a.reserved += amount
 		p.used = now
@@ -99,10 +98,7 @@
 	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
 	p.used = now
-	if p.loaded && a.target(prepaid, now, p.cfg.Policy, p.cfg.Routers()) == 0 && p.askHome(a, w) {
-		return w, nil
-	}
-	if now.Sub(p.contact) > logAwayAfter {
+	if p.away(now) {
 		p.ask(a, w)
 	}
 	p.wake()
@@ -117,18 +113,6 @@
 	}
 }
 
-// place tells where this VM stands to the home of an entry's budget.
-func (p *partition) place(entry string) place {
-	switch {
-	case p.cfg.Home == nil:
-		return placeAlone
-	case p.cfg.Home(entry) == p.cfg.VM:
-		return placeHome
-	default:
-		return placeAway
-	}
-}
-
 // available is what a new request may take of a budget without asking.
 func (p *partition) available(a *account) int64 {
 	return a.available(p.cfg.Life.Gap(), p.cfg.Policy)
@@ -203,7 +187,7 @@
 			kept = append(kept, w)
 		case a.remaining(prepaid, now, p.cfg.Policy.Fresh) < w.amount:
 			w.done <- budget.ErrExhausted
-		case w.pending || p.ask(a, w):
+		case p.ask(a, w) || w.pending:
 			kept = append(kept, w)
 		default:
 			a.deniedAt, a.deniedAmount = now, w.amount
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -279,9 +279,8 @@
 // noPeers lends nothing.
 type noPeers struct{}
 
-func (noPeers) Borrow(context.Context, []string, string, int64) []Loan   { return nil }
-func (noPeers) BorrowFrom(context.Context, string, string, int64) []Loan { return nil }
-func (noPeers) Repay(string, string, int64)                              {}
+func (noPeers) Borrow(context.Context, []string, string, int64) []Loan { return nil }
+func (noPeers) Repay(string, string, int64)                            {}
 
 // Guards against a router that refuses its first requests because it has not read
 // the log yet and its peers lend nothing.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -186,7 +186,7 @@
 	}, byService: make(map[string]*routing.WindowBudget)}
 	g.budget = prepaid.New(prepaid.Config{
 		Log: deps.Log, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaid,
-		Entries: g.entries, Routers: g.beats.Routers, Home: g.beats.Home, Policy: policy, Interval: reportInterval,
+		Entries: g.entries, Routers: g.beats.Routers, Policy: policy, Interval: reportInterval,
 		Life: g.beats, Peers: g.peers, Now: time.Now, Logger: logger,
 	})
 	g.peers.serveBudget(g.budget)
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -123,22 +123,6 @@
 	return loans
 }
 
-// BorrowFrom implements prepaid.Peers.
-func (p *gatewayPeers) BorrowFrom(ctx context.Context, vm, entry string, amount int64) []prepaid.Loan {
-	address, ok := p.gateway.beats.Addresses()[vm]
-	if p.pool == nil || !ok {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, borrowCall)
-	defer cancel()
-	var response loanResponse
-	err := p.pool.Call(ctx, address, methodBorrow, loanRequest{Entry: entry, Amount: amount}, &response)
-	if err != nil || response.Lent <= 0 {
-		return nil // the caller asks others
-	}
-	return []prepaid.Loan{{Lender: address, Amount: response.Lent}}
-}
-
 // Repay implements prepaid.Peers. Lenders are named by their addresses.
 func (p *gatewayPeers) Repay(lender, entry string, amount int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), repayCall)
