Plan a share once per cycle and sum the records once per plan

Cause: a plan summed the records of all other routers three to four times (target, chunk, the plan itself, overdrawn), and a cycle planned once to see whether it was due, again for a report and again after a read. Each settlement looked at all records although nothing waited.

Change: the sums are made once and handed on; the look for work and the report without a read are one step; nothing is summed where nothing waits. The bounds after a beat and the sum of the waiters have one function each. beats.Config.Silence is called LongestGap, which is what it bounds.

--- a/internal/coordination/beats/beats.go
+++ b/internal/coordination/beats/beats.go
@@ -47,8 +47,8 @@
 	Self Record
 	// Interval is the least time between two beats; large fleets beat slower.
 	Interval time.Duration
-	// Silence is the longest gap of a predecessor that is worth a proof.
-	Silence time.Duration
+	// LongestGap is the longest gap of a predecessor that is worth a proof.
+	LongestGap time.Duration
 	// Stamp reads the clocks of the VM.
 	Stamp func() Stamp
 	Now   func() time.Time
--- a/internal/coordination/beats/beats_test.go
+++ b/internal/coordination/beats/beats_test.go
@@ -32,14 +32,14 @@
 
 var stream = keyedlog.Stream{Name: "routers"}
 
-const testSilence = 6 * time.Second
+const testLongestGap = 6 * time.Second
 
 func newBeats(log keyedlog.Log, vm, process string, c *clock) *Beats {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	return New(Config{
 		Log: log, Stream: stream, VM: vm, Self: Record{Process: process, Address: vm + ":1"}, Interval: time.Second,
-		Silence: testSilence, Stamp: c.stamp, Now: func() time.Time { return c.steady }, Logger: logger,
+		LongestGap: testLongestGap, Stamp: c.stamp, Now: func() time.Time { return c.steady }, Logger: logger,
 	})
 }
 
@@ -95,8 +95,8 @@
 	c.pass(2 * time.Second)
 	is.True(b.beat(context.Background()) != nil)
 	is.Equal(b.last.Stamp, stamp)
-	c.pass(testSilence - time.Second)
-	is.Equal(b.Gap(), testSilence+time.Second)
+	c.pass(testLongestGap - time.Second)
+	is.Equal(b.Gap(), testLongestGap+time.Second)
 }
 
 // Guards against a successor that takes its predecessor for never silent when the
--- a/internal/coordination/beats/predecessor.go
+++ b/internal/coordination/beats/predecessor.go
@@ -16,7 +16,7 @@
 	at    uint64
 	known bool
 	// gap is an upper bound of its last gap, once that is proven to be below
-	// Config.Silence, and shown what the beat told that proves it; proven is closed
+	// Config.LongestGap, and shown what the beat told that proves it; proven is closed
 	// then.
 	gap    time.Duration
 	shown  map[string]int64
@@ -58,7 +58,7 @@
 func (b *Beats) prove(age time.Duration) bool {
 	p := &b.predecessor
 	gap := age + restartMargin
-	if gap >= b.cfg.Silence {
+	if gap >= b.cfg.LongestGap {
 		return false
 	}
 	if !p.found {
@@ -71,7 +71,7 @@
 }
 
 // LastGap returns an upper bound of the last gap of an earlier process of this VM,
-// and what its beat told before that gap, if a bound below Config.Silence is proven.
+// and what its beat told before that gap, if a bound below Config.LongestGap is proven.
 func (b *Beats) LastGap(process string) (gap time.Duration, shown map[string]int64, proven bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -173,11 +173,12 @@
 	return grown + int64(late*float64(b.granted-grown))
 }
 
+// showing returns the bounds after a beat that told what was used.
+func (b bounds) showing(used int64) bounds { return bounds{b.granted, max(b.open, used), b.ramp} }
+
 // available is what a new request may take without asking after a gap.
 func (a *account) available(gap time.Duration, p Policy) int64 {
-	b := a.bounds
-	b.open = max(b.open, a.shown)
-	return max(0, b.allowed(gap, p)-a.base) + a.borrowed - a.spent - a.reserved
+	return max(0, a.bounds.showing(a.shown).allowed(gap, p)-a.base) + a.borrowed - a.spent - a.reserved
 }
 
 // logSpent and logUsed are what is spent, and spent or reserved, of the part that
@@ -191,12 +192,11 @@
 
 // totals are the sums of the other VMs' records.
 type totals struct {
-	granted, spent, used, running, rate int64
+	spent, used, running, rate int64
 }
 
 func (a *account) totals(now time.Time, fresh time.Duration) (t totals) {
 	for _, h := range a.others {
-		t.granted += h.Granted
 		t.spent += h.Spent
 		t.used += h.used()
 		if now.Sub(h.at) <= fresh {
@@ -207,33 +207,47 @@
 	return t
 }
 
-// overdrawn reports whether the parts exceed the budget, which happens after it
-// was lowered. Nobody may spend from its part then.
-func (a *account) overdrawn(prepaid int64) bool {
-	granted := a.logged.Granted
+// granted is the sum of all parts.
+func (a *account) granted() int64 {
+	sum := a.logged.Granted
 	for _, h := range a.others {
-		granted += h.Granted
+		sum += h.Granted
 	}
-	return granted > prepaid
+	return sum
 }
 
+// overdrawn reports whether the parts exceed the budget, which happens after it
+// was lowered. Nobody may spend from its part then.
+func (a *account) overdrawn(prepaid int64) bool { return a.granted() > prepaid }
+
 // remaining is the most that may be left of the budget, counting running
 // requests at their upper bounds.
 func (a *account) remaining(prepaid int64, now time.Time, fresh time.Duration) int64 {
-	t := a.totals(now, fresh)
-	return prepaid - t.used - t.running - a.ownUsed()
+	return a.left(prepaid, a.totals(now, fresh))
+}
+
+func (a *account) left(prepaid int64, others totals) int64 {
+	return prepaid - others.used - others.running - a.ownUsed()
+}
+
+// waiting is the sum of what the waiters ask for.
+func (a *account) waiting() (sum int64) {
+	for _, w := range a.waiters {
+		sum += w.amount
+	}
+	return sum
 }
 
 // target is the unused part that this VM should hold.
-func (a *account) target(prepaid int64, now time.Time, p Policy, routers int) int64 {
-	t := a.totals(now, p.Fresh)
-	unspent := float64(prepaid-t.spent-t.running-a.logUsed()) * p.ShareOfUnspent
+func (a *account) target(in planning, others totals) int64 {
+	p := in.policy
+	unspent := float64(in.prepaid-others.spent-others.running-a.logUsed()) * p.ShareOfUnspent
 	if unspent <= 0 {
 		return 0
 	}
-	part := 1 / float64(max(1, routers))
-	own := a.rate.perSecond(now)
-	if sum := own + float64(t.rate); sum > 0 {
+	part := 1 / float64(max(1, in.routers))
+	own := a.rate.perSecond(in.now)
+	if sum := own + float64(others.rate); sum > 0 {
 		part = p.EqualShare*part + (1-p.EqualShare)*own/sum
 	}
 	share := unspent * part
@@ -259,9 +273,9 @@
 )
 
 // chunk is what is taken besides a request for which a part is short.
-func (a *account) chunk(prepaid int64, now time.Time, p Policy, routers int) int64 {
-	left := a.remaining(prepaid, now, p.Fresh)
-	return max(0, min(int64(chunkRequests*a.mean), left/int64(chunkPart*max(1, routers/chunkPart))))
+func (a *account) chunk(in planning, others totals) int64 {
+	left := a.left(in.prepaid, others)
+	return max(0, min(int64(chunkRequests*a.mean), left/int64(chunkPart*max(1, in.routers/chunkPart))))
 }
 
 // window is the unused part that is open.
@@ -287,21 +301,16 @@
 // plan returns the record that this VM should have in the log, and whether it
 // is worth an append.
 func (a *account) plan(in planning) (holding, bool) {
-	used := a.logUsed()
-	target := a.target(in.prepaid, in.now, in.policy, in.routers)
-	waiting := int64(0)
-	for _, w := range a.waiters {
-		waiting += w.amount
-	}
-	held := max(target, a.chunk(in.prepaid, in.now, in.policy, in.routers))
-	want := used + held + waiting
+	used, waiting := a.logUsed(), a.waiting()
 	others := a.totals(in.now, in.policy.Fresh)
-	free := max(0, in.prepaid-others.granted-a.logged.Granted)
-	granted := a.logged.Granted
+	target := a.target(in, others)
+	held := max(target, a.chunk(in, others))
+	want := used + held + waiting
+	all, granted := a.granted(), a.logged.Granted
 	switch {
 	case want > granted && (waiting > 0 || granted-used < target*2/3):
-		granted = min(want, granted+free)
-	case want < granted && (granted-want > held*2/5 || a.overdrawn(in.prepaid)):
+		granted = min(want, granted+max(0, in.prepaid-all))
+	case want < granted && (granted-want > held*2/5 || all > in.prepaid):
 		granted = want
 	}
 	granted = max(granted, used)
@@ -363,9 +372,7 @@
 		return 0
 	}
 	a.proven = true
-	dead := a.dead.bounds()
-	dead.open = max(dead.open, shown)
-	released := a.base - dead.allowed(gap, p)
+	released := a.base - a.dead.bounds().showing(shown).allowed(gap, p)
 	a.stranded -= released
 	a.base -= released
 	return released
--- a/internal/coordination/prepaid/cycle.go
+++ b/internal/coordination/prepaid/cycle.go
@@ -52,20 +52,18 @@
 	return time.Duration(float64(p.cfg.Interval) * (0.75 + 0.5*rand.Float64()))
 }
 
-// cycle writes this VM's records and answers the waiters. Records that raise no
-// part are reported at once. For the others, and for waiters that the parts do not
+// cycle writes this VM's records and answers the waiters. While the records of the
+// others are recent, it does nothing if nothing waits or is worth an append, and
+// records that raise no part are reported at once. For the others, and for waiters that the parts do not
 // cover, the stream is read to its end first. With handBack, shares are reduced to
 // what was spent.
 func (p *partition) cycle(ctx context.Context, handBack bool) error {
 	p.cycling.Lock()
 	defer p.cycling.Unlock()
-	if !handBack && !p.due() {
-		return nil
-	}
 	if err := p.resend(ctx); err != nil {
 		return err
 	}
-	if done, err := p.reportOnly(ctx, handBack); done || err != nil {
+	if done, err := p.withoutRead(ctx, handBack); done || err != nil {
 		return err
 	}
 	for conflict := range maxConflicts {
@@ -100,27 +98,6 @@
 	return nil
 }
 
-// due reports whether a cycle is of use: something waits or is worth an append,
-// or the records of the others are old.
-func (p *partition) due() bool {
-	p.mu.Lock()
-	now := p.cfg.Now()
-	old := !p.loaded || now.Sub(p.contact) > p.readAfter()
-	p.mu.Unlock()
-	if old {
-		return true
-	}
-	records, _ := p.plan(false)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	waiting := false
-	for _, a := range p.accounts {
-		waiting = waiting || len(a.waiters) > 0
-	}
-	p.settle()
-	return waiting || len(records) > 0
-}
-
 // readAfter is the age from which the records of the other VMs are read again.
 func (p *partition) readAfter() time.Duration {
 	if p.cfg.Now().Sub(p.used) > readAfter {
@@ -303,9 +280,6 @@
 	defer p.mu.Unlock()
 	now := p.cfg.Now()
 	for entry, a := range p.accounts {
-		if len(a.waiters) == 0 {
-			continue
-		}
 		prepaid, _ := p.cfg.Prepaid(entry)
 		p.serve(a, prepaid, readBegan, now)
 	}
--- a/internal/coordination/prepaid/report.go
+++ b/internal/coordination/prepaid/report.go
@@ -55,13 +55,16 @@
 	return errors.Mark(errors.Newf("no epoch for producer %s", p.producer.ID), keyedlog.ErrUnavailable)
 }
 
-// reportOnly reports without a read, if that is all there is to do.
-func (p *partition) reportOnly(ctx context.Context, handBack bool) (done bool, err error) {
+// withoutRead does what there is to do, if that needs no read of the stream.
+func (p *partition) withoutRead(ctx context.Context, handBack bool) (done bool, err error) {
 	if !p.fresh() {
 		return false, nil
 	}
 	records, _ := p.plan(handBack)
-	if len(records) == 0 || raises(records) || !p.covered(records) {
+	if len(records) == 0 {
+		return p.settled() && !handBack, nil
+	}
+	if raises(records) || !p.covered(records) {
 		return false, nil
 	}
 	return true, p.report(ctx, records)
@@ -74,6 +77,19 @@
 	return p.loaded && p.cfg.Now().Sub(p.contact) <= p.readAfter()
 }
 
+// settled settles what is left of earlier appends, and reports whether nothing waits.
+func (p *partition) settled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle()
+	for _, a := range p.accounts {
+		if len(a.waiters) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // covered reports whether all waiters can be served once the records are written.
 func (p *partition) covered(records []planned) bool {
 	p.mu.Lock()
@@ -83,11 +99,7 @@
 		open[r.account] = min(r.next.Open, r.next.Granted)
 	}
 	for _, a := range p.accounts {
-		waiting := int64(0)
-		for _, w := range a.waiters {
-			waiting += w.amount
-		}
-		if waiting > 0 && open[a]-a.logUsed() < waiting {
+		if waiting := a.waiting(); waiting > 0 && open[a]-a.logUsed() < waiting {
 			return false
 		}
 	}
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -176,6 +176,9 @@
 // serve answers the waiters that the share covers, and those that it does not
 // cover if they came before a read of the log that has ended.
 func (p *partition) serve(a *account, prepaid int64, readBegan, now time.Time) {
+	if len(a.waiters) == 0 {
+		return
+	}
 	usable := !a.overdrawn(prepaid)
 	kept := a.waiters[:0]
 	for _, w := range a.waiters {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -172,7 +172,7 @@
 	})
 	policy := prepaid.DefaultPolicy()
 	g.beats = beats.New(beats.Config{
-		Log: deps.Log, Stream: beatStream, VM: cfg.VM, Interval: beatInterval, Silence: policy.AllAfter, Stamp: readStamp,
+		Log: deps.Log, Stream: beatStream, VM: cfg.VM, Interval: beatInterval, LongestGap: policy.AllAfter, Stamp: readStamp,
 		Self:      beats.Record{Process: string(g.holder), Address: cfg.PeerListen, Zone: cfg.Zone},
 		Show:      func() (map[string]int64, func()) { return g.budget.Show() },
 		Witnesses: func(ctx context.Context, offset uint64) []beats.Testimony { return g.peers.witnesses(ctx, offset) },
