--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -282,11 +283,7 @@
 func (r *Replica) Records() map[string]keyedlog.Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make(map[string]keyedlog.Record, len(r.records))
-	for k, v := range r.records {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(r.records)
 }
 
 // Next returns the offset up to which the replica is known to be complete.
