--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -102,11 +102,11 @@
 // one that the upstream has closed.
 func TestKeepsConnections(t *testing.T) {
 	is := is.New(t)
-	n := 0
+	var answered atomic.Int64
 	address, connections := server(t, func(c net.Conn, request string) {
-		n++
+		last := answered.Add(1) == 10
 		_, _ = io.WriteString(c, answerTo(idOf(request), "ok"))
-		if n == 10 {
+		if last {
 			_ = c.Close()
 		}
 	})
