Log and count request limits that upstreams name

An upstream that overloads may name the requests per second that it accepts from all routers together. Nothing read this header, so neither the logs nor the metrics could tell whether a limit was known, to which router, and how many requests went to such an upstream.

Event 1509 on each change, request_limit_changes_total and requests_to_limited_upstreams_total. A response without the header ends a limit only if its request was sent after the limit was last named. Choices are unchanged.

--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
@@ -48,6 +49,7 @@
 	// first event.
 	uncachedBlocks int
 	priority       int
+	pickedAt       time.Time
 	started        bool
 	done           bool
 }
@@ -75,6 +77,10 @@
 func (r *Router) beginAttempt(a *Attempt, now time.Time) {
 	s := a.state
 	s.addOutstanding(1, now)
+	a.pickedAt = now
+	if s.limit.perSecond > 0 {
+		obs.RequestsToLimitedTotal.Add(1)
+	}
 	s.attempts[a] = struct{}{}
 	s.pendingBlocks += float64(a.uncachedBlocks)
 	if a.suspect {
@@ -211,6 +217,7 @@
 	ChangeDraining
 	ChangeCrashed
 	ChangeQuarantined
+	ChangeRequestLimit
 )
 
 // Change describes an event at an upstream that is reported to the operator.
@@ -219,4 +226,7 @@
 	Upstream string
 	// Fingerprint is set for ChangeQuarantined.
 	Fingerprint Fingerprint
+	// PerSecond and Previous are set for ChangeRequestLimit: the limit in requests per second, and the one before; 0
+	// means none.
+	PerSecond, Previous float64
 }
--- a/internal/coordination/routing/notify.go
+++ b/internal/coordination/routing/notify.go
@@ -22,6 +22,10 @@
 		case ChangeQuarantined:
 			fields["fingerprint"] = c.Fingerprint.String()
 			obs.EventRequestQuarantined.Log(logger, fields)
+		case ChangeRequestLimit:
+			obs.RequestLimitChangesTotal.Add(1)
+			fields["per_second"], fields["before"] = c.PerSecond, c.Previous
+			obs.EventRequestLimitChanged.Log(logger, fields)
 		}
 	}
 }
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -117,6 +117,7 @@
 	netSincePeerMessage int // since the last peer message, of this router
 	netSinceExport      int // since the last export, of this router
 	netWindow           netWindow
+	limit               requestLimit
 	// slowStartAt is when the slow start begins; zero means that the upstream had none.
 	slowStartAt time.Time
 	slowStart   time.Duration
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -22,6 +22,9 @@
 		"An upstream has answered a request with this part, or none came for a long time. No action.")
 	EventCrashReportLost = register(1508, logrus.InfoLevel, "report of a crash did not reach some peers",
 		"They get it with a later report, or read the quarantine in a heartbeat. No action.")
+	EventRequestLimitChanged = register(1509, logrus.InfoLevel, "upstream changed its request limit",
+		"It accepts at most \"per_second\" requests a second from all routers together; 0 means that it names no limit any more. "+
+			"If most upstreams of a service name limits, it lacks capacity.")
 	EventPartTrial = register(1507, logrus.InfoLevel, "request with a quarantined part is let through",
 		"If its upstream crashes, the quarantine is renewed and lasts longer (1505). No action.")
 )
@@ -32,9 +35,13 @@
 	// OverloadedTotal counts requests refused because the queue was full or the expected wait too long.
 	OverloadedTotal = newMetric("overloaded_total")
 	// RetriesDeniedTotal counts retries that the retry budget did not allow.
-	RetriesDeniedTotal       = newMetric("retries_denied_total")
-	UpstreamEjectionsTotal   = newMetric("upstream_ejections_total")
-	UpstreamCrashesTotal     = newMetric("upstream_crashes_total")
+	RetriesDeniedTotal     = newMetric("retries_denied_total")
+	UpstreamEjectionsTotal = newMetric("upstream_ejections_total")
+	UpstreamCrashesTotal   = newMetric("upstream_crashes_total")
+	// RequestLimitChangesTotal counts changes of the request limits that upstreams name, and RequestsToLimitedTotal
+	// the attempts sent to upstreams that name one.
+	RequestLimitChangesTotal = newMetric("request_limit_changes_total")
+	RequestsToLimitedTotal   = newMetric("requests_to_limited_upstreams_total")
 	RequestsQuarantinedTotal = newMetric("requests_quarantined_total")
 	// PartsQuarantinedTotal counts quarantines of a part of requests, CrashesObservedTotal the requests of this
 	// router that were running when their upstream crashed.
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -78,6 +78,9 @@
 	Genuine bool
 	// Load is nil when the response does not report it.
 	Load *UpstreamLoad
+	// RequestLimit is the number of requests per second that the upstream accepts from all routers together, or 0
+	// if the response names no limit.
+	RequestLimit float64
 }
 
 // UpstreamLoad is the load that an upstream reports: running and waiting requests, and its capacity in slots.
@@ -91,6 +94,14 @@
 	Started()
 }
 
+// LimitReporter is an Attempt that accepts the request limit that its upstream names in a response. Not every Attempt
+// implements it.
+type LimitReporter interface {
+	// RequestLimit reports the limit in requests per second, or 0 if the response names none. ran is false if the
+	// upstream did not run the request.
+	RequestLimit(perSecond float64, ran bool)
+}
+
 // Forwarding holds the dependencies of ForwardHandler that the other fields of API do not cover.
 type Forwarding struct {
 	Forwarder Forwarder
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -36,6 +36,9 @@
 	if reporter, ok := x.attempt.(LoadReporter); ok && info.Load != nil {
 		reporter.Load(info.Load.Running, info.Load.Waiting, info.Load.Slots)
 	}
+	if reporter, ok := x.attempt.(LimitReporter); ok && info.Genuine && !info.WrongInstance {
+		reporter.RequestLimit(info.RequestLimit, !info.NotRun)
+	}
 	switch {
 	case info.NotRun || info.WrongInstance:
 		// The body is read to its end so that the connection can be reused.
