--- a/cmd/dotterelstandin/main.go
+++ b/cmd/dotterelstandin/main.go
@@ -38,6 +38,7 @@
 	CacheLag      time.Duration `long:"cache-lag" env:"DOTTERELSTANDIN_CACHE_LAG" default:"0s" description:"delay before a prefix cache event is published"`
 	CacheGap      uint64        `long:"cache-gap" env:"DOTTERELSTANDIN_CACHE_GAP" default:"0" description:"omit cache events whose number is a multiple of this; 0 publishes all"`
 	Slots         int           `long:"slots" env:"DOTTERELSTANDIN_SLOTS" default:"0" description:"number of requests that run concurrently, others wait by priority; 0 means unlimited"`
+	RequestLimit  float64       `long:"request-limit" env:"DOTTERELSTANDIN_REQUEST_LIMIT" default:"0" description:"requests per second that the engine names as its limit in responses; 0 names none"`
 	LoadLag       time.Duration `long:"load-lag" env:"DOTTERELSTANDIN_LOAD_LAG" default:"0s" description:"time for which a load report is reused"`
 	WeightsURL    string        `long:"weights-url" env:"DOTTERELSTANDIN_WEIGHTS_URL" description:"base URL of the weight store that models are loaded from"`
 	CrashOn       string        `long:"crash-on" env:"DOTTERELSTANDIN_CRASH_ON" description:"exit when a request contains this text"`
@@ -48,7 +49,7 @@
 func (c *engineCommand) Execute([]string) error {
 	engine := &standin.Engine{
 		FirstToken: c.FirstToken, TokenInterval: c.TokenInterval, ExportTo: c.ExportTo,
-		WeightsURL: c.WeightsURL, Slots: c.Slots, LoadLag: c.LoadLag, CacheLag: c.CacheLag, CacheGap: c.CacheGap,
+		WeightsURL: c.WeightsURL, Slots: c.Slots, RequestLimit: c.RequestLimit, LoadLag: c.LoadLag, CacheLag: c.CacheLag, CacheGap: c.CacheGap,
 		ChecksFencing: c.ChecksFencing, Incarnation: uuid.NewString(), OnRunStart: crashOnText(c.CrashOn),
 	}
 	return serve(c.global.Listen, engine.Handler())
--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -21,6 +21,9 @@
 	HeaderAttempt = "X-Attempt"
 	// HeaderPriority is the request's priority at the engine; lower values run first.
 	HeaderPriority = "X-Priority"
+	// HeaderRequestLimit is set on responses of an upstream that limits its load: the number of requests per second
+	// that it accepts from all routers together. The limit holds until a response lacks the header.
+	HeaderRequestLimit = "X-Request-Limit"
 )
 
 // Message is one message of a conversation.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -48,6 +48,9 @@
 	// Slots is the number of requests that run concurrently; 0 means unlimited. Waiting requests start in the
 	// order of their priority, lower values first.
 	Slots int
+	// RequestLimit is the number of requests per second that the engine names as its limit; 0 means that it names
+	// none. It does not enforce the limit.
+	RequestLimit float64
 	// LoadLag is the time for which a load report is reused, and so the greatest age of the reported load.
 	LoadLag time.Duration
 
@@ -163,6 +166,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.RequestLimit > 0 {
+		w.Header().Set(chat.HeaderRequestLimit, strconv.FormatFloat(e.RequestLimit, 'f', -1, 64))
+	}
 	if e.consumeFault(func(f *EngineFaults) *int { return &f.Refuse }) {
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
