Keep the request limits that upstreams name, summed over all routers

Callers saw nothing; workers that had named a limit of 1.2 requests a second got 14 in 4 s, as many as before.

Cause: no router read the limit. The class: a number that holds for the whole fleet and that each router would apply alone. Ruled out by the logs of the incident: routers that had not heard of it, retries, a limit that was forgotten (no router slowed down at any time).

Change: time is divided into slots as long as the limit allows for one request, and the routers own the slots in turn. A slot is a permit for one request, is usable for a second and then expires, so that idle routers do not save permits for the same moment. No message is needed to keep the limit. Limits, and their ends, are sent to all other routers within 0.1 s. They are kept while an upstream is not registered, and routers that fell silent keep their slots for a minute, because they may still send. A router that has not learned of the others sends nothing to a limited upstream. Every attempt needs a permit, retries and waiting requests too; without one another upstream is chosen, and the retry time is that of the next permit only if there is none. The product's own fleet does the same with X-Request-Limit.

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -87,6 +88,9 @@
 	minExpiry = 6 * time.Second
 	// retryDelay follows a heartbeat that the log did not confirm.
 	retryDelay = 200 * time.Millisecond
+	// silentRetention is how long a router that sends no heartbeats may still send requests, as one that is
+	// disconnected from the log does.
+	silentRetention = time.Minute
 )
 
 // member is a router and when its record was last seen to change.
@@ -110,6 +114,8 @@
 	// left holds the offsets of the last records of routers that have left.
 	left map[string]uint64
 	live int
+	// silent holds the routers that expired without having left, and when.
+	silent map[string]time.Time
 	// lastSent is the last heartbeat that may have reached the log.
 	lastSent Record
 	// lastSentAt is when it was created, by the monotonic clock.
@@ -124,6 +130,7 @@
 func New(cfg Config) *Monitor {
 	m := &Monitor{
 		cfg: cfg, startTimestamp: cfg.Timestamp(), started: cfg.Now(), members: make(map[string]member), left: make(map[string]uint64), live: 1,
+		silent:      make(map[string]time.Time),
 		predecessor: predecessor{provenCh: make(chan struct{})},
 	}
 	m.replica = replica.New(replica.Config{
@@ -280,12 +287,19 @@
 		_, listed := records[vm]
 		if !listed || now.Sub(other.changedAt)-staleness > expiry {
 			delete(m.members, vm)
+			if listed {
+				m.silent[vm] = now
+			}
 			continue
 		}
 		if vm != m.cfg.VM {
 			live++
 		}
 	}
+	maps.DeleteFunc(m.silent, func(vm string, since time.Time) bool {
+		_, live := m.members[vm]
+		return live || now.Sub(since) > silentRetention
+	})
 	if live != m.live {
 		obs.EventMemberChanged.Log(m.cfg.Logger, logrus.Fields{"routers": live, "before": m.live, "age_ms": staleness.Milliseconds()})
 	}
@@ -330,6 +344,32 @@
 	return m.live
 }
 
+// Position returns the index of this router, in order of VM names, among those that may send requests: the live ones and
+// those that have been silent for less than silentRetention. known is false before any heartbeat was read.
+func (m *Monitor) Position() (index, routers int, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	routers = 1
+	count := func(vm string) {
+		if vm == m.cfg.VM {
+			return
+		}
+		routers++
+		if vm < m.cfg.VM {
+			index++
+		}
+	}
+	for vm := range m.members {
+		count(vm)
+	}
+	for vm := range m.silent {
+		if _, live := m.members[vm]; !live {
+			count(vm)
+		}
+	}
+	return index, routers, len(m.members) > 0
+}
+
 // Addresses returns the peer addresses of the other live routers by VM.
 func (m *Monitor) Addresses() map[string]string {
 	m.mu.Lock()
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -42,6 +42,8 @@
 	now    func() time.Time
 	logger logrus.FieldLogger
 	view   atomic.Pointer[View]
+	// listRead is true once the list was read and has this VM.
+	listRead atomic.Bool
 
 	mu      sync.Mutex
 	machine *StateMachine
@@ -61,6 +63,9 @@
 // View returns the newest published member table.
 func (m *Membership) View() *View { return m.view.Load() }
 
+// ListRead reports whether the platform's list was read. Before that the view may lack members.
+func (m *Membership) ListRead() bool { return m.listRead.Load() }
+
 // update runs f on the state machine, and publishes and logs a changed view.
 func (m *Membership) update(f func(*StateMachine)) {
 	m.mu.Lock()
@@ -160,7 +165,9 @@
 	m.update(func(machine *StateMachine) { listsSelf = machine.ObserveList(m.now(), vms) })
 	if !listsSelf {
 		obs.EventVMListWithoutSelf.Log(m.logger, nil)
+		return
 	}
+	m.listRead.Store(true)
 }
 
 // ProbeRound marks members as gone whose suspicion is confirmed (see StateMachine.Tick), sends the heartbeats
--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -78,7 +78,7 @@
 	s := a.state
 	s.addOutstanding(1, now)
 	a.pickedAt = now
-	if s.limit.perSecond > 0 {
+	if s.limit.active() {
 		obs.RequestsToLimitedTotal.Add(1)
 	}
 	s.attempts[a] = struct{}{}
@@ -229,4 +229,6 @@
 	// PerSecond and Previous are set for ChangeRequestLimit: the limit in requests per second, and the one before; 0
 	// means none.
 	PerSecond, Previous float64
+	// Reported is true if another router observed the change.
+	Reported bool
 }
--- a/internal/coordination/routing/notify.go
+++ b/internal/coordination/routing/notify.go
@@ -24,7 +24,7 @@
 			obs.EventRequestQuarantined.Log(logger, fields)
 		case ChangeRequestLimit:
 			obs.RequestLimitChangesTotal.Add(1)
-			fields["per_second"], fields["before"] = c.PerSecond, c.Previous
+			fields["per_second"], fields["before"], fields["reported"] = c.PerSecond, c.Previous, c.Reported
 			obs.EventRequestLimitChanged.Log(logger, fields)
 		}
 	}
--- a/internal/coordination/routing/outlier.go
+++ b/internal/coordination/routing/outlier.go
@@ -7,10 +7,13 @@
 	states []*upstreamState
 }
 
-// counts returns the number of upstreams that are not draining, and how many of them are ejected.
+// available reports whether an upstream may take any number of requests when it is not ejected.
+func (s *upstreamState) available(now time.Time) bool { return !s.draining(now) && !s.limit.active() }
+
+// counts returns the number of available upstreams, and how many of them are ejected.
 func (p *pool) counts(now time.Time) (members, ejected int) {
 	for _, s := range p.states {
-		if s.draining(now) {
+		if !s.available(now) {
 			continue
 		}
 		members++
@@ -80,7 +83,7 @@
 func (p *pool) nextToReturn(now time.Time) *upstreamState {
 	var first *upstreamState
 	for _, s := range p.states {
-		if !s.draining(now) && s.ejected(now) && (first == nil || s.ejectedUntil.Before(first.ejectedUntil)) {
+		if s.available(now) && s.ejected(now) && (first == nil || s.ejectedUntil.Before(first.ejectedUntil)) {
 			first = s
 		}
 	}
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -109,6 +110,8 @@
 	Region string
 	// Routers returns the number of live routers; nil means one.
 	Routers func() int
+	// Position returns this router's place among those that share request limits; nil means the first of Routers.
+	Position func() Position
 	// Rand breaks ties; nil means a randomly seeded source.
 	Rand *rand.Rand
 	// CrashHistory may be shared with the code that exchanges observations with other routers; nil means a
@@ -131,6 +134,10 @@
 	if c.Routers == nil {
 		c.Routers = func() int { return 1 }
 	}
+	if c.Position == nil {
+		routers := c.Routers
+		c.Position = func() Position { return Position{Routers: routers(), Known: true} }
+	}
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -155,8 +162,10 @@
 
 	// mu guards the fields below. The crash history has a lock of its own, which may be taken while mu is
 	// held.
-	mu          sync.Mutex
-	byName      map[string]*upstreamState
+	mu     sync.Mutex
+	byName map[string]*upstreamState
+	// limits holds the request limits by upstream. They outlive the upstream's removal from the configuration.
+	limits      map[string]*requestLimit
 	pools       map[string]*pool
 	prefix      *prefixIndex
 	byCacheID   map[cacheID]*upstreamState
@@ -172,7 +181,7 @@
 func New(cfg Config) *Router {
 	cfg = cfg.withDefaults()
 	return &Router{
-		cfg: cfg, byName: make(map[string]*upstreamState), pools: make(map[string]*pool),
+		cfg: cfg, byName: make(map[string]*upstreamState), limits: make(map[string]*requestLimit), pools: make(map[string]*pool),
 		prefix: newPrefixIndex(cfg.MaxPrefixBlocks), byCacheID: make(map[cacheID]*upstreamState),
 		cachedBlocks: make(map[cacheID]int),
 	}
@@ -194,6 +203,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
+	r.pruneLimits(now)
 	for _, s := range r.byName {
 		s.inConfig = false
 	}
@@ -201,7 +211,9 @@
 	for u := range snapshot.Upstreams {
 		s := r.byName[u.Name]
 		if s == nil {
-			s = &upstreamState{attempts: make(map[*Attempt]struct{}), nameHash: xxhash.Sum64String(u.Name)}
+			s = &upstreamState{
+				attempts: make(map[*Attempt]struct{}), nameHash: xxhash.Sum64String(u.Name), limit: r.limitOf(u.Name),
+			}
 			r.byName[u.Name] = s
 			r.assignCacheID(s)
 			if r.configured {
@@ -263,18 +275,24 @@
 	return p
 }
 
-// Capacity returns the number of requests for a model or service that the whole fleet may run at once.
+// Capacity returns the number of requests for a model or service that the whole fleet may run at once. A limited upstream
+// counts with the requests that it accepts in a second.
 func (r *Router) Capacity(model, service string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	total := 0.0
 	for _, s := range r.upstreamsFor(&Request{Model: model, Service: service}) {
-		if !s.draining(now) && !s.ejected(now) {
-			total += s.concurrency(now)
+		if s.draining(now) || s.ejected(now) {
+			continue
+		}
+		n := s.concurrency(now)
+		if s.limit.active() {
+			n = min(n, s.limit.perSecond)
 		}
+		total += n
 	}
-	return int(total)
+	return int(math.Ceil(total))
 }
 
 // upstreamsFor returns all upstreams of the model or service of a request, including draining and ejected
@@ -305,11 +323,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
-	s, suspectConflict := r.pick(&req, status.suspect, now)
+	position := r.cfg.Position()
+	s, none := r.pick(&req, status.suspect, position, now)
 	if s == nil {
-		target := req.Model + req.Service
-		return nil, &NoUpstreamError{Target: target, RetryAfter: noUpstreamRetryAfter, Suspect: suspectConflict}
+		none.Target = req.Model + req.Service
+		return nil, none
 	}
+	r.usePermit(s, position, now)
 	a := &Attempt{router: r, state: s, upstream: s.upstream, fingerprint: req.Fingerprint,
 		suspect: status.suspect, crashEpoch: s.crashEpoch, prefixHashes: req.PrefixHashes, predictedBlocks: r.cachedBlocks[s.cacheID],
 		priority: priorityOf(req.Class)}
@@ -322,12 +342,12 @@
 }
 
 // pick returns the upstream with the lowest score and leaves the number of blocks expected per cache in
-// r.cachedBlocks. If there is no upstream, suspectConflict tells whether one was left out only because it
-// already runs a suspect.
-func (r *Router) pick(req *Request, suspect bool, now time.Time) (best *upstreamState, suspectConflict bool) {
+// r.cachedBlocks. If there is no upstream, it returns the reason, without its target.
+func (r *Router) pick(req *Request, suspect bool, position Position, now time.Time) (best *upstreamState, none *NoUpstreamError) {
+	none = &NoUpstreamError{RetryAfter: noUpstreamRetryAfter}
 	all := r.upstreamsFor(req)
 	if len(all) == 0 {
-		return nil, false
+		return nil, none
 	}
 	clear(r.cachedBlocks)
 	r.prefix.match(req.PrefixHashes, func(id cacheID, blocks int) {
@@ -346,15 +366,22 @@
 			continue
 		}
 		if suspect && s.suspects > 0 {
-			suspectConflict = true
+			none.Suspect = true
 			continue
 		}
+		if wait := r.permitWait(s, position, now); wait > 0 {
+			none.RetryAfter = min(none.RetryAfter, max(wait, minLimitRetryAfter))
+			continue
+		}
+		if s.limit.active() && now.Sub(s.limit.observedAt) > limitProbeAfter {
+			return s, nil
+		}
 		score := r.score(s, req, now, routers)
 		if best == nil || score < lowest {
 			best, lowest = s, score
 		}
 	}
-	return best, suspectConflict && best == nil
+	return best, none
 }
 
 // score estimates the time to first token at an upstream, in seconds. Plain services have no prefixes: their
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -108,6 +108,7 @@
 	// outstanding and suspects count this router's requests in flight and the suspects among them.
 	outstanding int
 	suspects    int
+	limit       *requestLimit
 	attempts    map[*Attempt]struct{}
 
 	report     Report
@@ -117,7 +118,6 @@
 	netSincePeerMessage int // since the last peer message, of this router
 	netSinceExport      int // since the last export, of this router
 	netWindow           netWindow
-	limit               requestLimit
 	// slowStartAt is when the slow start begins; zero means that the upstream had none.
 	slowStartAt time.Time
 	slowStart   time.Duration
@@ -257,7 +257,8 @@
 	r.endExcessEjections()
 }
 
-// handleRestart begins a new incarnation: the draining response and the cache of the old one no longer count.
+// handleRestart begins a new incarnation: the draining response, the request limit and the cache of the old one no
+// longer count.
 // The first report of an upstream is not a restart.
 func (r *Router) handleRestart(s *upstreamState, now time.Time) {
 	if s.measuredAt.IsZero() {
@@ -265,6 +266,7 @@
 	}
 	s.drainingResponseAt, s.gotDrainingResponse = time.Time{}, false
 	s.slowStartAt = now
+	r.setRequestLimit(s.upstream.Name, 0, now, false)
 	r.assignCacheID(s)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 	d.budget = budget.NewManager(budgetConfig, log, logger)
 	d.claims = claim.New(newClaimConfig(cfg), log, logger)
 	d.routing = routing.New(routing.Config{
-		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers,
+		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: d.routers, Position: d.position,
 		CrashHistory: d.crashHistory, Notify: routing.LogChanges(logger),
 	})
 	d.admission = d.newAdmission()
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -94,6 +94,7 @@
 	f.registerRequestHandler(d.api)
 	f.registerCrashHistoryHandler(d.crashHistory)
 	registerQuarantineHandler(f.server, d.crashes)
+	registerLimitHandler(f.server, d.routing)
 }
 
 // start starts the loops that communicate with the other routers. Peers are served until peerCtx ends; the
@@ -107,7 +108,8 @@
 	loops.Go(func() { f.members.Run(peerCtx) })
 	loops.Go(func() { d.config.RunFetch(ctx, f.pool, d.reports) })
 	loops.Go(func() { f.broadcastCrashHistory(ctx, d.crashHistory) })
-	loops.Go(func() { f.exchangeCrashes(ctx, d.crashes) })
+	loops.Go(func() { exchangeWithFleet(ctx, f, crashReports(d.crashes)) })
+	loops.Go(func() { exchangeWithFleet(ctx, f, limitReports(d.routing)) })
 	loops.Go(func() { f.reclaim(ctx, d.budget, d.cfg.UnknownBillDelay, d.queryUsage) })
 	return nil
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -200,13 +200,13 @@
 		Entries: g.preallocatedEntries, Routers: g.heartbeats.Routers, Policy: policy, Interval: spendReportInterval,
 		Heartbeats: g.heartbeats, Peers: g.peers, Now: time.Now, Logger: logger,
 	})
-	g.peers.registerHandlers(g.budget, g.crashes)
 	weights := routing.DefaultWeights()
 	weights.Block, weights.ServiceZone = promptBlockSeconds, gatewayServiceZoneWeight
 	g.routing = routing.New(routing.Config{
-		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.heartbeats.Routers, Weights: weights,
+		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.heartbeats.Routers, Position: g.position, Weights: weights,
 		SlowStart: gatewaySlowStart, Notify: routing.LogChanges(logger),
 	})
+	g.peers.registerHandlers(g.budget, g.crashes, g.routing)
 	g.admission = admission.New(admission.Config{Now: time.Now, Capacity: g.capacity, MaxWait: gatewayMaxWait})
 	g.api = g.newAPI()
 	return g, nil
@@ -361,7 +361,8 @@
 	loops.Go(func() { g.upstreams.Run(background) })
 	loops.Go(func() { g.heartbeats.Run(background) })
 	loops.Go(func() { g.peers.run(background) })
-	loops.Go(func() { g.peers.exchangeCrashes(background) })
+	loops.Go(func() { exchangeWithPeers(background, g.peers, crashReports(g.crashes)) })
+	loops.Go(func() { exchangeWithPeers(background, g.peers, limitReports(g.routing)) })
 	budgets, stopBudgets := context.WithCancel(background)
 	defer stopBudgets()
 	var budgetLoops conc.WaitGroup
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 )
@@ -55,12 +56,13 @@
 	repayTimeout  = time.Second
 )
 
-// registerHandlers registers the handlers of loans, of the ages of heartbeats and of crashes.
-func (p *gatewayPeers) registerHandlers(m *prepaid.Manager, crashes *quarantine.Registry) {
+// registerHandlers registers the handlers of loans, of the ages of heartbeats, of crashes and of request limits.
+func (p *gatewayPeers) registerHandlers(m *prepaid.Manager, crashes *quarantine.Registry, router *routing.Router) {
 	if p.server == nil {
 		return
 	}
 	registerQuarantineHandler(p.server, crashes)
+	registerLimitHandler(p.server, router)
 	registerHandler(p.server, methodBorrow, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
 		return loanResponse{Lent: m.Lend(r.Entry, r.Amount)}, nil
 	})
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -20,8 +20,8 @@
 			"routers refuse such requests. After \"for_ms\" one is let through, to see whether it still crashes. Tell its owner.")
 	EventPartReleased = register(1506, logrus.InfoLevel, "quarantine of a part ended",
 		"An upstream has answered a request with this part, or none came for a long time. No action.")
-	EventCrashReportLost = register(1508, logrus.InfoLevel, "report of a crash did not reach some peers",
-		"They get it with a later report, or read the quarantine in a heartbeat. No action.")
+	EventReportLost = register(1508, logrus.InfoLevel, "report to other routers did not reach some of them",
+		"The field \"method\" says which: of a crash or of a request limit. They get it with a later report. No action.")
 	EventRequestLimitChanged = register(1509, logrus.InfoLevel, "upstream changed its request limit",
 		"It accepts at most \"per_second\" requests a second from all routers together; 0 means that it names no limit any more. "+
 			"If most upstreams of a service name limits, it lacks capacity.")
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -80,6 +80,9 @@
 		Address: target.Address, RequestID: x.id, Attempt: chat.AttemptID(n, string(x.api.Holder)),
 		Priority: attempt.Priority(), Body: x.body,
 	}
+	if reporter, ok := attempt.(LimitReporter); ok {
+		call.OnRequestLimit = reporter.RequestLimit
+	}
 	x.calls = append(x.calls, call)
 	ctx, span := obs.StartSpan(x.ctx, obs.SpanAttempt, x.id)
 	err = x.op.send(ctx, x, call, n)
--- a/internal/transport/upstream/service.go
+++ b/internal/transport/upstream/service.go
@@ -51,9 +51,13 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusTooManyRequests {
-		return ServiceResponse{}, newRefusedError(resp)
+		err := newRefusedError(resp)
+		call.reportRequestLimit(resp, err)
+		return ServiceResponse{}, err
 	}
-	if err := checkResponseIDs(resp, call.Call); err != nil {
+	err = checkResponseIDs(resp, call.Call)
+	call.reportRequestLimit(resp, err)
+	if err != nil {
 		return ServiceResponse{}, err
 	}
 	body, err := readBody(resp)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -127,6 +128,21 @@
 	// Priority is the priority passed to the engine; lower runs first.
 	Priority int
 	Body     []byte
+	// OnRequestLimit, if not nil, is called with the request limit in a response, in requests per second; 0 means
+	// that it names none. ran is false if the upstream refused the request.
+	OnRequestLimit func(perSecond float64, ran bool)
+}
+
+// reportRequestLimit calls OnRequestLimit for a response, given the result of its check.
+func (c Call) reportRequestLimit(resp *http.Response, err error) {
+	if c.OnRequestLimit == nil || errors.Is(err, ErrMismatch) {
+		return
+	}
+	limit, parseErr := strconv.ParseFloat(resp.Header.Get(chat.HeaderRequestLimit), 64)
+	if parseErr != nil || !(limit > 0) || math.IsInf(limit, 1) {
+		limit = 0 // as without the header
+	}
+	c.OnRequestLimit(limit, err == nil)
 }
 
 // Completion is a complete, non-streamed chat completion. Body is forwarded to the caller unchanged.
@@ -216,7 +232,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkResponse(resp, call); err != nil {
+	err = checkResponse(resp, call)
+	call.reportRequestLimit(resp, err)
+	if err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
