--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -21,6 +21,9 @@
 	EventRemovalsDeferred = register(1806, logrus.InfoLevel, "removals from a log stream are deferred",
 		"The log did not respond to this router for \"since_ms\". Records that were removed because their writers could "+
 			"not renew them come back within the grace period. No action.")
+	EventLogRestored = register(1807, logrus.WarnLevel, "log was restored from an older copy",
+		"What was written since the copy is lost, and offsets are given out again. The fields are the eras of the log, which "+
+			"count its restorations..")
 	EventShareChanged = register(1810, logrus.InfoLevel, "share of a prepaid budget changed",
 		"The log accepted this VM's share of the budget. No action.")
 	EventShareDelayed = register(1812, logrus.WarnLevel, "shares cannot be written",
