--- a/internal/protocol/keyedlog/keyedlog.go
+++ b/internal/protocol/keyedlog/keyedlog.go
@@ -18,7 +18,8 @@
 var (
 	// ErrConflict reports a conditional append to a stream that ends at another offset. Nothing was appended.
 	ErrConflict = errors.New("stream does not end at the expected offset")
-	// ErrTrimmed reports a read of records that have expired. Newest returns those that were retained.
+	// ErrTrimmed reports a read of records that have expired, or from an offset of an earlier era. Newest returns
+	// the records that were retained.
 	ErrTrimmed = errors.New("records have expired")
 	// ErrUnavailable reports a call that was not executed.
 	ErrUnavailable = errors.New("log is unavailable")
@@ -64,7 +65,8 @@
 	End uint64
 }
 
-// Log is a log service. Its methods are safe for concurrent use. Read and Newest fail soon after the service
+// Log is a log service. It may be restored from a copy that is some seconds old, see OffsetIn. A conditional append whose
+// offset is of an earlier era is not executed, or reported as ErrOutcomeUnknown if that is not certain. Its methods are safe for concurrent use. Read and Newest fail soon after the service
 // has stopped sending. The time of a transfer depends on its size, so only the context limits it.
 type Log interface {
 	// Append appends the records atomically and returns the offset after them. Unless at is AnyOffset, it
--- a/internal/protocol/keyedlog/memory.go
+++ b/internal/protocol/keyedlog/memory.go
@@ -15,10 +15,62 @@
 	// the call prevents it (done is false); an error after it simulates a lost response (done is true).
 	FaultHook func(call string, s Stream, done bool) error
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era counts the restorations.
+	era     uint64
 	streams map[Stream]*memoryStream
 }
 
+// MemoryCopy is the content of a Memory at one time.
+type MemoryCopy struct{ streams map[Stream]*memoryStream }
+
+// Copy returns a copy of the log.
+func (m *Memory) Copy() MemoryCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return MemoryCopy{cloneStreams(m.streams)}
+}
+
+// Restore replaces the content by that of a copy. What was appended since is lost.
+func (m *Memory) Restore(c MemoryCopy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.streams = cloneStreams(c.streams)
+	m.era++
+}
+
+// CurrentEra returns the number of restorations so far.
+func (m *Memory) CurrentEra() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
+func cloneStreams(streams map[Stream]*memoryStream) map[Stream]*memoryStream {
+	out := make(map[Stream]*memoryStream, len(streams))
+	for name, s := range streams {
+		c := &memoryStream{
+			first: s.first, records: slices.Clone(s.records), newest: maps.Clone(s.newest),
+			producers: make(map[string]*memoryProducer, len(s.producers)),
+		}
+		for id, p := range s.producers {
+			c.producers[id] = &memoryProducer{epoch: p.epoch, sequence: p.sequence, ends: maps.Clone(p.ends)}
+		}
+		out[name] = c
+	}
+	return out
+}
+
+// inEra returns records with their offsets in the present era. The caller holds m.mu.
+func (m *Memory) inEra(records []Record) []Record {
+	out := slices.Clone(records)
+	for i := range out {
+		out[i].Offset = OffsetIn(m.era, out[i].Offset)
+	}
+	return out
+}
+
+// memoryStream holds the records of a stream with their positions as offsets.
 type memoryStream struct {
 	first     uint64
 	records   []Record
@@ -77,10 +129,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(stream)
-	if at != AnyOffset && at != s.end() {
+	if at != AnyOffset && at != OffsetIn(m.era, s.end()) {
 		return 0, ErrConflict
 	}
-	return s.add(records), nil
+	return OffsetIn(m.era, s.add(records)), nil
 }
 
 // AppendAs implements Log. The first append of an epoch may have any sequence number.
@@ -108,7 +160,7 @@
 		return 0, ErrFenced
 	default:
 		if end, repeated := producer.ends[p.Sequence]; repeated {
-			return end, nil
+			return OffsetIn(m.era, end), nil
 		}
 		if p.Sequence != producer.sequence+1 {
 			return 0, ErrFenced
@@ -117,7 +169,7 @@
 	producer.sequence = p.Sequence
 	producer.ends[p.Sequence] = s.add(records)
 	delete(producer.ends, p.Sequence-dedupWindow)
-	return s.end(), nil
+	return OffsetIn(m.era, s.end()), nil
 }
 
 func (s *memoryStream) add(records []Record) uint64 {
@@ -138,7 +190,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(stream)
-	if n := min(before, s.end()); n > s.first {
+	if n := min(Position(before), s.end()); n > s.first {
 		s.records = slices.Clone(s.records[n-s.first:])
 		s.first = n
 	}
@@ -152,11 +204,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(stream)
-	if from < s.first {
+	position, end := Position(from), OffsetIn(m.era, s.end())
+	if Era(from) != m.era || position < s.first || position > s.end() {
 		return Page{}, ErrTrimmed
 	}
-	from = min(from, s.end())
-	return Page{Records: slices.Clone(s.records[from-s.first:]), Next: s.end(), End: s.end()}, nil
+	return Page{Records: m.inEra(s.records[position-s.first:]), Next: end, End: end}, nil
 }
 
 // Newest implements Log.
@@ -167,5 +219,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(stream)
-	return Page{Records: slices.Collect(maps.Values(s.newest)), Next: s.end(), End: s.end()}, nil
+	end := OffsetIn(m.era, s.end())
+	return Page{Records: m.inEra(slices.Collect(maps.Values(s.newest))), Next: end, End: end}, nil
 }
