Read a log that was restored from an older copy

Cause: offsets were compared although a restored log gives them out again. The class: positions of two histories are compared as if they were of one.

A read from an earlier era is followed by a listing, and removals that the first listing shows are deferred, because what upstreams wrote is written again. An upstream process that was seen to drain or to leave stays so although the copy lists it as healthy, until it writes a later record. Reads of an earlier era prove no age of a heartbeat. Listings do not follow each other without a pause.

--- a/internal/coordination/heartbeat/clocks.go
+++ b/internal/coordination/heartbeat/clocks.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 )
 
 // Timestamp is a point in time, read from two clocks of a VM that are set independently.
@@ -108,7 +110,8 @@
 // time since the VM was booted. The result is negative if there is no such read.
 func (h readHistory) age(offset uint64, bootMillis int64) time.Duration {
 	for i := len(h) - 1; i >= 0; i-- {
-		if h[i].end <= offset {
+		// Reads of an earlier era prove nothing: the copy of the log may contain the record.
+		if h[i].end <= offset && keyedlog.Era(h[i].end) == keyedlog.Era(offset) {
 			return time.Duration(bootMillis-h[i].began) * time.Millisecond
 		}
 	}
@@ -123,9 +126,11 @@
 	switch {
 	case !p.known:
 		return -1
+	case keyedlog.Era(p.offset) != keyedlog.Era(offset):
+		return -1
 	case p.offset <= offset:
 		timestamp = p.record.Timestamp
-	case p.record.PreviousEnd != 0 && p.record.PreviousEnd <= offset+1:
+	case p.record.PreviousEnd != 0 && p.record.PreviousEnd <= offset+1 && keyedlog.Era(p.record.PreviousEnd) == keyedlog.Era(offset):
 		timestamp = p.record.Previous
 	}
 	if timestamp == (Timestamp{}) {
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -72,6 +72,8 @@
 	// next is the offset from which the stream is read next.
 	next   uint64
 	loaded bool
+	// listed is true if the last page is a listing.
+	listed bool
 	// behind is true if the last page did not reach the end of the stream.
 	behind bool
 	// lastResponse is the time of the log's last response, and zero before the first one.
@@ -101,7 +103,8 @@
 		if r.cfg.IntervalFunc != nil {
 			pause = r.cfg.IntervalFunc()
 		}
-		if err := r.poll(ctx); err != nil {
+		if err := r.poll(ctx); err != nil || r.lastWasListing() {
+			// Listings are large, so they must not follow each other without a pause.
 			pause = max(pause, retryDelay)
 		}
 		select {
@@ -139,7 +142,7 @@
 		r.noteFailure(err, r.cfg.Now().Sub(started))
 		return err
 	}
-	r.noteResponse(!listing && page.Next < page.End)
+	r.noteResponse(listing, !listing && page.Next < page.End)
 	if listing {
 		r.applyListing(page)
 	} else {
@@ -152,6 +155,12 @@
 	return nil
 }
 
+func (r *Replica) lastWasListing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
 func (r *Replica) read(ctx context.Context, next uint64, wait time.Duration) (keyedlog.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxCallTime+wait)
 	defer cancel()
@@ -189,11 +198,12 @@
 }
 
 // noteResponse logs the end of an outage. If the last response is old, it also starts the grace period
-// in which removals are deferred. behind says that the response did not reach the end of the stream.
-func (r *Replica) noteResponse(behind bool) {
+// in which removals are deferred. listed says that the response is a listing, behind that it did not reach the end of the
+// stream.
+func (r *Replica) noteResponse(listed, behind bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.behind = behind
+	r.listed, r.behind = listed, behind
 	now := r.cfg.Now()
 	if silence := now.Sub(r.lastResponse); !r.lastResponse.IsZero() && silence > removalGraceAfter+r.cfg.Wait {
 		r.graceUntil = now.Add(r.cfg.RemovalGrace)
@@ -214,13 +224,22 @@
 	r.lastResponse = now
 }
 
-// applyListing applies a listing, the newest record of each key. Keys that are missing from it were removed.
+// applyListing applies a listing, the newest record of each key. Keys that are missing from it were removed. In the first
+// listing after the log was restored, they may be missing only because their writers have not written them again, so
+// their removals are deferred.
 func (r *Replica) applyListing(page keyedlog.Page) {
 	listed := make(map[string]bool, len(page.Records))
 	for _, rec := range page.Records {
 		listed[rec.Key] = true
 	}
 	r.mu.Lock()
+	if r.loaded && keyedlog.Era(page.Next) > keyedlog.Era(r.next) {
+		r.graceUntil = r.cfg.Now().Add(r.cfg.RemovalGrace)
+		obs.EventRestoredStreamRead.Log(r.cfg.Logger, logrus.Fields{
+			"stream": r.cfg.Stream.Name, "era": keyedlog.Era(page.Next), "end": keyedlog.Position(page.Next), "offset": keyedlog.Position(r.next),
+			"records": len(page.Records), "known": len(r.records), "grace_ms": r.cfg.RemovalGrace.Milliseconds(),
+		})
+	}
 	if page.Next < r.next {
 		// The listing is older than what a peer or an earlier read has provided.
 		page.Next = r.next
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -80,7 +80,8 @@
 	DecodeConfig func(data []byte) (*catalogue.Snapshot, error)
 	// UpstreamStream holds one record per upstream.
 	UpstreamStream keyedlog.Stream
-	DecodeUpstream func(key string, data []byte) (catalogue.Upstream, error)
+	// DecodeUpstream also returns the revision of the record, which rises with each one that the upstream writes.
+	DecodeUpstream func(key string, data []byte) (u catalogue.Upstream, revision uint64, err error)
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 }
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
@@ -12,11 +14,14 @@
 	configOffset uint64
 	config       *catalogue.Snapshot
 	upstreams    map[string]decodedUpstream
+	retired      retiredUpstreams
 }
 
 type decodedUpstream struct {
 	offset   uint64
 	upstream catalogue.Upstream
+	// revision is that of the record, see GatewayDeps.DecodeUpstream.
+	revision uint64
 	valid    bool
 }
 
@@ -92,18 +97,21 @@
 			next[key] = previous
 			continue
 		}
-		u, err := g.deps.DecodeUpstream(key, rec.Value)
+		u, revision, err := g.deps.DecodeUpstream(key, rec.Value)
 		if err != nil && (!ok || previous.valid) {
 			obs.EventRecordMalformed.Log(g.logger, logrus.Fields{
 				"stream": g.deps.UpstreamStream.Name, "key": key, "offset": rec.Offset, "error": err.Error(),
 			})
 		}
-		next[key] = decodedUpstream{offset: rec.Offset, upstream: u, valid: err == nil}
-		if !ok || previous.valid != (err == nil) || !sameUpstream(previous.upstream, u) {
+		decoded := decodedUpstream{offset: rec.Offset, upstream: u, revision: revision, valid: err == nil}
+		g.decoded.retired.apply(&decoded)
+		next[key] = decoded
+		if !ok || previous.valid != decoded.valid || !sameUpstream(previous.upstream, decoded.upstream) {
 			changed = true
-			g.logUpstreamChange(u, err == nil, rec.Offset)
+			g.logUpstreamChange(decoded.upstream, decoded.valid, rec.Offset)
 		}
 	}
+	g.decoded.retired.note(g.decoded.upstreams, next, time.Now())
 	for key, previous := range g.decoded.upstreams {
 		if _, ok := next[key]; !ok {
 			changed = true
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -24,6 +24,9 @@
 	EventLogRestored = register(1807, logrus.WarnLevel, "log was restored from an older copy",
 		"What was written since the copy is lost, and offsets are given out again. The fields are the eras of the log, which "+
 			"count its restorations..")
+	EventRestoredStreamRead = register(1808, logrus.InfoLevel, "restored log stream was listed",
+		"The stream ended at \"offset\" when it was last read, and ends at \"end\" in the copy. Removals of records that the "+
+			"copy lacks are deferred by \"grace_ms\". No action.")
 	EventShareChanged = register(1810, logrus.InfoLevel, "share of a prepaid budget changed",
 		"The log accepted this VM's share of the budget. No action.")
 	EventShareDelayed = register(1812, logrus.WarnLevel, "shares cannot be written",
