Ask for earlier share records several times after a restoration

A process that started right after the store's return asked only its seeds for the last record of its predecessor, because it knew no other router yet, and got 20,908 instead of 74,965 tokens.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -127,6 +127,8 @@
 	entry string
 	// others holds the records of the other VMs by VM.
 	others map[string]peerRecord
+	// superseded holds, for some time after the log was restored, the last records of earlier processes of the other VMs.
+	superseded map[string]shareRecord
 	// logged is this VM's latest record in the log.
 	logged shareRecord
 	// loggedEnd is the end of the stream after logged, and 0 if an earlier process wrote it.
@@ -176,7 +178,7 @@
 }
 
 func newAccount(entry string) *account {
-	return &account{entry: entry, others: make(map[string]peerRecord)}
+	return &account{entry: entry, others: make(map[string]peerRecord), superseded: make(map[string]shareRecord)}
 }
 
 // spendLimits are the fields of a shareRecord that limit how much of the share may be used.
--- a/internal/coordination/prepaid/apply.go
+++ b/internal/coordination/prepaid/apply.go
@@ -22,6 +22,8 @@
 	now := p.cfg.Now()
 	if era := keyedlog.Era(page.Next); !p.everLoaded || era > p.era() {
 		p.enterEra(era, now)
+	} else if now.Sub(p.enteredAt) > reassertTimeout {
+		p.forgetSuperseded()
 	}
 	for _, rec := range page.Records {
 		p.applyRecord(rec, now)
@@ -62,9 +64,14 @@
 	a := p.account(entry)
 	switch {
 	case vm != p.cfg.VM:
-		if known, ok := a.others[vm]; !ok || !ofCopy(rec, share, known.shareRecord, known.offset) {
-			a.others[vm] = peerRecord{share, now, rec.Offset}
+		known, ok := a.others[vm]
+		if ok && ofCopy(rec, share, known.shareRecord, known.offset) {
+			return
 		}
+		if ok && known.outdated(p.era()) && known.Process != share.Process {
+			a.superseded[vm] = known.shareRecord
+		}
+		a.others[vm] = peerRecord{share, now, rec.Offset}
 	case share.Process == string(p.cfg.Process):
 		if rec.Offset >= a.loggedEnd && !ofCopy(rec, share, a.logged, a.loggedEnd) {
 			p.applyOwnRecord(a, share, rec.Offset)
--- a/internal/coordination/prepaid/restored.go
+++ b/internal/coordination/prepaid/restored.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,8 +27,11 @@
 	// estimated what they may have spent without a record. lostDemandFactor allows for a growing demand.
 	lostTime         = 12 * time.Second
 	lostDemandFactor = 2
-	// recallTimeout bounds the time to ask the other VMs.
-	recallTimeout = 600 * time.Millisecond
+	// recallRounds is how often the other VMs are asked, recallInterval the time between two rounds, and recallTimeout the
+	// bound of one. At first a new process knows only some of them, and those may not have read what was lost.
+	recallRounds   = 4
+	recallInterval = 300 * time.Millisecond
+	recallTimeout  = 250 * time.Millisecond
 )
 
 // era is the era of the log up to which the stream was read. The caller holds p.mu.
@@ -124,12 +126,15 @@
 	}
 	p.recalled = true
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
-		defer cancel()
-		for _, shares := range p.cfg.Peers.Recall(ctx) {
-			p.applyRecalled(shares)
+		for range recallRounds {
+			ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+			for _, shares := range p.cfg.Peers.Recall(ctx) {
+				p.applyRecalled(shares)
+			}
+			cancel()
+			p.wake()
+			time.Sleep(recallInterval)
 		}
-		p.wake()
 	}()
 }
 
@@ -155,18 +160,26 @@
 	}
 }
 
-// SharesOf returns the latest records of another VM that this VM knows, by entry, for Peers.Recall.
+// forgetSuperseded ends the time in which new processes ask for the records. The caller holds p.mu.
+func (p *partition) forgetSuperseded() {
+	for _, a := range p.accounts {
+		clear(a.superseded)
+	}
+}
+
+// SharesOf returns the latest records of another VM that this VM knows, by entry, for Peers.Recall. If the VM's process
+// was replaced after the log was restored, they are those of the process before.
 func (m *Manager) SharesOf(vm string) map[string][]byte {
 	out := make(map[string][]byte)
 	for _, p := range m.partitions {
 		p.mu.Lock()
 		for entry, a := range p.accounts {
-			r, ok := a.others[vm]
+			share, ok := a.superseded[vm]
 			if !ok {
-				continue
+				share = a.others[vm].shareRecord
 			}
-			if value, err := cbor.Marshal(r.shareRecord); err == nil { // a struct of numbers is always encoded
-				out[strings.Clone(entry)] = value
+			if value, err := cbor.Marshal(share); err == nil && share.Process != "" { // such a struct is always encoded
+				out[entry] = value
 			}
 		}
 		p.mu.Unlock()
--- a/internal/coordination/prepaid/restored_test.go
+++ b/internal/coordination/prepaid/restored_test.go
@@ -111,3 +111,37 @@
 		m.check()
 	})
 }
+
+// Guards against a process that counts less than its predecessor was granted, because the log was restored from a copy
+// that lacks the predecessor's last record, although another VM has read it, and although the process has replaced it
+// in the log before it asks.
+func TestRecallsLaterShareOfPredecessor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		first, second := m.vms[0], m.vms[1]
+		amount := rapid.Int64Range(3_000, 25_000).Draw(t, "amount")
+		m.reserve(first, 500)
+		copied := m.memory.Copy()
+		m.now = m.now.Add(time.Second)
+		m.reserve(first, amount)
+		m.now = m.now.Add(maxRecordAge + idleMaxRecordAge)
+		_ = second.m.partitions[0].sync(context.Background(), false) // reads the share of the first VM
+		m.memory.Restore(copied)
+		m.crash(first)
+		for range 3 { // the first report after the restoration may be fenced
+			for _, vm := range []*modelVM{first, second} {
+				_ = vm.m.partitions[0].sync(context.Background(), false)
+			}
+		}
+		p := first.m.partitions[0]
+		p.applyRecalled(second.m.SharesOf(first.name))
+		if counted := p.account(modelEntry).priorUsage; counted < 500+amount {
+			t.Fatalf("%d tokens counted as spent by the predecessor, which was granted at least %d", counted, 500+amount)
+		}
+		m.now = m.now.Add(time.Minute)
+		for _, vm := range m.vms {
+			m.reserveAll(vm)
+		}
+		m.check()
+	})
+}
