Stop using a log that was restored from an older copy in the own fleet

The routers of the product's own fleet noticed a restored log only while it was shorter than what they had read. When it had grown past that, they applied records of another history: configuration, shares, claims and orders.

The log service names its era, the stand-in too, and the client fails all calls once the era has risen. A router then acts as in an outage of the log. It does not repair the log: that takes a restart of all routers (docs/operations/log.md).

--- a/internal/protocol/logstream/logstream.go
+++ b/internal/protocol/logstream/logstream.go
@@ -19,6 +19,10 @@
 	ErrOutcomeUnknown = errors.New("append outcome unknown")
 	// ErrTrimmed reports a read before the first retained offset.
 	ErrTrimmed = errors.New("offset is older than the log's retention")
+	// ErrRestored reports that the log was restored from an older copy while this process ran. Records that the process
+	// has read or appended may be missing, and their offsets are given out again. It comes with ErrUnavailable, and no
+	// call succeeds before the process is restarted.
+	ErrRestored = errors.New("log was restored from an older copy")
 )
 
 // Record is one appended record. The offsets of each stream start at 1.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,45 @@
 	streams     map[string]*stream
 	faults      LogFaults
 	lateAppends []lateAppend
-	now         func() time.Time
+	// era counts the restorations.
+	era uint64
+	now func() time.Time
+}
+
+// LogCopy is the content of a Log at one time.
+type LogCopy struct{ streams map[string]*stream }
+
+// Copy returns a copy of the log.
+func (l *Log) Copy() LogCopy {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return LogCopy{cloneStreams(l.streams)}
+}
+
+// Restore replaces the content by that of a copy. What was appended since is lost, and the offsets are given out again.
+func (l *Log) Restore(c LogCopy) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.streams {
+		close(s.changed)
+	}
+	l.streams = cloneStreams(c.streams)
+	l.era++
+}
+
+// Era returns the number of restorations so far.
+func (l *Log) Era() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
+func cloneStreams(streams map[string]*stream) map[string]*stream {
+	out := make(map[string]*stream, len(streams))
+	for name, s := range streams {
+		out[name] = &stream{firstOffset: s.firstOffset, records: slices.Clone(s.records), changed: make(chan struct{})}
+	}
+	return out
 }
 
 // lateAppend is an append that takes effect later. Its caller got ErrOutcomeUnknown.
--- a/internal/standin/log_http.go
+++ b/internal/standin/log_http.go
@@ -26,6 +26,7 @@
 			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 			return
 		}
+		w.Header().Set(logclient.HeaderEra, strconv.FormatUint(l.Era(), 10))
 		offset, err := l.Append(req.Context(), p.ByName("name"), data)
 		if errors.Is(err, logstream.ErrOutcomeUnknown) {
 			abortConnection(w)
@@ -39,6 +40,7 @@
 		limit, _ := strconv.Atoi(q.Get("max"))
 		waitMS, _ := strconv.Atoi(q.Get("wait_ms"))
 		page, err := l.Read(req.Context(), p.ByName("name"), from, limit, time.Duration(waitMS)*time.Millisecond)
+		w.Header().Set(logclient.HeaderEra, strconv.FormatUint(l.Era(), 10))
 		writeResult(w, logclient.NewReadResponse(page), err)
 	})
 	r.PUT("/faults", func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
--- a/internal/transport/logclient/logclient.go
+++ b/internal/transport/logclient/logclient.go
@@ -11,7 +11,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,10 +69,46 @@
 	maxReadTime = 30 * time.Second
 )
 
-// Client implements logstream.Log over HTTP.
+// HeaderEra is set on the responses of the log service: how often it was restored from an older copy. A service without
+// the header is never restored.
+const HeaderEra = "X-Log-Era"
+
+// Client implements logstream.Log over HTTP. Once it has seen that the log was restored, all calls fail.
 type Client struct {
 	baseURL string
 	http    *http.Client
+
+	mu sync.Mutex
+	// era is that of the first response, valid if known. restored is true once a response had a later one.
+	era             uint64
+	known, restored bool
+}
+
+// errRestored is the error of all calls after the log was restored.
+var errRestored = errors.Mark(logstream.ErrRestored, logstream.ErrUnavailable)
+
+// checkEra fails if the response, which may be nil before a call, shows that the log was restored.
+func (c *Client) checkEra(resp *http.Response) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.restored {
+		return errRestored
+	}
+	if resp == nil {
+		return nil
+	}
+	era, err := strconv.ParseUint(resp.Header.Get(HeaderEra), 10, 64)
+	if err != nil {
+		return nil // an error response of an intermediary, or a service without eras
+	}
+	if !c.known {
+		c.era, c.known = era, true
+	}
+	if era > c.era {
+		c.restored = true
+		return errRestored
+	}
+	return nil
 }
 
 // New returns a client for the service at baseURL, such as http://127.0.0.1:7000.
@@ -81,6 +119,9 @@
 
 // Append implements logstream.Log.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if err := c.checkEra(nil); err != nil {
+		return 0, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.recordsURL(stream), bytes.NewReader(data))
@@ -95,6 +136,10 @@
 		return 0, errors.Mark(errors.Wrap(err, "append"), classifySendError(err))
 	}
 	defer resp.Body.Close()
+	if err := c.checkEra(resp); err != nil {
+		// The record may be in the restored log.
+		return 0, errors.Mark(logstream.ErrRestored, logstream.ErrOutcomeUnknown)
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return 0, errors.Mark(statusError(resp), logstream.ErrUnavailable)
 	}
@@ -126,6 +171,9 @@
 
 // Read implements logstream.Log.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
+	if err := c.checkEra(nil); err != nil {
+		return logstream.Page{}, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxReadTime+wait)
 	defer cancel()
 	u := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", c.recordsURL(stream), from, limit, wait.Milliseconds())
@@ -142,6 +190,9 @@
 		return logstream.Page{}, errors.Mark(errors.Wrap(err, "read"), logstream.ErrUnavailable)
 	}
 	defer resp.Body.Close()
+	if err := c.checkEra(resp); err != nil {
+		return logstream.Page{}, err
+	}
 	if resp.StatusCode == http.StatusGone {
 		return logstream.Page{}, errors.Mark(statusError(resp), logstream.ErrTrimmed)
 	}
