Ask for earlier share records once per process

Each of 24 partitions asked all routers four times, which is 7,800 calls of a restarted router in a fleet of 81. One recall per process now, of 16 routers at a time. A recalled record is not replaced by the older one of the log.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -24,48 +24,6 @@
 	"time"
 )
 
-// shareRecord is a VM's record of its share of one budget. All amounts are in tokens and cover the
-// whole life of the budget.
-type shareRecord struct {
-	// Process is the process that wrote the record.
-	Process string `cbor:"1,keyasint"`
-	Granted int64  `cbor:"2,keyasint"`
-	// Spent includes Stranded.
-	Spent int64 `cbor:"3,keyasint"`
-	// InFlight is the sum of the upper bounds of the running requests.
-	InFlight int64 `cbor:"4,keyasint,omitempty"`
-	// Stranded is what earlier processes of the VM were granted and did not report as spent.
-	Stranded int64 `cbor:"5,keyasint,omitempty"`
-	// Demand is in tokens per second.
-	Demand int64 `cbor:"6,keyasint,omitempty"`
-	// BaseLimit is how much of Granted may be used without a heartbeat gap, and RampRate the tokens
-	// per second that a gap adds to it.
-	BaseLimit int64 `cbor:"7,keyasint"`
-	RampRate  int64 `cbor:"10,keyasint,omitempty"`
-	// Lent is the part of Spent that was lent to other VMs, and BorrowedSpent what this VM has spent
-	// of its loans from others.
-	Lent          int64 `cbor:"8,keyasint,omitempty"`
-	BorrowedSpent int64 `cbor:"9,keyasint,omitempty"`
-	// Era is one more than the era of the log in which the record was written, and 0 in records of routers that did
-	// not state it. Revision numbers the records of the process.
-	Era      uint64 `cbor:"11,keyasint,omitempty"`
-	Revision uint64 `cbor:"12,keyasint,omitempty"`
-}
-
-// outdated reports whether the log was restored from an older copy after the record was written. The copy may lack later
-// records of its VM.
-func (r shareRecord) outdated(era uint64) bool { return r.Era != 0 && r.Era <= era }
-
-// before reports whether another record of the VM was written later. The IDs of a VM's processes are in the order of
-// their starts.
-func (r shareRecord) before(other shareRecord) bool {
-	return r.Process < other.Process || r.Process == other.Process && r.Revision < other.Revision
-}
-
-// spentByRequests is what requests at the VM of the record have spent of the budget, as reported. The
-// loans of the running process count at the borrower.
-func (r shareRecord) spentByRequests() int64 { return r.Spent - r.Stranded - r.Lent + r.BorrowedSpent }
-
 // Policy holds the parameters that determine the sizes of shares and of their limits.
 type Policy struct {
 	// MaxHeadroomFraction bounds the sum of the target headrooms of all shares, as a fraction of the
@@ -114,14 +72,6 @@
 	}
 }
 
-// peerRecord is a record of another VM and when it was read.
-type peerRecord struct {
-	shareRecord
-	readAt time.Time
-	// offset is where it was read.
-	offset uint64
-}
-
 // account is the state of one budget on this VM.
 type account struct {
 	entry string
@@ -150,8 +100,11 @@
 	// predecessor is the record of the last earlier process. predecessorReleased is true once
 	// releaseUnspent has released what the predecessor cannot have spent.
 	predecessor         shareRecord
-	predecessorOffset   uint64
 	predecessorReleased bool
+	// predecessorOffset is where the record was read. predecessorRecalled is true if another VM knew it, and the log has
+	// an earlier one.
+	predecessorOffset   uint64
+	predecessorRecalled bool
 	// loggedAt is when the log last accepted a record.
 	loggedAt time.Time
 	// spent and reserved are those of this process; spent includes lent. borrowed is the sum of the
@@ -440,9 +393,6 @@
 	return names
 }
 
-// headroom is the part of the share that was neither spent nor reserved when the record was made.
-func (r shareRecord) headroom() int64 { return r.Granted - r.Spent - r.InFlight }
-
 // lend lends tokens for a request of another VM: the amount, more if there is plenty, or what is
 // available if that is at least minLoan. It returns the lent amount.
 func (a *account) lend(amount int64, gap time.Duration, p Policy) int64 {
--- a/internal/coordination/prepaid/apply.go
+++ b/internal/coordination/prepaid/apply.go
@@ -76,7 +76,9 @@
 		if rec.Offset >= a.loggedEnd && !ofCopy(rec, share, a.logged, a.loggedEnd) {
 			p.applyOwnRecord(a, share, rec.Offset)
 		}
-	case ofCopy(rec, share, a.logged, max(a.loggedEnd, a.predecessorOffset)):
+	case ofCopy(rec, share, a.logged, max(a.loggedEnd, a.predecessorOffset)),
+		a.predecessorRecalled && share.before(a.predecessor):
+		// A later record is known.
 	default:
 		a.predecessorOffset = rec.Offset
 		p.setPredecessor(a, share)
@@ -85,9 +87,10 @@
 			a.releaseUnspent(gap, usage[entry], p.cfg.Policy)
 		}
 		obs.EventShareCountedSpent.Log(p.cfg.Logger, logrus.Fields{
-			"outdated": share.outdated(p.era()), "entry": entry, "process": share.Process, "offset": rec.Offset, "granted": share.Granted, "spent": share.Spent,
+			"entry": entry, "process": share.Process, "offset": rec.Offset, "granted": share.Granted, "spent": share.Spent,
 			"in_flight": share.InFlight, "open": share.BaseLimit, "ramp": share.RampRate,
 			"stranded": a.priorUsage - share.Spent, "proven": proven, "gap_ms": gap.Milliseconds(),
+			"outdated": share.outdated(p.era()),
 		})
 	}
 }
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -71,6 +71,8 @@
 type Manager struct {
 	cfg        Config
 	partitions []*partition
+	// recallOnce starts the recall of earlier records.
+	recallOnce sync.Once
 }
 
 // partition is one stream and the budgets in it.
@@ -108,8 +110,6 @@
 	pendingReport []plannedRecord
 	// mayBeAppended is true once the pending report may have taken effect.
 	mayBeAppended bool
-	// recalled is true once the other VMs were asked for later records of this VM.
-	recalled bool
 	// fenced is true from the time when a report was fenced until the stream has been read again.
 	fenced bool
 }
--- a/internal/coordination/prepaid/restored.go
+++ b/internal/coordination/prepaid/restored.go
@@ -109,7 +109,7 @@
 	}
 	prepaid, _ := p.cfg.Prepaid(a.entry)
 	a.strandMore(min(share.lostSpending(), max(0, prepaid-a.totalGranted())))
-	p.startRecall()
+	p.manager.startRecall()
 }
 
 // strandMore counts more than the predecessor's share as spent.
@@ -119,45 +119,46 @@
 	a.priorUsage += amount
 }
 
-// startRecall asks the other VMs, once per process and partition, for later records of this VM. The caller holds p.mu.
-func (p *partition) startRecall() {
-	if p.recalled || p.cfg.Peers == nil {
+// startRecall asks the other VMs, once per process, for later records of this VM.
+func (m *Manager) startRecall() {
+	if m.cfg.Peers == nil {
 		return
 	}
-	p.recalled = true
-	go func() {
-		for range recallRounds {
-			ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
-			for _, shares := range p.cfg.Peers.Recall(ctx) {
-				p.applyRecalled(shares)
+	m.recallOnce.Do(func() { go m.recall() })
+}
+
+func (m *Manager) recall() {
+	for range recallRounds {
+		ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+		for _, shares := range m.cfg.Peers.Recall(ctx) {
+			for entry, value := range shares {
+				m.partitionOf(entry).applyRecalled(entry, value)
 			}
-			cancel()
-			p.wake()
-			time.Sleep(recallInterval)
 		}
-	}()
+		cancel()
+		time.Sleep(recallInterval)
+	}
 }
 
-// applyRecalled applies the records of this VM's earlier processes that another VM knows.
-func (p *partition) applyRecalled(shares map[string][]byte) {
+// applyRecalled applies the record of an earlier process of this VM that another VM knows.
+func (p *partition) applyRecalled(entry string, value []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for entry, value := range shares {
-		var share shareRecord
-		if p.manager.partitionOf(entry) != p || !p.decode(keyedlog.Record{Key: entry, Value: value}, &share) {
-			continue
-		}
-		a := p.account(entry)
-		if share.Process == string(p.cfg.Process) || !a.predecessor.before(share) {
-			continue
-		}
-		obs.EventShareRecalled.Log(p.cfg.Logger, logrus.Fields{
-			"entry": entry, "process": share.Process, "granted": share.Granted, "spent": share.Spent,
-			"before": a.predecessor.Granted, "counted": a.priorUsage,
-		})
-		a.predecessor = share
-		a.strandMore(max(0, share.Granted-a.priorUsage))
+	var share shareRecord
+	if !p.everLoaded || !p.decode(keyedlog.Record{Key: entry, Value: value}, &share) {
+		return
+	}
+	a := p.account(entry)
+	if share.Process == string(p.cfg.Process) || !a.predecessor.before(share) {
+		return
 	}
+	obs.EventShareRecalled.Log(p.cfg.Logger, logrus.Fields{
+		"entry": entry, "process": share.Process, "granted": share.Granted, "spent": share.Spent,
+		"before": a.predecessor.Granted, "counted": a.priorUsage,
+	})
+	a.predecessor, a.predecessorRecalled = share, true
+	a.strandMore(max(0, share.Granted-a.priorUsage))
+	p.wake()
 }
 
 // forgetSuperseded ends the time in which new processes ask for the records. The caller holds p.mu.
--- a/internal/coordination/prepaid/restored_test.go
+++ b/internal/coordination/prepaid/restored_test.go
@@ -134,7 +134,9 @@
 			}
 		}
 		p := first.m.partitions[0]
-		p.applyRecalled(second.m.SharesOf(first.name))
+		for entry, value := range second.m.SharesOf(first.name) {
+			p.applyRecalled(entry, value)
+		}
 		if counted := p.account(modelEntry).priorUsage; counted < 500+amount {
 			t.Fatalf("%d tokens counted as spent by the predecessor, which was granted at least %d", counted, 500+amount)
 		}
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -81,11 +81,11 @@
 
 // queryAges asks the other routers for the age of the heartbeat at an offset.
 func (p *gatewayPeers) queryAges(ctx context.Context, offset uint64) []heartbeat.AgeBounds {
-	return queryPeers[heartbeat.AgeBounds](ctx, p, methodAge, ageRequest{Offset: offset})
+	return queryPeers[heartbeat.AgeBounds](ctx, p, maxAgeQueries, methodAge, ageRequest{Offset: offset})
 }
 
-// queryPeers calls a method of the other routers and returns the results of those that respond.
-func queryPeers[R any](ctx context.Context, p *gatewayPeers, method string, request any) []R {
+// queryPeers calls a method of up to limit other routers and returns the results of those that respond.
+func queryPeers[R any](ctx context.Context, p *gatewayPeers, limit int, method string, request any) []R {
 	if p.pool == nil {
 		return nil
 	}
@@ -94,7 +94,7 @@
 		results []R
 		queries sync.WaitGroup
 	)
-	for _, address := range p.randomPeers(maxPeerQueries) {
+	for _, address := range p.randomPeers(limit) {
 		queries.Go(func() {
 			var result R
 			if err := p.pool.Call(ctx, address, method, request, &result); err != nil {
@@ -109,8 +109,13 @@
 	return results
 }
 
-// maxPeerQueries limits the routers that a query is sent to.
-const maxPeerQueries = 400
+const (
+	// maxAgeQueries limits the routers that are asked for the age of a heartbeat.
+	maxAgeQueries = 400
+	// maxRecallQueries limits the routers that are asked for earlier records at a time. Routers that use a budget read
+	// the records of the others every few seconds.
+	maxRecallQueries = 16
+)
 
 // Borrow implements prepaid.Peers. It asks one lender after the other, so that no more is lent than needed.
 func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []prepaid.Loan) {
@@ -135,7 +140,7 @@
 
 // Recall implements prepaid.Peers.
 func (p *gatewayPeers) Recall(ctx context.Context) []map[string][]byte {
-	return queryPeers[map[string][]byte](ctx, p, methodRecall, struct{}{})
+	return queryPeers[map[string][]byte](ctx, p, maxRecallQueries, methodRecall, struct{}{})
 }
 
 // Repay implements prepaid.Peers. A lender is identified by its address.
