Use an upstream again that is written late after a restoration

Found by reading the change. An upstream that the copy lacks, and that is written again later than removals are deferred, unchanged, stayed retired: its removal counted as one of the era before. It counts with the era in which it was seen.

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -130,8 +130,7 @@
 func New(cfg Config) *Monitor {
 	m := &Monitor{
 		cfg: cfg, startTimestamp: cfg.Timestamp(), started: cfg.Now(), members: make(map[string]member), left: make(map[string]uint64), live: 1,
-		silent:      make(map[string]time.Time),
-		predecessor: predecessor{provenCh: make(chan struct{})},
+		silent: make(map[string]time.Time), predecessor: predecessor{provenCh: make(chan struct{})},
 	}
 	m.replica = replica.New(replica.Config{
 		Log: cfg.Log, Stream: cfg.Stream, Interval: cfg.Interval, Now: cfg.Now, OnChange: m.update, Logger: cfg.Logger,
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
@@ -111,7 +112,7 @@
 			g.logUpstreamChange(decoded.upstream, decoded.valid, rec.Offset)
 		}
 	}
-	g.decoded.retired.note(g.decoded.upstreams, next, time.Now())
+	g.decoded.retired.note(g.decoded.upstreams, next, keyedlog.Era(g.upstreams.Next()), time.Now())
 	for key, previous := range g.decoded.upstreams {
 		if _, ok := next[key]; !ok {
 			changed = true
--- a/internal/daemon/retired_upstreams.go
+++ b/internal/daemon/retired_upstreams.go
@@ -16,8 +16,8 @@
 type retiredUpstreams map[string]retiredUpstream
 
 type retiredUpstream struct {
-	// offset and revision are those of the last record.
-	offset, revision uint64
+	// era is that of the log when the upstream was seen to retire, and revision that of its last record.
+	era, revision uint64
 	// gone is true if the record was removed, and false if the upstream is draining.
 	gone bool
 	at   time.Time
@@ -27,7 +27,7 @@
 // higher revision was written since, so that it counts.
 func (r retiredUpstreams) apply(d *decodedUpstream) {
 	known, ok := r[d.upstream.Name]
-	if !ok || !d.valid || keyedlog.Era(d.offset) <= keyedlog.Era(known.offset) || d.revision > known.revision {
+	if !ok || !d.valid || keyedlog.Era(d.offset) <= known.era || d.revision > known.revision {
 		return
 	}
 	if known.gone {
@@ -36,8 +36,9 @@
 	d.upstream.Draining = true
 }
 
-// note remembers the upstreams that are draining in the next records, or missing from them.
-func (r *retiredUpstreams) note(previous, next map[string]decodedUpstream, now time.Time) {
+// note remembers the upstreams that are draining in the next records, which are of the given era of the log, or missing
+// from them.
+func (r *retiredUpstreams) note(previous, next map[string]decodedUpstream, era uint64, now time.Time) {
 	if *r == nil {
 		*r = make(retiredUpstreams)
 	}
@@ -50,14 +51,14 @@
 		known, ok := (*r)[d.upstream.Name]
 		switch {
 		case d.upstream.Draining && (!ok || known.revision < d.revision):
-			(*r)[d.upstream.Name] = retiredUpstream{d.offset, d.revision, false, now}
+			(*r)[d.upstream.Name] = retiredUpstream{keyedlog.Era(d.offset), d.revision, false, now}
 		case !d.upstream.Draining:
 			delete(*r, d.upstream.Name)
 		}
 	}
 	for _, d := range previous {
 		if d.valid && !listed[d.upstream.Name] {
-			(*r)[d.upstream.Name] = retiredUpstream{d.offset, d.revision, true, now}
+			(*r)[d.upstream.Name] = retiredUpstream{era, d.revision, true, now}
 		}
 	}
 	maps.DeleteFunc(*r, func(_ string, u retiredUpstream) bool { return now.Sub(u.at) > retiredRetention })
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -23,7 +23,7 @@
 			"not renew them come back within the grace period. No action.")
 	EventLogRestored = register(1807, logrus.WarnLevel, "log was restored from an older copy",
 		"What was written since the copy is lost, and offsets are given out again. The fields are the eras of the log, which "+
-			"count its restorations..")
+			"count its restorations. No action.")
 	EventRestoredStreamRead = register(1808, logrus.InfoLevel, "restored log stream was listed",
 		"The stream ended at \"offset\" when it was last read, and ends at \"end\" in the copy. Removals of records that the "+
 			"copy lacks are deferred by \"grace_ms\". No action.")
--- a/internal/protocol/keyedlog/keyedlog.go
+++ b/internal/protocol/keyedlog/keyedlog.go
@@ -65,9 +65,12 @@
 	End uint64
 }
 
-// Log is a log service. It may be restored from a copy that is some seconds old, see OffsetIn. A conditional append whose
-// offset is of an earlier era is not executed, or reported as ErrOutcomeUnknown if that is not certain. Its methods are safe for concurrent use. Read and Newest fail soon after the service
-// has stopped sending. The time of a transfer depends on its size, so only the context limits it.
+// Log is a log service. It may be restored from a copy that is some seconds old, see OffsetIn. A conditional
+// append whose offset is of an earlier era is not executed, or reported as ErrOutcomeUnknown if that is not
+// certain.
+//
+// The methods are safe for concurrent use. Read and Newest fail soon after the service has stopped sending. The
+// time of a transfer depends on its size, so only the context limits it.
 type Log interface {
 	// Append appends the records atomically and returns the offset after them. Unless at is AnyOffset, it
 	// appends them only if the stream ends at offset at.
