--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -257,9 +257,8 @@
 	r.endExcessEjections()
 }
 
-// handleRestart begins a new incarnation: the draining response, the request limit and the cache of the old one no
-// longer count.
-// The first report of an upstream is not a restart.
+// handleRestart begins a new incarnation: the draining response, the request limit and the cache of the old one
+// no longer count. The first report of an upstream is not a restart.
 func (r *Router) handleRestart(s *upstreamState, now time.Time) {
 	if s.measuredAt.IsZero() {
 		return
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -138,11 +138,17 @@
 	if c.OnRequestLimit == nil || errors.Is(err, ErrMismatch) {
 		return
 	}
-	limit, parseErr := strconv.ParseFloat(resp.Header.Get(chat.HeaderRequestLimit), 64)
-	if parseErr != nil || !(limit > 0) || math.IsInf(limit, 1) {
-		limit = 0 // as without the header
+	c.OnRequestLimit(ParseRequestLimit(resp.Header.Get(chat.HeaderRequestLimit)), err == nil)
+}
+
+// ParseRequestLimit parses the request limit in a header, in requests per second. It returns 0, as without the header,
+// if the text is not a positive number.
+func ParseRequestLimit(text string) float64 {
+	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(limit > 0) || math.IsInf(limit, 1) {
+		return 0
 	}
-	c.OnRequestLimit(limit, err == nil)
+	return limit
 }
 
 // Completion is a complete, non-streamed chat completion. Body is forwarded to the caller unchanged.
