Keep to what upstreams say of themselves: leaving processes and pauses

Cause: Server-Leaving and the Retry-After of an upstream's 503 were read nowhere, so a router whose listing was late went on to send requests to a process that leaves, and repeated requests to one that sheds load. Ruled out: telling the other routers of the platform (195 messages per router and upstream; the listing does it). A pause excludes the upstream until it ends; if all have asked for one, callers are refused with the time until the first ends. The own fleet reads X-Leaving from all answers and Retry-After from 429 and 503.

--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -145,7 +145,9 @@
 		r.eject(s, unreachableEjection, now)
 	case ResultDraining:
 		s.gotDrainingResponse = true
-		r.markDraining(s)
+		if !s.notice.leaving {
+			r.markDraining(s)
+		}
 	}
 }
 
@@ -218,6 +220,7 @@
 	ChangeCrashed
 	ChangeQuarantined
 	ChangeRequestLimit
+	ChangePaused
 )
 
 // Change describes an event at an upstream that is reported to the operator.
@@ -229,6 +232,8 @@
 	// PerSecond and Previous are set for ChangeRequestLimit: the limit in requests per second, and the one before; 0
 	// means none.
 	PerSecond, Previous float64
+	// Pause is set for ChangePaused.
+	Pause time.Duration
 	// Reported is true if another router observed the change.
 	Reported bool
 }
--- a/internal/coordination/routing/notify.go
+++ b/internal/coordination/routing/notify.go
@@ -26,6 +26,10 @@
 			obs.RequestLimitChangesTotal.Add(1)
 			fields["per_second"], fields["before"], fields["reported"] = c.PerSecond, c.Previous, c.Reported
 			obs.EventRequestLimitChanged.Log(logger, fields)
+		case ChangePaused:
+			obs.UpstreamPausesTotal.Add(1)
+			fields["pause_ms"] = c.Pause.Milliseconds()
+			obs.EventUpstreamPaused.Log(logger, fields)
 		}
 	}
 }
--- a/internal/coordination/routing/outlier.go
+++ b/internal/coordination/routing/outlier.go
@@ -8,7 +8,9 @@
 }
 
 // available reports whether an upstream may take any number of requests when it is not ejected.
-func (s *upstreamState) available(now time.Time) bool { return !s.draining(now) && !s.limit.active() }
+func (s *upstreamState) available(now time.Time) bool {
+	return !s.draining(now) && !s.limit.active() && s.notice.pauseLeft(now) == 0
+}
 
 // counts returns the number of available upstreams, and how many of them are ejected.
 func (p *pool) counts(now time.Time) (members, ejected int) {
--- a/internal/coordination/routing/prompt.go
+++ b/internal/coordination/routing/prompt.go
@@ -37,7 +37,7 @@
 }
 
 // preferredUpstream returns the upstream that all routers prefer for the shared part of a prompt. It uses
-// rendezvous hashing over the upstreams in use. Limited ones accept too few requests to be preferred.
+// rendezvous hashing over the upstreams in use. Limited and paused ones accept too few requests to be preferred.
 func (r *Router) preferredUpstream(req *Request, all []*upstreamState, now time.Time) (preferred *upstreamState) {
 	if req.SharedBlocks == 0 {
 		return nil
@@ -45,7 +45,7 @@
 	key := req.PrefixHashes[req.SharedBlocks-1]
 	highest := uint64(0)
 	for _, s := range all {
-		if s.draining(now) || s.ejected(now) || s.limit.active() {
+		if !s.available(now) || s.ejected(now) {
 			continue
 		}
 		if rank := mix(key ^ s.nameHash); preferred == nil || rank > highest {
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -165,7 +165,9 @@
 	mu     sync.Mutex
 	byName map[string]*upstreamState
 	// limits holds the request limits by upstream. They outlive the upstream's removal from the configuration.
-	limits      map[string]*requestLimit
+	limits map[string]*requestLimit
+	// notices holds what upstreams have said about themselves. They outlive the upstream's removal too.
+	notices     map[string]*notice
 	pools       map[string]*pool
 	prefix      *prefixIndex
 	byCacheID   map[cacheID]*upstreamState
@@ -181,7 +183,8 @@
 func New(cfg Config) *Router {
 	cfg = cfg.withDefaults()
 	return &Router{
-		cfg: cfg, byName: make(map[string]*upstreamState), limits: make(map[string]*requestLimit), pools: make(map[string]*pool),
+		cfg: cfg, byName: make(map[string]*upstreamState), limits: make(map[string]*requestLimit),
+		notices: make(map[string]*notice), pools: make(map[string]*pool),
 		prefix: newPrefixIndex(cfg.MaxPrefixBlocks), byCacheID: make(map[cacheID]*upstreamState),
 		cachedBlocks: make(map[cacheID]int),
 	}
@@ -204,6 +207,7 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	r.pruneLimits(now)
+	r.pruneNotices(now)
 	for _, s := range r.byName {
 		s.inConfig = false
 	}
@@ -213,6 +217,7 @@
 		if s == nil {
 			s = &upstreamState{
 				attempts: make(map[*Attempt]struct{}), nameHash: xxhash.Sum64String(u.Name), limit: r.limitOf(u.Name),
+				notice: r.noticeOf(u.Name),
 			}
 			r.byName[u.Name] = s
 			r.assignCacheID(s)
@@ -283,7 +288,7 @@
 	now := r.cfg.Now()
 	total := 0.0
 	for _, s := range r.upstreamsFor(&Request{Model: model, Service: service}) {
-		if s.draining(now) || s.ejected(now) {
+		if s.draining(now) || s.ejected(now) || s.notice.pauseLeft(now) > 0 {
 			continue
 		}
 		n := s.concurrency(now)
@@ -358,11 +363,20 @@
 	}
 	routers := max(1, r.cfg.Routers())
 	lowest := 0.0
+	pauseLeft, allPaused := time.Duration(math.MaxInt64), true
 	// The scan starts at random, so that upstreams with equal scores get equal numbers of requests.
 	offset := r.cfg.Rand.IntN(len(all))
 	for i := range all {
 		s := all[(i+offset)%len(all)]
-		if s.draining(now) || s.ejected(now) || !s.serves(req) || slices.Contains(req.Exclude, s.upstream.Name) {
+		if s.draining(now) || !s.serves(req) {
+			continue
+		}
+		if left := s.notice.pauseLeft(now); left > 0 {
+			pauseLeft = min(pauseLeft, left)
+			continue
+		}
+		allPaused = false
+		if s.ejected(now) || slices.Contains(req.Exclude, s.upstream.Name) {
 			continue
 		}
 		if suspect && s.suspects > 0 {
@@ -381,6 +395,13 @@
 			best, lowest = s, score
 		}
 	}
+	switch {
+	case pauseLeft == math.MaxInt64:
+	case allPaused:
+		none.RetryAfter = max(pauseLeft, minLimitRetryAfter)
+	default:
+		none.RetryAfter = min(none.RetryAfter, max(pauseLeft, minLimitRetryAfter))
+	}
 	return best, none
 }
 
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -109,6 +109,7 @@
 	outstanding int
 	suspects    int
 	limit       *requestLimit
+	notice      *notice
 	attempts    map[*Attempt]struct{}
 
 	report     Report
@@ -208,7 +209,7 @@
 
 // draining reports whether any source says that the upstream takes no new requests.
 func (s *upstreamState) draining(now time.Time) bool {
-	if !s.inConfig || s.listedDraining || s.report.Draining {
+	if !s.inConfig || s.listedDraining || s.report.Draining || s.notice.leaving {
 		return true
 	}
 	return !s.drainingResponseAt.IsZero() && now.Sub(s.drainingResponseAt) < drainingResponseTTL
@@ -257,13 +258,14 @@
 	r.endExcessEjections()
 }
 
-// handleRestart begins a new incarnation: the draining response, the request limit and the cache of the old one
-// no longer count. The first report of an upstream is not a restart.
+// handleRestart begins a new incarnation: what the old one said about itself, its request limit and its cache no
+// longer count. The first report of an upstream is not a restart.
 func (r *Router) handleRestart(s *upstreamState, now time.Time) {
 	if s.measuredAt.IsZero() {
 		return
 	}
 	s.drainingResponseAt, s.gotDrainingResponse = time.Time{}, false
+	*s.notice = notice{}
 	s.slowStartAt = now
 	r.setRequestLimit(s.upstream.Name, 0, now, false)
 	r.assignCacheID(s)
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -25,6 +25,11 @@
 	EventRequestLimitChanged = register(1509, logrus.InfoLevel, "upstream changed its request limit",
 		"It accepts at most \"per_second\" requests a second from all routers together; 0 means that it names no limit any more. "+
 			"If most upstreams of a service name limits, it lacks capacity.")
+	EventUpstreamPaused = register(1510, logrus.InfoLevel, "upstream asks for a pause",
+		"It turned a request away and wants no more from this router for \"pause_ms\". Other upstreams get the requests. If all "+
+			"upstreams of a service do so, callers are refused until the first pause ends: the service lacks capacity.")
+	EventPauseMalformed = register(1511, logrus.WarnLevel, "upstream asks for a pause that is no sound number",
+		"The field \"text\" has what it sent. The pause is ignored. Repair the upstream.")
 	EventPartTrial = register(1507, logrus.InfoLevel, "request with a quarantined part is let through",
 		"If its upstream crashes, the quarantine is renewed and lasts longer (1505). No action.")
 )
@@ -42,6 +47,10 @@
 	// the attempts sent to upstreams that name one.
 	RequestLimitChangesTotal = newMetric("request_limit_changes_total")
 	RequestsToLimitedTotal   = newMetric("requests_to_limited_upstreams_total")
+	// UpstreamPausesTotal counts the pauses that upstreams have asked for, and PausesMalformedTotal those that were
+	// ignored because they are no sound number.
+	UpstreamPausesTotal      = newMetric("upstream_pauses_total")
+	PausesMalformedTotal     = newMetric("upstream_pauses_malformed_total")
 	RequestsQuarantinedTotal = newMetric("requests_quarantined_total")
 	// PartsQuarantinedTotal counts quarantines of a part of requests, CrashesObservedTotal the requests of this
 	// router that were running when their upstream crashed.
--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -19,7 +19,8 @@
 // POST with the ID and body of a stream that the engine has kept attaches to it and does not run the request
 // again.
 
-// HeaderDraining is set by an upstream that refuses a request because it is draining and accepts no new work.
+// HeaderDraining is set on all responses of an upstream whose process leaves, also on those that refuse a request for
+// that reason.
 const HeaderDraining = "X-Leaving"
 
 // LoadReport is the response of an engine or a plain service to GET /v1/load.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -83,8 +83,10 @@
 	// A stream that is resumed after that event does not break.
 	Break   int `json:"break"`
 	BreakAt int `json:"break_at"`
-	// Draining is reported with the load. The engine still runs the requests that it gets.
+	// Draining is reported with the load and in all responses. The engine still runs the requests that it gets.
 	Draining bool `json:"leaving"`
+	// RefuseRetryAfter is the Retry-After of the completions that Refuse counts; empty means none.
+	RefuseRetryAfter string `json:"refuse_retry_after"`
 }
 
 // maxRuns is the largest number of runs that an engine keeps; it forgets the oldest first.
@@ -169,7 +171,14 @@
 	if e.RequestLimit > 0 {
 		w.Header().Set(chat.HeaderRequestLimit, strconv.FormatFloat(e.RequestLimit, 'f', -1, 64))
 	}
+	faults := e.currentFaults()
+	if faults.Draining {
+		w.Header().Set(chat.HeaderDraining, "1")
+	}
 	if e.consumeFault(func(f *EngineFaults) *int { return &f.Refuse }) {
+		if faults.RefuseRetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RefuseRetryAfter)
+		}
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
 	}
@@ -192,6 +201,12 @@
 	r.writeCompletion(w, httpReq)
 }
 
+func (e *Engine) currentFaults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 func echoHeaders(w http.ResponseWriter, httpReq *http.Request, r *run) {
 	w.Header().Set(chat.HeaderRequestID, r.id)
 	w.Header().Set(chat.HeaderAttempt, httpReq.Header.Get(chat.HeaderAttempt))
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
@@ -78,9 +79,8 @@
 	Genuine bool
 	// Load is nil when the response does not report it.
 	Load *UpstreamLoad
-	// RequestLimit is the number of requests per second that the upstream accepts from all routers together, or 0
-	// if the response names no limit.
-	RequestLimit float64
+	// Notice is what the upstream says about itself. Its Ran is the opposite of NotRun.
+	Notice upstream.Notice
 }
 
 // UpstreamLoad is the load that an upstream reports: running and waiting requests, and its capacity in slots.
@@ -94,12 +94,29 @@
 	Started()
 }
 
-// LimitReporter is an Attempt that accepts the request limit that its upstream names in a response. Not every Attempt
+// NoticeReporter is an Attempt that accepts what its upstream says about itself in a response. Not every Attempt
 // implements it.
-type LimitReporter interface {
+type NoticeReporter interface {
 	// RequestLimit reports the limit in requests per second, or 0 if the response names none. ran is false if the
 	// upstream did not run the request.
 	RequestLimit(perSecond float64, ran bool)
+	// Leaving reports that the process of the upstream leaves.
+	Leaving()
+	// Pause reports how long the upstream wants no requests from this router.
+	Pause(time.Duration)
+}
+
+// reportNotice passes on what an upstream says about itself.
+func (x *exchange) reportNotice(reporter NoticeReporter, n upstream.Notice) {
+	reporter.RequestLimit(n.RequestLimit, n.Ran)
+	if n.Leaving {
+		reporter.Leaving()
+	}
+	if n.PauseErr != nil {
+		obs.PausesMalformedTotal.Add(1)
+		obs.EventPauseMalformed.Log(x.api.Logger, logrus.Fields{"request_id": x.id, "text": n.PauseErr.Error()})
+	}
+	reporter.Pause(n.Pause)
 }
 
 // Forwarding holds the dependencies of ForwardHandler that the other fields of API do not cover.
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -36,8 +36,8 @@
 	if reporter, ok := x.attempt.(LoadReporter); ok && info.Load != nil {
 		reporter.Load(info.Load.Running, info.Load.Waiting, info.Load.Slots)
 	}
-	if reporter, ok := x.attempt.(LimitReporter); ok && info.Genuine && !info.WrongInstance {
-		reporter.RequestLimit(info.RequestLimit, !info.NotRun)
+	if reporter, ok := x.attempt.(NoticeReporter); ok && info.Genuine && !info.WrongInstance {
+		x.reportNotice(reporter, info.Notice)
 	}
 	switch {
 	case info.NotRun || info.WrongInstance:
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -80,8 +80,8 @@
 		Address: target.Address, RequestID: x.id, Attempt: chat.AttemptID(n, string(x.api.Holder)),
 		Priority: attempt.Priority(), Body: x.body,
 	}
-	if reporter, ok := attempt.(LimitReporter); ok {
-		call.OnRequestLimit = reporter.RequestLimit
+	if reporter, ok := attempt.(NoticeReporter); ok {
+		call.OnNotice = func(n upstream.Notice) { x.reportNotice(reporter, n) }
 	}
 	x.calls = append(x.calls, call)
 	ctx, span := obs.StartSpan(x.ctx, obs.SpanAttempt, x.id)
--- a/internal/transport/upstream/service.go
+++ b/internal/transport/upstream/service.go
@@ -52,11 +52,11 @@
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusTooManyRequests {
 		err := newRefusedError(resp)
-		call.reportRequestLimit(resp, err)
+		call.reportNotice(resp, err)
 		return ServiceResponse{}, err
 	}
 	err = checkResponseIDs(resp, call.Call)
-	call.reportRequestLimit(resp, err)
+	call.reportNotice(resp, err)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 )
@@ -128,17 +129,53 @@
 	// Priority is the priority passed to the engine; lower runs first.
 	Priority int
 	Body     []byte
-	// OnRequestLimit, if not nil, is called with the request limit in a response, in requests per second; 0 means
-	// that it names none. ran is false if the upstream refused the request.
-	OnRequestLimit func(perSecond float64, ran bool)
+	// OnNotice, if not nil, is called with what a response says about the upstream itself.
+	OnNotice func(Notice)
 }
 
-// reportRequestLimit calls OnRequestLimit for a response, given the result of its check.
-func (c Call) reportRequestLimit(resp *http.Response, err error) {
-	if c.OnRequestLimit == nil || errors.Is(err, ErrMismatch) {
+// Notice is what an upstream says about itself in a response.
+type Notice struct {
+	// RequestLimit is the number of requests per second that it accepts from all routers together; 0 means that it
+	// names no limit.
+	RequestLimit float64
+	// Ran is false if the upstream refused the request.
+	Ran bool
+	// Leaving is true if the upstream's process leaves.
+	Leaving bool
+	// Pause is how long the upstream wants no requests from this router. PauseErr is set if what it asks for is no
+	// sound number.
+	Pause    time.Duration
+	PauseErr error
+}
+
+// reportNotice calls OnNotice for a response, given the result of its check.
+func (c Call) reportNotice(resp *http.Response, err error) {
+	if c.OnNotice == nil || errors.Is(err, ErrMismatch) {
 		return
 	}
-	c.OnRequestLimit(ParseRequestLimit(resp.Header.Get(chat.HeaderRequestLimit)), err == nil)
+	n := Notice{
+		RequestLimit: ParseRequestLimit(resp.Header.Get(chat.HeaderRequestLimit)), Ran: err == nil,
+		Leaving: resp.Header.Get(chat.HeaderDraining) != "",
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		n.Pause, n.PauseErr = ParsePause(resp.Header.Get(headerRetryAfter))
+	}
+	c.OnNotice(n)
+}
+
+const headerRetryAfter = "Retry-After"
+
+// ParsePause parses the pause that an upstream asks for, in seconds. An empty text asks for none. It fails if the text
+// is not a number, negative, or above routing.MaxPause.
+func ParsePause(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds >= 0) || seconds > routing.MaxPause.Seconds() {
+		return 0, errors.Newf("%.60q is not a number of seconds from 0 to %g", text, routing.MaxPause.Seconds())
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
 }
 
 // ParseRequestLimit parses the request limit in a header, in requests per second. It returns 0, as without the header,
@@ -239,7 +276,7 @@
 		return nil, err
 	}
 	err = checkResponse(resp, call)
-	call.reportRequestLimit(resp, err)
+	call.reportNotice(resp, err)
 	if err != nil {
 		resp.Body.Close()
 		return nil, err
