--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -113,7 +113,9 @@
 	members map[string]member
 	// left holds the offsets of the last records of routers that have left.
 	left map[string]uint64
-	live int
+	// malformed holds the offsets of records that cannot be decoded, so that each is logged once.
+	malformed map[string]uint64
+	live      int
 	// silent holds the routers that expired without having left, and when.
 	silent map[string]time.Time
 	// lastSent is the last heartbeat that may have reached the log.
@@ -130,7 +132,7 @@
 func New(cfg Config) *Monitor {
 	m := &Monitor{
 		cfg: cfg, startTimestamp: cfg.Timestamp(), started: cfg.Now(), members: make(map[string]member), left: make(map[string]uint64), live: 1,
-		silent: make(map[string]time.Time), predecessor: predecessor{provenCh: make(chan struct{})},
+		malformed: make(map[string]uint64), silent: make(map[string]time.Time), predecessor: predecessor{provenCh: make(chan struct{})},
 	}
 	m.replica = replica.New(replica.Config{
 		Log: cfg.Log, Stream: cfg.Stream, Interval: cfg.Interval, Now: cfg.Now, OnChange: m.update, Logger: cfg.Logger,
@@ -313,8 +315,12 @@
 	if offset, left := m.left[vm]; ok && known.offset == rec.Offset || left && offset == rec.Offset {
 		return nil
 	}
+	if offset, malformed := m.malformed[vm]; malformed && offset == rec.Offset {
+		return nil
+	}
 	var r Record
 	if err := cbor.Unmarshal(rec.Value, &r); err != nil {
+		m.malformed[vm] = rec.Offset
 		obs.EventRecordMalformed.Log(m.cfg.Logger, logrus.Fields{
 			"stream": m.cfg.Stream.Name, "key": vm, "offset": rec.Offset, "error": err.Error(),
 		})
--- a/internal/coordination/prepaid/apply.go
+++ b/internal/coordination/prepaid/apply.go
@@ -48,19 +48,27 @@
 	if rec.Value != nil && cbor.Unmarshal(rec.Value, out) == nil {
 		return true
 	}
+	p.logMalformed(rec)
+	return false
+}
+
+func (p *partition) logMalformed(rec keyedlog.Record) {
 	obs.EventRecordMalformed.Log(p.cfg.Logger, logrus.Fields{
 		"stream": p.stream.Name, "partition": p.stream.Partition, "key": rec.Key, "offset": rec.Offset,
 	})
-	return false
 }
 
 // applyRecord applies a record of any VM. The caller holds p.mu.
 func (p *partition) applyRecord(rec keyedlog.Record, now time.Time) {
-	entry, vm, _ := strings.Cut(rec.Key, keySeparator)
+	entry, vm, ok := strings.Cut(rec.Key, keySeparator)
 	var share shareRecord
 	if !p.decode(rec, &share) {
 		return
 	}
+	if !ok || !share.valid() {
+		p.logMalformed(rec)
+		return
+	}
 	a := p.account(entry)
 	switch {
 	case vm != p.cfg.VM:
--- a/internal/coordination/prepaid/record.go
+++ b/internal/coordination/prepaid/record.go
@@ -34,6 +34,22 @@
 // records of its VM.
 func (r shareRecord) outdated(era uint64) bool { return r.Era != 0 && r.Era <= era }
 
+// maxRecordTokens bounds the amounts of a record, so that sums over the records of a fleet do not overflow.
+const maxRecordTokens = 1 << 50
+
+// valid reports whether a router can have written the record. A negative share would make room for others that exceed the
+// budget.
+func (r shareRecord) valid() bool {
+	for _, n := range [...]int64{
+		r.Granted, r.Spent, r.InFlight, r.Stranded, r.Demand, r.BaseLimit, r.RampRate, r.Lent, r.BorrowedSpent,
+	} {
+		if n < 0 || n > maxRecordTokens {
+			return false
+		}
+	}
+	return true
+}
+
 // before reports whether another record of the VM was written later. The IDs of a VM's processes are in the order of
 // their starts.
 func (r shareRecord) before(other shareRecord) bool {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -383,9 +383,7 @@
 	err = g.budget.Close(returnCtx)
 	g.heartbeats.Leave(returnCtx)
 	stop()
-	for _, s := range servers {
-		_ = s.server.Close()
-	}
+	g.closeServers(servers)
 	g.pool.Close()
 	loops.Wait()
 	obs.EventStopped.Log(g.logger, logrus.Fields{"open": g.api.InProgress()})
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -9,9 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
-	"golang.org/x/net/netutil"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
 	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 )
 
@@ -28,7 +28,7 @@
 func (g *Gateway) listen() ([]gatewayServer, error) {
 	callers := &http.Server{
 		Handler: g.api.ForwardHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
-		MaxHeaderBytes: gatewayMaxHeaderBytes,
+		MaxHeaderBytes: gatewayMaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
 	}
 	ready := httprouter.New()
 	ready.GET(g.deps.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { g.serveReady(w) })
@@ -48,7 +48,7 @@
 			return nil, err
 		}
 		if s.server == callers {
-			listener = netutil.LimitListener(listener, max(1, g.cfg.MaxSockets/2))
+			listener = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
 		}
 		servers = append(servers, gatewayServer{server: s.server, listener: listener})
 	}
@@ -78,8 +78,22 @@
 	keepAliveGrace = 300 * time.Millisecond
 	// shutdownMargin is left at the end of the grace period for returning the unspent tokens of the shares.
 	shutdownMargin = 900 * time.Millisecond
+	// closeTimeout limits the time for requests that arrived while the shares were returned. They are refused, and
+	// their responses must be written before their connections are closed.
+	closeTimeout = 300 * time.Millisecond
 )
 
+// closeServers closes the servers. The one for callers first completes the responses in progress.
+func (g *Gateway) closeServers(servers []gatewayServer) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	// An error means that connections are left, which Close closes.
+	_ = servers[0].server.Shutdown(ctx)
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
+}
+
 // drain stops accepting requests and waits until the open ones have finished or the grace period is nearly
 // over.
 func (g *Gateway) drain(servers []gatewayServer) {
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -14,8 +14,10 @@
 type decodedRecords struct {
 	configOffset uint64
 	config       *catalogue.Snapshot
-	upstreams    map[string]decodedUpstream
-	retired      retiredUpstreams
+	// malformedConfig is one more than the offset of the last malformed configuration, and 0 without one.
+	malformedConfig uint64
+	upstreams       map[string]decodedUpstream
+	retired         retiredUpstreams
 }
 
 type decodedUpstream struct {
@@ -70,11 +72,13 @@
 // newer one.
 func (g *Gateway) decodeConfig() (changed bool) {
 	rec, ok := g.config.Records()[g.deps.ConfigKey]
-	if !ok || (g.decoded.config != nil && rec.Offset == g.decoded.configOffset) {
+	if !ok || (g.decoded.config != nil && rec.Offset == g.decoded.configOffset) || g.decoded.malformedConfig == rec.Offset+1 {
 		return false
 	}
 	config, err := g.deps.DecodeConfig(rec.Value)
 	if err != nil {
+		g.decoded.malformedConfig = rec.Offset + 1
+		obs.ConfigRecordsSkipped.Add(1)
 		obs.EventConfigMalformed.Log(g.logger, logrus.Fields{"offset": rec.Offset, "error": err.Error()})
 		return false
 	}
@@ -99,7 +103,8 @@
 			continue
 		}
 		u, revision, err := g.deps.DecodeUpstream(key, rec.Value)
-		if err != nil && (!ok || previous.valid) {
+		if err != nil {
+			obs.UpstreamRecordsSkipped.Add(1)
 			obs.EventRecordMalformed.Log(g.logger, logrus.Fields{
 				"stream": g.deps.UpstreamStream.Name, "key": key, "offset": rec.Offset, "error": err.Error(),
 			})
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -40,6 +40,8 @@
 	OutcomeUnknownTotal = newMetric("outcome_unknown_total")
 	// ConfigRecordsSkipped counts malformed records of the config stream.
 	ConfigRecordsSkipped = newMetric("config_records_skipped_total")
+	// UpstreamRecordsSkipped counts malformed records of upstreams, once per version of a record.
+	UpstreamRecordsSkipped = newMetric("upstream_records_skipped_total")
 	// UpstreamFailuresTotal counts failed attempts, except those that ended with the caller's connection or the
 	// deadline.
 	UpstreamFailuresTotal = newMetric("upstream_failures_total")
--- a/internal/state/request/request.go
+++ b/internal/state/request/request.go
@@ -198,6 +198,18 @@
 	return nil
 }
 
+// SettleLastRun ends the request with the bill for the last attempt that may have run. Later attempts provably did not
+// run, so that the response of that one is the request's.
+func (r *Request) SettleLastRun(bill Bill) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Dispatched || !r.mayHaveRun() {
+		return r.transitionError("settle")
+	}
+	r.settle(bill)
+	return nil
+}
+
 func (r *Request) checkResponse(attempt int, action string) error {
 	if r.state != Dispatched && r.state != Streaming {
 		return r.transitionError(action)
--- /dev/null
+++ b/internal/transport/httpapi/caller_conn.go
@@ -0,0 +1,40 @@
+package httpapi
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
+)
+
+// callerConnKey is the key of the caller's connection in the context of a request.
+type callerConnKey struct{}
+
+// WithCallerConn is the ConnContext of a server whose requests ForwardHandler serves. It lets the handler look at the
+// caller's connection itself.
+func WithCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// errCallerLeft reports a request whose caller closed its connection before the request was sent.
+var errCallerLeft = errors.New("the caller has closed its connection")
+
+// callerHasLeft reports whether the caller has closed its connection. The context of a request ends only once the server
+// has read that, which may be later: after a freeze of the VM many requests continue before.
+func callerHasLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	c, ok := ctx.Value(callerConnKey{}).(net.Conn)
+	return ok && netopt.PeerHasClosed(c)
+}
+
+// resetCallerConn makes the close of the caller's connection a reset. A caller that reads a response without a length and
+// without chunks would otherwise take a truncated one for complete.
+func resetCallerConn(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(interface{ SetLinger(int) error }); ok {
+		_ = c.SetLinger(0) // the connection is closed in any case
+	}
+}
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -150,6 +150,9 @@
 func (a *API) serveForward(w http.ResponseWriter, httpReq *http.Request) {
 	if a.forward(w, httpReq) {
 		// Closes the connection, so that a truncated response does not look complete.
+		if httpReq.ProtoMajor == 1 && httpReq.ProtoMinor == 0 {
+			resetCallerConn(httpReq.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -359,6 +362,10 @@
 	retryBudget := x.api.Forwarding.Retry(op.service.Name)
 	retryBudget.RecordRequest()
 	for {
+		if callerHasLeft(x.httpReq.Context()) {
+			x.cancel()
+			return op.finishFailed(x, errors.CombineErrors(errCallerLeft, op.cause))
+		}
 		attempt, err := x.api.Routing.Pick(x.routingReq)
 		if err != nil {
 			return op.finishFailed(x, errors.CombineErrors(err, op.cause))
--- a/internal/transport/httpapi/forward_end.go
+++ b/internal/transport/httpapi/forward_end.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/state/request"
 )
 
 // finishFailed ends a request without a successful attempt.
@@ -20,11 +21,12 @@
 		op.settle(x, outcomeUnknown)
 		return errReplied
 	case op.errorResponse != nil:
-		op.settle(x, outcomeComplete)
+		// Later attempts may have been refused, so the response need not be that of the last one.
+		op.settleWith(x, outcomeComplete, x.request.SettleLastRun)
 		op.writeBuffered(x, op.errorResponse)
 		return errReplied
 	case !op.mayHaveRun && x.request.NotRun():
-		return op.notRunError(x, err)
+		return x.contextErrorOr(op.notRunError(x, err))
 	}
 	op.settle(x, outcomeUnknown)
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
@@ -53,6 +55,13 @@
 // settle bills the tokens of the prompt and of the output that was delivered. It is called only for a request
 // that may have run.
 func (op *forwardOp) settle(x *exchange, outcome string) {
+	op.settleWith(x, outcome, func(bill request.Bill) error {
+		return x.request.Settle(x.request.Info().Attempts, bill)
+	})
+}
+
+// settleWith is settle with the transition of a request whose outcome is known.
+func (op *forwardOp) settleWith(x *exchange, outcome string, transition func(request.Bill) error) {
 	bill := newBill(op.billTarget(), nil, 0, outcome)
 	if p := op.caller.Prompt; p != nil {
 		bill.InputTokens = p.PromptTokens
@@ -64,7 +73,7 @@
 			obs.OutcomeUnknownTotal.Add(1)
 			_ = x.request.Resolve(bill) // the state is Unknown
 		}
-	} else if err := x.request.Settle(x.request.Info().Attempts, bill); err != nil {
+	} else if err := transition(bill); err != nil {
 		obs.MismatchedResponsesTotal.Add(1)
 	}
 	if x.reserved {
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -19,6 +19,19 @@
 // errUpstreamServerError reports a response with a 5xx status from an upstream that ran the request.
 var errUpstreamServerError = errors.New("upstream responded with a server error")
 
+// errUnprovenRefusal reports a response with a status that tells callers that the request has not run, from an upstream
+// that does not say so. It is not passed on.
+var errUnprovenRefusal = errors.New("upstream responded with the status of a refusal and may have run the request")
+
+// saysNotRun reports whether callers take a status for the statement that the request has not run and will not.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // maxBufferedBytes bounds the body of a response that is buffered before it is written to the caller. Some dozen
 // bodies without end, read at the same time, must fit into the memory of a small VM.
 const maxBufferedBytes = 4 << 20
@@ -49,6 +62,9 @@
 	case !info.Genuine:
 		return errors.Mark(
 			errors.Newf("response with status %d did not come from an upstream", response.Status), upstream.ErrMismatch)
+	case saysNotRun(response.Status):
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxEventBytes))
+		return errors.Wrapf(errUnprovenRefusal, "status %d", response.Status)
 	}
 	x.progress.begun = true
 	switch {
@@ -227,7 +243,7 @@
 // a crash, as the function routingResult would, because connections are reset for other reasons too.
 func (op *forwardOp) routingResult(err error) routing.Result {
 	switch {
-	case errors.Is(err, errUpstreamServerError):
+	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal):
 		return routing.ResultError
 	case errors.Is(err, relay.ErrConnectionLimit):
 		return routing.ResultRefused
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -95,6 +96,66 @@
 	return countingListener{l}, nil
 }
 
+// LimitConnections returns a listener that has at most limit connections open. Unlike netutil.LimitListener, its
+// connections implement syscall.Conn if those of the given listener do.
+func LimitConnections(l net.Listener, limit int) net.Listener {
+	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+type limitedListener struct {
+	net.Listener
+	slots     chan struct{}
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// Accept implements net.Listener. It waits while limit connections are open.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	release := sync.OnceFunc(func() { <-l.slots })
+	if tcp, ok := c.(countingConn); ok {
+		return limitedTCPConn{tcp, release}, nil
+	}
+	return limitedConn{c, release}, nil
+}
+
+// Close implements net.Listener. It does not close the accepted connections.
+func (l *limitedListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c limitedConn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
+
+type limitedTCPConn struct {
+	countingConn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c limitedTCPConn) Close() error {
+	defer c.release()
+	return c.countingConn.Close()
+}
+
 // Dial connects to an IPv4 address and port.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	c, err := dialer.DialContext(ctx, "tcp4", address)
@@ -125,3 +186,24 @@
 	})
 	return err == nil && reusable
 }
+
+// PeerHasClosed reports whether the peer has closed a connection on which no data is unread. It may be called while
+// another goroutine reads from the connection. It returns false for a connection without a file descriptor.
+func PeerHasClosed(c net.Conn) bool {
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	var buf [1]byte
+	// Unlike Read, Control does not wait for the other reader.
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR
+	})
+	return err == nil && closed
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -123,6 +123,9 @@
 // nothing was sent; after any other error the upstream may run the request. The end of the context aborts the
 // exchange.
 func (p *Pool) Send(ctx context.Context, t Target, req Request) (*Response, error) {
+	if ctx.Err() != nil {
+		return nil, errors.Mark(context.Cause(ctx), upstream.ErrNotSent)
+	}
 	c, err := p.acquire(ctx, t)
 	if err != nil {
 		return nil, errors.Mark(err, upstream.ErrNotSent)
@@ -148,7 +151,10 @@
 
 // roundTrip writes the request and reads the header of its response, skipping responses to other requests.
 func (c *conn) roundTrip(req Request, responseID func(http.Header) string) (*http.Response, error) {
-	_, writeErr := c.Write(req.encode())
+	n, writeErr := c.Write(req.encode())
+	if n == 0 && writeErr != nil {
+		return nil, errors.Mark(errors.Wrap(writeErr, "write request"), upstream.ErrNotSent)
+	}
 	// An upstream may respond before it has read the whole request, so a response is read even after a failed
 	// write.
 	for range maxResponses {
@@ -222,8 +228,12 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	obs.UpstreamConnectionsTotal.Add(1)
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *conn {
 	head := &headLimiter{r: raw}
-	return &conn{Conn: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	return &conn{Conn: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // headLimiter bounds what is read while limited is set.
--- a/internal/transport/upstream/control.go
+++ b/internal/transport/upstream/control.go
@@ -14,9 +14,6 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
-// ErrFenced reports an order that the engine rejected because it has seen a higher fencing token.
-var ErrFenced = errors.New("engine has seen a higher fencing token")
-
 // Control sends orders to engines. It implements orders.Control.
 type Control struct{ client *Client }
 
@@ -55,7 +52,7 @@
 	defer resp.Body.Close()
 	switch {
 	case resp.StatusCode == http.StatusConflict:
-		return nil, ErrFenced
+		return nil, orders.ErrStaleFencingToken
 	case resp.StatusCode != http.StatusOK:
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
 		return nil, errors.Newf("engine responded %s: %s", resp.Status, strings.TrimSpace(string(text)))
--- a/internal/transport/upstream/notice_test.go
+++ b/internal/transport/upstream/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -9,7 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/orders"
 	"github.com/dotterelthread/dotterelthread/internal/standin"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
 // Guards against a pause that is not read, and against one from a malformed or absurd text.
@@ -55,3 +58,13 @@
 	is.Equal(got[1], Notice{Pause: 1500 * time.Millisecond})
 	is.True(got[2].PauseErr != nil && got[2].Pause == 0)
 }
+
+// Guards against a holder of the order lease that does not step down because it does not recognise an engine's refusal of
+// a stale fencing token.
+func TestStaleFencingTokenIsRecognised(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }))
+	defer server.Close()
+	err := NewControl(New()).Apply(context.Background(), &catalogue.Upstream{Address: server.URL}, orders.Order{})
+	is.True(errors.Is(err, orders.ErrStaleFencingToken))
+}
