Loans survive lost messages, and count once after their processes end

After the kill of all routers the records of the lenders still showed what was lent and the successors of the borrowers nothing that was spent of it, so that 1,006,636 seemed to be left (wuzi831: 458,864 instead of 931): nobody could be told 402. Ruled out: charges that delivered nothing as the main loss (43 requests, 213,666 tokens, 160,930 of them with events). Change: a loan has an ID chosen by the borrower; a request without a response is repaid whole, a repayment states the total, is repeated until it arrives and counts once. Records carry what earlier processes lent and spent of loans. Requests refused for a budget that may cover them are counted and logged with where the budget is (1825); events 1610 and 1611 have the charged tokens.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -18,9 +18,7 @@
 package prepaid
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -97,6 +95,9 @@
 	// that they had not reported.
 	priorUsage int64
 	stranded   int64
+	// priorLent and priorBorrowedSpent are what the records of earlier processes of this VM show as lent, and as spent
+	// of loans. They say at which VM the tokens of a loan were spent, after its lender or its borrower has ended.
+	priorLent, priorBorrowedSpent int64
 	// predecessor is the record of the last earlier process. predecessorReleased is true once
 	// releaseUnspent has released what the predecessor cannot have spent.
 	predecessor         shareRecord
@@ -114,7 +115,9 @@
 	borrowed int64
 	loans    []Loan
 	lent     int64
-	demand   demandMeter
+	// given holds the loans to other VMs by ID.
+	given  map[string]*givenLoan
+	demand demandMeter
 	// meanRequest is a moving average of the upper bounds of requests.
 	meanRequest float64
 	waiters     []*waiter
@@ -122,16 +125,16 @@
 	// the log nor other VMs could provide it.
 	deniedAmount int64
 	deniedAt     time.Time
-}
-
-// Loan is tokens that another VM has lent from its share.
-type Loan struct {
-	Lender string
-	Amount int64
+	// unreachable counts the requests that were refused although the budget may cover them, since they were last
+	// logged at unreachableLoggedAt.
+	unreachable         int
+	unreachableLoggedAt time.Time
 }
 
 func newAccount(entry string) *account {
-	return &account{entry: entry, others: make(map[string]peerRecord), superseded: make(map[string]shareRecord)}
+	return &account{
+		entry: entry, others: make(map[string]peerRecord), superseded: make(map[string]shareRecord), given: make(map[string]*givenLoan),
+	}
 }
 
 // spendLimits are the fields of a shareRecord that limit how much of the share may be used.
@@ -169,9 +172,10 @@
 
 func (a *account) shareUsed() int64 { return a.priorUsage + max(0, a.spent+a.reserved-a.borrowed) }
 
-// ownUsed is what requests at this VM have spent or reserved of the budget. The loans of the running
-// process count at the borrower.
-func (a *account) ownUsed() int64 { return a.priorUsage - a.stranded - a.lent + a.spent + a.reserved }
+// ownUsed is what requests at this VM have spent or reserved of the budget. Loans count at the borrower.
+func (a *account) ownUsed() int64 {
+	return a.priorUsage - a.stranded - a.priorLent + a.priorBorrowedSpent - a.lent + a.spent + a.reserved
+}
 
 // totals are sums over the records of the other VMs. inFlight and demand include only fresh records.
 type totals struct {
@@ -324,8 +328,8 @@
 	}
 	next := shareRecord{
 		Process: in.process, Granted: granted, Spent: a.shareSpent(), InFlight: min(used+waiting, granted) - a.shareSpent(),
-		Stranded: a.stranded, Demand: int64(a.demand.perSecond(in.now)), BaseLimit: baseLimit, RampRate: rampRate, Lent: a.lent,
-		BorrowedSpent: min(a.borrowed, a.spent), Era: in.era + 1,
+		Stranded: a.stranded, Demand: int64(a.demand.perSecond(in.now)), BaseLimit: baseLimit, RampRate: rampRate,
+		Lent: a.priorLent + a.lent, BorrowedSpent: a.priorBorrowedSpent + min(a.borrowed, a.spent), Era: in.era + 1,
 	}
 	return next, a.shouldAppend(next, in)
 }
@@ -341,10 +345,10 @@
 		return true
 	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.aboveBaseLimit():
 		return true
-	case next.Spent == old.Spent && next.InFlight == old.InFlight:
+	case next.Spent == old.Spent && next.InFlight == old.InFlight && next.BorrowedSpent == old.BorrowedSpent:
 		return false
 	}
-	unreported := float64(next.Spent - old.Spent)
+	unreported := float64(next.Spent - old.Spent + next.BorrowedSpent - old.BorrowedSpent)
 	threshold := max(a.meanRequest, float64(in.prepaid-old.Spent)/float64(reportDivisor*max(1, in.routers)))
 	return unreported >= threshold || in.now.Sub(a.loggedAt) > in.policy.MaxReportDelay
 }
@@ -362,6 +366,7 @@
 	a.predecessor, a.predecessorReleased = share, false
 	a.stranded = share.Stranded + share.Granted - share.Spent
 	a.priorUsage = share.Granted
+	a.priorLent, a.priorBorrowedSpent = share.Lent, share.BorrowedSpent
 	a.logged, a.limits, a.heartbeatUsage = share, spendLimits{granted: share.Granted}, 0
 }
 
@@ -379,57 +384,6 @@
 	return released
 }
 
-// lenders returns the VMs whose shares have headroom, those with the most headroom first.
-func (a *account) lenders() []string {
-	var names []string
-	for vm, r := range a.others {
-		if r.headroom() > 0 {
-			names = append(names, vm)
-		}
-	}
-	slices.SortFunc(names, func(x, y string) int {
-		return cmp.Compare(a.others[y].headroom(), a.others[x].headroom())
-	})
-	return names
-}
-
-// lend lends tokens for a request of another VM: the amount, more if there is plenty, or what is
-// available if that is at least minLoan. It returns the lent amount.
-func (a *account) lend(amount int64, gap time.Duration, p Policy) int64 {
-	spendable := a.available(gap, p)
-	if spendable < min(amount, minLoan) {
-		return 0
-	}
-	lent := min(spendable, max(amount, min(lendFactor*amount, spendable/lendDivisor)))
-	a.spent += lent
-	a.lent += lent
-	return lent
-}
-
-const (
-	// lendFactor and lendDivisor bound what is lent beyond the amount, so that the next requests
-	// need no loan.
-	lendFactor  = 4
-	lendDivisor = 4
-	// minLoan is the smallest useful loan, in tokens.
-	minLoan = 256
-)
-
-// repay removes the unused part of the latest loan and returns what to repay.
-func (a *account) repay() (Loan, bool) {
-	unused := a.borrowed - a.spent - a.reserved
-	if unused <= 0 || len(a.loans) == 0 || len(a.waiters) > 0 {
-		return Loan{}, false
-	}
-	last := &a.loans[len(a.loans)-1]
-	repayment := Loan{Lender: last.Lender, Amount: min(unused, last.Amount)}
-	a.borrowed -= repayment.Amount
-	if last.Amount -= repayment.Amount; last.Amount == 0 {
-		a.loans = a.loans[:len(a.loans)-1]
-	}
-	return repayment, true
-}
-
 // demandMeter measures the tokens per second that requests are charged: over a long window, and over
 // a short one that follows a rise sooner.
 type demandMeter struct {
--- a/internal/coordination/prepaid/fleet_test.go
+++ b/internal/coordination/prepaid/fleet_test.go
@@ -18,8 +18,10 @@
 func (p *modelPeers) Borrow(_ context.Context, preferred []string, entry string, amount int64) (loans []Loan) {
 	for _, vm := range p.m.vms {
 		if amount > 0 && slices.Contains(preferred, vm.name) {
-			if lent := vm.m.Lend(entry, amount); lent > 0 {
-				loans = append(loans, Loan{vm.name, lent})
+			p.m.loans++
+			id := fmt.Sprint("loan ", p.m.loans)
+			if lent := vm.m.Lend(entry, id, amount); lent > 0 {
+				loans = append(loans, Loan{ID: id, Lender: vm.name, Amount: lent})
 				amount -= lent
 			}
 		}
@@ -29,10 +31,10 @@
 
 func (p *modelPeers) Recall(context.Context) []map[string][]byte { return nil }
 
-func (p *modelPeers) Repay(lender, entry string, amount int64) {
+func (p *modelPeers) Repay(entry string, loan Loan) {
 	for _, vm := range p.m.vms {
-		if vm.name == lender {
-			vm.m.AcceptRepayment(entry, amount)
+		if vm.name == loan.Lender {
+			vm.m.AcceptRepayment(entry, loan.ID, loan.Repaid)
 		}
 	}
 }
--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -1,7 +1,10 @@
 package prepaid
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,6 +12,114 @@
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 )
 
+// A loan moves unused tokens of a share to another VM. Its messages may be lost, repeated or late, so that a loan has an ID
+// and the borrower states the total that it has repaid. A borrower that got no response to its request repays the whole
+// loan: it will not use it, whether or not the lender has lent anything.
+
+// Loan is tokens that another VM has lent from its share.
+type Loan struct {
+	// ID is chosen by the borrower.
+	ID     string
+	Lender string
+	// Amount is what is not repaid.
+	Amount int64
+	// Repaid is the total that was repaid.
+	Repaid int64
+}
+
+// RepaidAll is the total of a repayment that returns a loan of unknown amount.
+const RepaidAll = int64(1) << 62
+
+// givenLoan is a loan to another VM.
+type givenLoan struct {
+	amount, repaid int64
+	at             time.Time
+}
+
+// givenRetention is how long a lender knows a loan. It exceeds the time in which borrowers repay.
+const givenRetention = 10 * time.Minute
+
+const (
+	// lendFactor and lendDivisor bound what is lent beyond the amount, so that the next requests
+	// need no loan.
+	lendFactor  = 4
+	lendDivisor = 4
+	// minLoan is the smallest useful loan, in tokens.
+	minLoan = 256
+)
+
+// lenders returns the VMs whose shares have headroom, those with the most headroom first.
+func (a *account) lenders() []string {
+	var names []string
+	for vm, r := range a.others {
+		if r.headroom() > 0 {
+			names = append(names, vm)
+		}
+	}
+	slices.SortFunc(names, func(x, y string) int {
+		return cmp.Compare(a.others[y].headroom(), a.others[x].headroom())
+	})
+	return names
+}
+
+// lend lends tokens for a request of another VM: the amount, more if there is plenty, or what is
+// available if that is at least minLoan. It returns the lent amount. The answer to a repeated request is the same, and
+// nothing is lent for a request that arrives after its repayment.
+func (a *account) lend(id string, amount int64, gap time.Duration, p Policy, now time.Time) int64 {
+	if known := a.given[id]; known != nil {
+		return known.amount - known.repaid
+	}
+	spendable := a.available(gap, p)
+	if spendable < min(amount, minLoan) {
+		return 0
+	}
+	lent := min(spendable, max(amount, min(lendFactor*amount, spendable/lendDivisor)))
+	a.spent += lent
+	a.lent += lent
+	a.given[id] = &givenLoan{amount: lent, at: now}
+	return lent
+}
+
+// acceptRepayment takes back what is repaid of a loan, given the total that the borrower has repaid.
+func (a *account) acceptRepayment(id string, total int64, now time.Time) {
+	loan := a.given[id]
+	if loan == nil {
+		// The request for the loan may still arrive. Of a loan that an earlier process gave, nothing comes back.
+		a.given[id] = &givenLoan{at: now}
+		return
+	}
+	returned := min(total, loan.amount) - loan.repaid
+	if returned <= 0 {
+		return
+	}
+	loan.repaid += returned
+	a.lent -= returned
+	a.spent -= returned
+}
+
+// forgetGiven forgets loans that are too old to be repaid.
+func (a *account) forgetGiven(now time.Time) {
+	maps.DeleteFunc(a.given, func(_ string, l *givenLoan) bool { return now.Sub(l.at) > givenRetention })
+}
+
+// repay removes the unused part of the latest loan and returns the loan with the total to repay.
+func (a *account) repay() (Loan, bool) {
+	unused := a.borrowed - a.spent - a.reserved
+	if unused <= 0 || len(a.loans) == 0 || len(a.waiters) > 0 {
+		return Loan{}, false
+	}
+	last := &a.loans[len(a.loans)-1]
+	amount := min(unused, last.Amount)
+	a.borrowed -= amount
+	last.Amount -= amount
+	last.Repaid += amount
+	repayment := *last
+	if last.Amount == 0 {
+		a.loans = a.loans[:len(a.loans)-1]
+	}
+	return repayment, true
+}
+
 // borrowForWaiter starts to borrow for a waiter that has waited for the log for borrowDelay.
 func (p *partition) borrowForWaiter(entry string, w *waiter) {
 	p.mu.Lock()
@@ -63,10 +174,10 @@
 }
 
 // Lend lends tokens of this VM's share for a request of another VM. It returns less than the amount
-// if there is not enough.
-func (m *Manager) Lend(entry string, amount int64) int64 {
+// if there is not enough. The ID is that of the loan.
+func (m *Manager) Lend(entry, id string, amount int64) int64 {
 	prepaid, limited := m.cfg.Prepaid(entry)
-	if !limited || amount <= 0 {
+	if !limited || amount <= 0 || id == "" {
 		return 0
 	}
 	p := m.partitionOf(entry)
@@ -76,20 +187,22 @@
 	if a.overcommitted(prepaid) || len(a.waiters) > 0 {
 		return 0
 	}
-	lent := a.lend(amount, p.cfg.Heartbeats.Gap(), p.cfg.Policy)
+	now := p.cfg.Now()
+	a.forgetGiven(now)
+	lent := a.lend(id, amount, p.cfg.Heartbeats.Gap(), p.cfg.Policy, now)
 	p.requestRefill(a)
 	return lent
 }
 
-// AcceptRepayment takes back unused tokens of a loan. It must be called at most once per repayment.
-// It ignores an amount that is not positive or exceeds what is lent.
-func (m *Manager) AcceptRepayment(entry string, amount int64) {
+// AcceptRepayment takes back unused tokens of a loan, given the total that the borrower has repaid. It may be called
+// repeatedly and in any order. It ignores what exceeds the loan.
+func (m *Manager) AcceptRepayment(entry, id string, total int64) {
+	if total <= 0 || id == "" {
+		return
+	}
 	p := m.partitionOf(entry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := p.account(entry)
-	if amount > 0 && amount <= a.lent {
-		a.lent -= amount
-		a.spent -= amount
-	}
+	p.account(entry).acceptRepayment(id, total, p.cfg.Now())
+	p.wake()
 }
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -58,9 +58,9 @@
 	// Borrow asks VMs to lend tokens, the preferred ones first, until the amount is covered, and
 	// returns what they have lent.
 	Borrow(ctx context.Context, preferred []string, entry string, amount int64) []Loan
-	// Repay returns unused tokens of a loan to the lender. It does not wait for a response: a
-	// repayment that is lost counts as spent.
-	Repay(lender, entry string, amount int64)
+	// Repay returns unused tokens of a loan to the lender, given the loan with the total that was repaid. A repayment
+	// that does not reach the lender counts as spent.
+	Repay(entry string, loan Loan)
 	// Recall asks the other VMs for the latest records of this VM's shares that they know, see Manager.SharesOf.
 	Recall(ctx context.Context) []map[string][]byte
 }
--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -179,11 +179,20 @@
 	memory      *keyedlog.Memory
 	lateAppends []lateAppend
 	vms         []*modelVM
+	// loans counts the requests for loans. repayments holds messages that may arrive again, and late.
+	loans      int
+	repayments []modelRepayment
 	// spent is what requests have used, reported or not. The requests of terminated processes count
 	// at their upper bounds.
 	spent int64
 }
 
+// modelRepayment is a message to the process that a VM runs when it arrives.
+type modelRepayment struct {
+	to   *modelVM
+	loan Loan
+}
+
 const modelEntry = "team"
 
 func newModel(t *rapid.T) *model {
@@ -390,19 +399,41 @@
 					return
 				}
 				amount := rapid.Int64Range(1, 6_000).Draw(t, "amount")
-				p := to.m.partitions[0]
-				p.addLoans(p.account(modelEntry), &waiter{}, []Loan{{from.name, from.m.Lend(modelEntry, amount)}})
+				m.loans++
+				loan := Loan{ID: fmt.Sprint("loan ", m.loans), Lender: from.name}
+				voided := Loan{ID: loan.ID, Lender: from.name, Repaid: RepaidAll}
+				switch rapid.IntRange(0, 3).Draw(t, "outcome") {
+				case 0: // the response is lost
+					from.m.Lend(modelEntry, loan.ID, amount)
+					m.repayments = append(m.repayments, modelRepayment{from, voided})
+				case 1: // the request arrives after the repayment
+					from.m.AcceptRepayment(modelEntry, loan.ID, RepaidAll)
+					from.m.Lend(modelEntry, loan.ID, amount)
+					m.repayments = append(m.repayments, modelRepayment{from, voided})
+				default:
+					loan.Amount = from.m.Lend(modelEntry, loan.ID, amount)
+					p := to.m.partitions[0]
+					p.addLoans(p.account(modelEntry), &waiter{}, []Loan{loan})
+				}
 			},
 			"repay": func(t *rapid.T) {
 				m.t = t
-				from, to := m.pick("from"), m.pick("to")
-				p := to.m.partitions[0]
+				p := m.pick("to").m.partitions[0]
 				p.mu.Lock()
 				repayment, ok := p.account(modelEntry).repay()
 				p.mu.Unlock()
-				if ok && repayment.Lender == from.name && rapid.Bool().Draw(t, "arrives") {
-					from.m.AcceptRepayment(modelEntry, repayment.Amount)
+				for _, vm := range m.vms {
+					if ok && vm.name == repayment.Lender {
+						m.repayments = append(m.repayments, modelRepayment{vm, repayment})
+					}
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(m.repayments) == 0 {
+					return
 				}
+				r := m.repayments[rapid.IntRange(0, len(m.repayments)-1).Draw(t, "repayment")]
+				r.to.m.AcceptRepayment(modelEntry, r.loan.ID, r.loan.Repaid)
 			},
 			"topup": func(t *rapid.T) { m.prepaid += rapid.Int64Range(0, 500).Draw(t, "tokens") },
 		})
--- a/internal/coordination/prepaid/record.go
+++ b/internal/coordination/prepaid/record.go
@@ -20,8 +20,8 @@
 	// per second that a gap adds to it.
 	BaseLimit int64 `cbor:"7,keyasint"`
 	RampRate  int64 `cbor:"10,keyasint,omitempty"`
-	// Lent is the part of Spent that was lent to other VMs, and BorrowedSpent what this VM has spent
-	// of its loans from others.
+	// Lent is the part of Spent that was lent to other VMs, and BorrowedSpent what requests at this VM have spent
+	// of its loans from others. Both include the loans of earlier processes of the VM.
 	Lent          int64 `cbor:"8,keyasint,omitempty"`
 	BorrowedSpent int64 `cbor:"9,keyasint,omitempty"`
 	// Era is one more than the era of the log in which the record was written, and 0 in records of routers that did
@@ -56,8 +56,8 @@
 	return r.Process < other.Process || r.Process == other.Process && r.Revision < other.Revision
 }
 
-// spentByRequests is what requests at the VM of the record have spent of the budget, as reported. The
-// loans of the running process count at the borrower.
+// spentByRequests is what requests at the VM of the record have spent of the budget, as reported. Loans count at the
+// borrower.
 func (r shareRecord) spentByRequests() int64 { return r.Spent - r.Stranded - r.Lent + r.BorrowedSpent }
 
 // headroom is the part of the share that was neither spent nor reserved when the record was made.
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -66,6 +66,7 @@
 			p.borrowForWaiter(req.Entry.Name, w)
 		case <-ctx.Done():
 			if p.cancelWait(req.Entry.Name, w) {
+				p.noteTimeout(req.Entry.Name, req.Amount)
 				return res, &budget.UnavailableError{RetryAfter: retryAfterLogDown, Cause: errLogUnresponsive}
 			}
 			return res, <-w.done
@@ -93,6 +94,7 @@
 		return nil, budget.ErrExhausted
 	}
 	if amount >= a.deniedAmount && now.Sub(a.deniedAt) < denialTTL && len(a.waiters) == 0 {
+		p.noteUnreachable(a, amount, errHeldByOthers)
 		return nil, &budget.UnavailableError{RetryAfter: retryAfterHeld, Cause: errHeldByOthers}
 	}
 	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
@@ -196,6 +198,7 @@
 			kept = append(kept, w)
 		default:
 			a.deniedAt, a.deniedAmount = now, w.amount
+			p.noteUnreachable(a, w.amount, errHeldByOthers)
 			w.done <- &budget.UnavailableError{RetryAfter: retryAfterHeld, Cause: errHeldByOthers}
 		}
 	}
--- a/internal/coordination/prepaid/restored_test.go
+++ b/internal/coordination/prepaid/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,7 +104,9 @@
 				if from != to {
 					p := to.m.partitions[0]
 					amount := rapid.Int64Range(1, 6_000).Draw(t, "amount")
-					p.addLoans(p.account(modelEntry), &waiter{}, []Loan{{from.name, from.m.Lend(modelEntry, amount)}})
+					m.loans++
+					id := fmt.Sprint("loan ", m.loans)
+					p.addLoans(p.account(modelEntry), &waiter{}, []Loan{{ID: id, Lender: from.name, Amount: from.m.Lend(modelEntry, id, amount)}})
 				}
 			},
 			"topup": func(t *rapid.T) { m.prepaid += rapid.Int64Range(0, 500).Draw(t, "tokens") },
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -130,18 +130,20 @@
 		lender, borrower := a.account(), b.account()
 		lender.limits = spendLimits{granted: 20_000, base: 20_000}
 		before := lender.available(0, DefaultPolicy())
-		lent := a.m.Lend(modelEntry, 2_000)
+		lent := a.m.Lend(modelEntry, "l", 2_000)
 		is.True(lent >= 2_000)
 		is.Equal(lender.available(0, DefaultPolicy()), before-lent)
-		b.partition().addLoans(borrower, &waiter{}, []Loan{{"vm-0", lent}})
+		b.partition().addLoans(borrower, &waiter{}, []Loan{{ID: "l", Lender: "vm-0", Amount: lent}})
 		is.Equal(borrower.available(0, DefaultPolicy()), lent)
 		repayment, ok := borrower.repay()
 		is.True(ok)
-		is.Equal(borrower.available(0, DefaultPolicy()), lent-repayment.Amount)
-		a.m.AcceptRepayment(modelEntry, repayment.Amount)
-		is.Equal(lender.available(0, DefaultPolicy()), before-lent+repayment.Amount)
-		a.m.AcceptRepayment(modelEntry, 1<<40) // more than was lent is ignored
-		is.Equal(lender.available(0, DefaultPolicy()), before-lent+repayment.Amount)
+		is.Equal(borrower.available(0, DefaultPolicy()), lent-repayment.Repaid)
+		for range 2 { // a repayment may arrive twice
+			a.m.AcceptRepayment(modelEntry, "l", repayment.Repaid)
+			is.Equal(lender.available(0, DefaultPolicy()), before-lent+repayment.Repaid)
+		}
+		a.m.AcceptRepayment(modelEntry, "l", 1<<40) // what exceeds the loan is ignored
+		is.Equal(lender.available(0, DefaultPolicy()), before)
 	})
 }
 
@@ -282,7 +284,7 @@
 
 func (noPeers) Borrow(context.Context, []string, string, int64) []Loan { return nil }
 func (noPeers) Recall(context.Context) []map[string][]byte             { return nil }
-func (noPeers) Repay(string, string, int64)                            {}
+func (noPeers) Repay(string, Loan)                                     {}
 
 // Guards against a router that refuses its first requests because it has not read the log yet and
 // its peers lend nothing.
--- a/internal/coordination/prepaid/sync.go
+++ b/internal/coordination/prepaid/sync.go
@@ -313,7 +313,7 @@
 	}
 	for entry, a := range p.accounts {
 		if repayment, ok := a.repay(); ok {
-			go p.cfg.Peers.Repay(repayment.Lender, entry, repayment.Amount)
+			go p.cfg.Peers.Repay(entry, repayment)
 		}
 	}
 }
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"golang.org/x/sys/unix"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
@@ -25,12 +26,22 @@
 	return heartbeat.Timestamp{BootMillis: boot.Nano() / int64(time.Millisecond), UnixMillis: time.Now().UnixMilli()}
 }
 
-// loanRequest asks a router to lend tokens of its share of a budget, or repays unused ones.
+// loanRequest asks a router to lend tokens of its share of a budget.
 type loanRequest struct {
-	Entry  string `json:"entry"`
+	Entry string `json:"entry"`
+	// ID identifies the loan.
+	ID     string `json:"id"`
 	Amount int64  `json:"amount"`
 }
 
+// repayRequest returns unused tokens of a loan.
+type repayRequest struct {
+	Entry string `json:"entry"`
+	ID    string `json:"id"`
+	// Total is what was returned of the loan so far.
+	Total int64 `json:"total"`
+}
+
 // loanResponse holds the number of tokens that were lent.
 type loanResponse struct {
 	Lent int64 `json:"lent"`
@@ -52,9 +63,14 @@
 const (
 	// maxLenders limits the routers that are asked to lend for one request.
 	maxLenders = 8
-	// borrowTimeout limits one call to a lender, and repayTimeout one repayment.
+	// borrowTimeout limits one call to a lender.
 	borrowTimeout = 100 * time.Millisecond
+	// repayTimeout limits one call that repays. It is repeated up to maxRepayCalls times, with a pause that begins
+	// with repayPause and doubles each time up to maxRepayPause. Together they cover a network partition of some seconds.
 	repayTimeout  = time.Second
+	maxRepayCalls = 12
+	repayPause    = 100 * time.Millisecond
+	maxRepayPause = 2 * time.Second
 )
 
 // registerHandlers registers the handlers of loans, of the ages of heartbeats, of crashes and of request limits.
@@ -65,10 +81,10 @@
 	registerQuarantineHandler(p.server, crashes)
 	registerLimitHandler(p.server, router)
 	registerHandler(p.server, methodBorrow, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
-		return loanResponse{Lent: m.Lend(r.Entry, r.Amount)}, nil
+		return loanResponse{Lent: m.Lend(r.Entry, r.ID, r.Amount)}, nil
 	})
-	registerHandler(p.server, methodRepay, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
-		m.AcceptRepayment(r.Entry, r.Amount)
+	registerHandler(p.server, methodRepay, func(_ context.Context, _ peerapi.Identity, r repayRequest) (any, error) {
+		m.AcceptRepayment(r.Entry, r.ID, r.Total)
 		return loanResponse{}, nil
 	})
 	registerHandler(p.server, methodRecall, func(_ context.Context, from peerapi.Identity, _ struct{}) (any, error) {
@@ -128,10 +144,17 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
 		var response loanResponse
-		err := p.pool.Call(callCtx, lender.address, methodBorrow, loanRequest{Entry: entry, Amount: amount}, &response)
+		loan := prepaid.Loan{ID: uuid.NewString(), Lender: lender.address}
+		err := p.pool.Call(callCtx, lender.address, methodBorrow, loanRequest{Entry: entry, ID: loan.ID, Amount: amount}, &response)
 		cancel()
-		if err == nil && response.Lent > 0 {
-			loans = append(loans, prepaid.Loan{Lender: lender.address, Amount: response.Lent})
+		switch {
+		case err != nil:
+			// The router may have lent tokens that this one will not use.
+			loan.Repaid = prepaid.RepaidAll
+			go p.Repay(entry, loan)
+		case response.Lent > 0:
+			loan.Amount = response.Lent
+			loans = append(loans, loan)
 			amount -= response.Lent
 		}
 	}
@@ -144,13 +167,20 @@
 }
 
 // Repay implements prepaid.Peers. A lender is identified by its address.
-func (p *gatewayPeers) Repay(lender, entry string, amount int64) {
-	ctx, cancel := context.WithTimeout(context.Background(), repayTimeout)
-	defer cancel()
-	var response loanResponse
-	if err := p.pool.Call(ctx, lender, methodRepay, loanRequest{Entry: entry, Amount: amount}, &response); err != nil {
-		obs.LoansLostTotal.Add(1)
+func (p *gatewayPeers) Repay(entry string, loan prepaid.Loan) {
+	pause := repayPause
+	for range maxRepayCalls {
+		ctx, cancel := context.WithTimeout(context.Background(), repayTimeout)
+		var response loanResponse
+		err := p.pool.Call(ctx, loan.Lender, methodRepay, repayRequest{Entry: entry, ID: loan.ID, Total: loan.Repaid}, &response)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(pause)
+		pause = min(2*pause, maxRepayPause)
 	}
+	obs.LoansLostTotal.Add(1)
 }
 
 // candidateLender is a router that can be asked for a loan.
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -38,6 +38,10 @@
 			"estimated (1813, \"outdated\"): compare bills and budgets.")
 	EventShareRecalled = register(1817, logrus.InfoLevel, "later share of an earlier process learned from another VM",
 		"The restored log has an older record. No action.")
+	EventBudgetUnreachable = register(1825, logrus.WarnLevel, "requests refused for a budget that may cover them",
+		"The budget has \"left\" tokens, of which this router may use \"available\". Of the rest, \"others_idle\" is unused in the "+
+			"shares of other routers, \"others_in_flight\" reserved there, \"stranded\" lost with processes that ended, and "+
+			"\"ungranted\" in no share. \"refused\" counts the requests since the last such line. See docs/operations/budgets.md.")
 	EventShareBorrowed = register(1814, logrus.InfoLevel, "prepaid tokens borrowed from another VM",
 		"This VM's share did not cover a request, so another VM lent it the missing tokens. No action.")
 	EventShareCountedSpent = register(1813, logrus.WarnLevel, "share of an earlier process of this VM counts as spent",
@@ -66,3 +70,6 @@
 
 // HeartbeatsFailedTotal counts heartbeats that the log did not confirm.
 var HeartbeatsFailedTotal = newMetric("beats_failed_total")
+
+// BudgetUnreachableTotal counts requests that were refused although the budget may cover them.
+var BudgetUnreachableTotal = newMetric("budget_unreachable_total")
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -282,7 +282,9 @@
 	// abortConnection is true when the caller's connection must be closed, because the stream is incomplete.
 	abortConnection bool
 	// mayHaveRun is true when an upstream may have started the request.
-	mayHaveRun  bool
+	mayHaveRun bool
+	// charged is the number of tokens that the request was charged.
+	charged     int64
 	status      int
 	code        Code
 	cause       error
--- a/internal/transport/httpapi/forward_end.go
+++ b/internal/transport/httpapi/forward_end.go
@@ -67,6 +67,7 @@
 		bill.InputTokens = p.PromptTokens
 		bill.OutputTokens = min(p.MaxOutputTokens, op.events*max(1, op.service.MaxTokensPerEvent))
 		bill.Charged = min(x.maxCost, bill.InputTokens+bill.OutputTokens)
+		op.charged = bill.Charged
 	}
 	if outcome == outcomeUnknown {
 		if x.request.MarkUnknown(string(CodeOutcomeUnknown)) == nil {
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -38,7 +38,7 @@
 		obs.FirstByteLatency.Record(op.firstByteAt.Sub(x.startedAt))
 	}
 	if x.maxCost > 0 {
-		fields["bound"], fields["events"] = x.maxCost, op.events
+		fields["bound"], fields["events"], fields["charged"] = x.maxCost, op.events, op.charged
 	}
 	if op.abortConnection {
 		fields["cut"] = true
