Say 402 when what can still be spent does not cover a request

Change: stranded tokens count as left only while they may be released (a new field of the share record says so); while the log does not respond, 402 follows from what was spent, if the configuration is fresh.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -102,6 +102,8 @@
 	// releaseUnspent has released what the predecessor cannot have spent.
 	predecessor         shareRecord
 	predecessorReleased bool
+	// predecessorSetAt is when the record was applied.
+	predecessorSetAt time.Time
 	// predecessorOffset is where the record was read. predecessorRecalled is true if another VM knew it, and the log has
 	// an earlier one.
 	predecessorOffset   uint64
@@ -177,15 +179,19 @@
 	return a.priorUsage - a.stranded - a.priorLent + a.priorBorrowedSpent - a.lent + a.spent + a.reserved
 }
 
-// totals are sums over the records of the other VMs. inFlight and demand include only fresh records.
+// totals are sums over the records of the other VMs. inFlight and demand include only fresh records, stranded only what is
+// lost for good.
 type totals struct {
-	spent, spentByRequests, inFlight, demand int64
+	spent, spentByRequests, stranded, inFlight, demand int64
 }
 
 func (a *account) totals(now time.Time, freshness time.Duration) (t totals) {
 	for _, r := range a.others {
 		t.spent += r.Spent
 		t.spentByRequests += r.spentByRequests()
+		if !r.Releasable {
+			t.stranded += r.Stranded
+		}
 		if now.Sub(r.readAt) <= freshness {
 			t.inFlight += r.InFlight
 			t.demand += r.Demand
@@ -219,6 +225,24 @@
 	return prepaid - others.spentByRequests - others.inFlight - a.ownUsed()
 }
 
+// releaseTimeout is how long after its record was read a predecessor's share may still be released. An upper bound of its
+// last gap is proven within seconds or not at all.
+const releaseTimeout = 10 * time.Second
+
+// releasable reports whether part of what is stranded may still turn out not to be spent.
+func (a *account) releasable(now time.Time) bool {
+	return a.predecessor.Process != "" && !a.predecessorReleased && now.Sub(a.predecessorSetAt) < releaseTimeout
+}
+
+// reachable is what is left of the budget without what is stranded for good.
+func (a *account) reachable(prepaid int64, others totals, now time.Time) int64 {
+	left := a.remainingGiven(prepaid, others) - others.stranded
+	if !a.releasable(now) {
+		left -= a.stranded
+	}
+	return left
+}
+
 // waitingTokens is the sum of the waiters' amounts.
 func (a *account) waitingTokens() (sum int64) {
 	for _, w := range a.waiters {
@@ -330,6 +354,7 @@
 		Process: in.process, Granted: granted, Spent: a.shareSpent(), InFlight: min(used+waiting, granted) - a.shareSpent(),
 		Stranded: a.stranded, Demand: int64(a.demand.perSecond(in.now)), BaseLimit: baseLimit, RampRate: rampRate,
 		Lent: a.priorLent + a.lent, BorrowedSpent: a.priorBorrowedSpent + min(a.borrowed, a.spent), Era: in.era + 1,
+		Releasable: a.releasable(in.now),
 	}
 	return next, a.shouldAppend(next, in)
 }
@@ -343,7 +368,8 @@
 	switch {
 	case old.outdated(in.era):
 		return true
-	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.aboveBaseLimit():
+	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.aboveBaseLimit(),
+		next.Releasable != old.Releasable:
 		return true
 	case next.Spent == old.Spent && next.InFlight == old.InFlight && next.BorrowedSpent == old.BorrowedSpent:
 		return false
--- a/internal/coordination/prepaid/loans_test.go
+++ b/internal/coordination/prepaid/loans_test.go
@@ -1,10 +1,14 @@
 package prepaid
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 )
 
 // lendAll moves what one VM may use without a gap to another one, which spends it. It returns the amount.
@@ -88,3 +92,61 @@
 		is.Equal(lender.partition().available(lender.account()), before)
 	})
 }
+
+// refusal returns the error with which a VM refuses a request at once or after a sync.
+func (m *model) refusal(vm *modelVM, amount int64) error {
+	w, err := vm.partition().reserve(modelEntry, amount, m.prepaid)
+	if w == nil {
+		return err
+	}
+	m.now = m.now.Add(time.Millisecond)
+	_ = vm.partition().sync(context.Background(), false) // the outcome is sent to the waiter
+	select {
+	case err = <-w.done:
+	default:
+		vm.partition().cancelWait(modelEntry, w)
+	}
+	return err
+}
+
+// Guards against callers that are told to come back for tokens that are lost for good, and against 402 while those tokens
+// may still be released or a newer configuration may have raised the budget. Pattern: all routers are killed, then the
+// budget is used up.
+func TestRefusalAfterTokensAreStranded(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		a, b := m.vms[0], m.vms[1]
+		is.True(m.reserve(a, 1000))
+		a.heartbeats.provesGaps = false
+		m.start(a) // the whole share is stranded
+		a.sync(is)
+		stranded := a.account().stranded
+		is.True(stranded > 2000)
+		useAll := func() {
+			m.reserveAll(b)
+			for _, r := range b.reservations {
+				m.spent += r.Amount
+				b.m.Settle(r, settlementOf(r.Amount))
+			}
+			b.reservations = nil
+		}
+		useAll()
+		var unavailable *budget.UnavailableError
+		is.True(errors.As(m.refusal(b, 2000), &unavailable)) // may still be released
+		m.now = m.now.Add(releaseTimeout + idleMaxRecordAge)
+		for range 2 {
+			for _, vm := range m.vms {
+				vm.sendHeartbeat(heartbeatAppended)
+				vm.sync(is)
+			}
+			m.now = m.now.Add(idleMaxRecordAge + time.Second)
+			useAll()
+		}
+		is.True(errors.Is(m.refusal(b, 2000), budget.ErrExhausted))
+
+		b.log.mode = logDown
+		m.now = m.now.Add(5 * time.Second)
+		is.True(errors.Is(m.refusal(b, 2000), budget.ErrExhausted)) // what is spent stays spent
+		b.m.cfg.ConfigStale = func() bool { return true }
+		is.True(!errors.Is(m.refusal(b, 2000), budget.ErrExhausted))
+	})
+}
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -25,6 +25,8 @@
 	Process record.HolderID
 	// Prepaid returns the prepaid tokens of an entry, and false if the entry has no budget.
 	Prepaid func(entry string) (int64, bool)
+	// ConfigStale reports whether a newer configuration may have changed the prepaid tokens. It may be nil.
+	ConfigStale func() bool
 	// Entries returns the entries for which a share is obtained before their first request. It may
 	// be nil.
 	Entries func() []string
--- a/internal/coordination/prepaid/record.go
+++ b/internal/coordination/prepaid/record.go
@@ -28,6 +28,8 @@
 	// not state it. Revision numbers the records of the process.
 	Era      uint64 `cbor:"11,keyasint,omitempty"`
 	Revision uint64 `cbor:"12,keyasint,omitempty"`
+	// Releasable is true while part of Stranded may still turn out not to be spent.
+	Releasable bool `cbor:"13,keyasint,omitempty"`
 }
 
 // outdated reports whether the log was restored from an older copy after the record was written. The copy may lack later
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -90,7 +90,7 @@
 		p.requestRefill(a)
 		return nil, nil
 	}
-	if p.loaded && now.Sub(p.lastResponse) < exhaustionTTL && a.remaining(prepaid, now, p.cfg.Policy.RecordFreshness) < amount {
+	if p.exhausted(a, amount, prepaid, now) {
 		return nil, budget.ErrExhausted
 	}
 	if amount >= a.deniedAmount && now.Sub(a.deniedAt) < denialTTL && len(a.waiters) == 0 {
@@ -107,6 +107,24 @@
 	return w, nil
 }
 
+// exhausted reports whether it is proven that the budget does not cover an amount. Shortly after a read of the log, running
+// requests count at their upper bounds. Later they may have ended with less, but what was spent by then stays spent, unless
+// a newer configuration has raised the budget. The caller holds p.mu.
+func (p *partition) exhausted(a *account, amount, prepaid int64, now time.Time) bool {
+	if !p.loaded {
+		return false
+	}
+	if now.Sub(p.lastResponse) < exhaustionTTL {
+		return a.reachable(prepaid, a.totals(now, p.cfg.Policy.RecordFreshness), now) < amount
+	}
+	if p.cfg.ConfigStale != nil && p.cfg.ConfigStale() {
+		return false
+	}
+	others := a.totals(now, p.cfg.Policy.RecordFreshness)
+	others.inFlight = 0
+	return a.reachable(prepaid, others, now)+a.reserved < amount
+}
+
 // requestRefill requests a sync when the unused part of the base limit is small. The caller holds
 // p.mu.
 func (p *partition) requestRefill(a *account) {
@@ -192,7 +210,7 @@
 			w.done <- nil
 		case !w.since.Before(readBegan):
 			kept = append(kept, w)
-		case a.remaining(prepaid, now, p.cfg.Policy.RecordFreshness) < w.amount:
+		case p.exhausted(a, w.amount, prepaid, now):
 			w.done <- budget.ErrExhausted
 		case p.startBorrow(a, w) || w.borrowing:
 			kept = append(kept, w)
--- a/internal/coordination/prepaid/restored.go
+++ b/internal/coordination/prepaid/restored.go
@@ -104,6 +104,7 @@
 // later records. The caller holds p.mu.
 func (p *partition) setPredecessor(a *account, share shareRecord) {
 	a.setPredecessor(share)
+	a.predecessorSetAt = p.cfg.Now()
 	if !share.outdated(p.era()) {
 		return
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -198,7 +198,7 @@
 	}, byService: make(map[string]*routing.WindowRetryBudget)}
 	g.budget = prepaid.New(prepaid.Config{
 		Log: deps.Log, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaidTokens,
-		Entries: g.preallocatedEntries, Routers: g.heartbeats.Routers, Policy: policy, Interval: spendReportInterval,
+		ConfigStale: g.configStale, Entries: g.preallocatedEntries, Routers: g.heartbeats.Routers, Policy: policy, Interval: spendReportInterval,
 		Heartbeats: g.heartbeats, Peers: g.peers, Now: time.Now, Logger: logger,
 	})
 	weights := routing.DefaultWeights()
