Borrow once per budget at a time, from lenders that have not run dry

Each request searched on its own, one lender after the other, always the eight with the most headroom in records that no longer changed. Change: one search per budget, for all requests that wait and half a second of demand, four lenders at a time, up to 24. Lenders that could not lend what was asked are left out for a second.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -118,8 +118,11 @@
 	loans    []Loan
 	lent     int64
 	// given holds the loans to other VMs by ID.
-	given  map[string]*givenLoan
-	demand demandMeter
+	given map[string]*givenLoan
+	// borrowing is true while lenders are searched for. drainedAt is when a VM could last not lend what was asked.
+	borrowing bool
+	drainedAt map[string]time.Time
+	demand    demandMeter
 	// meanRequest is a moving average of the upper bounds of requests.
 	meanRequest float64
 	waiters     []*waiter
--- a/internal/coordination/prepaid/fleet_test.go
+++ b/internal/coordination/prepaid/fleet_test.go
@@ -15,7 +15,7 @@
 // modelPeers transfers loans between the VMs of a model.
 type modelPeers struct{ m *model }
 
-func (p *modelPeers) Borrow(_ context.Context, preferred []string, entry string, amount int64) (loans []Loan) {
+func (p *modelPeers) Borrow(_ context.Context, preferred []string, entry string, amount int64) (loans []Loan, drained []string) {
 	for _, vm := range p.m.vms {
 		if amount > 0 && slices.Contains(preferred, vm.name) {
 			p.m.loans++
@@ -26,7 +26,7 @@
 			}
 		}
 	}
-	return loans
+	return loans, nil
 }
 
 func (p *modelPeers) Recall(context.Context) []map[string][]byte { return nil }
--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -48,11 +48,12 @@
 	minLoan = 256
 )
 
-// lenders returns the VMs whose shares have headroom, those with the most headroom first.
-func (a *account) lenders() []string {
+// lenders returns the VMs that may lend, those with the most headroom first. It leaves out those that could not lend what
+// was asked for a short time ago: while the log does not respond, their records do not show it.
+func (a *account) lenders(now time.Time) []string {
 	var names []string
 	for vm, r := range a.others {
-		if r.headroom() > 0 {
+		if r.headroom() > 0 && now.Sub(a.drainedAt[vm]) >= drainedRetry {
 			names = append(names, vm)
 		}
 	}
@@ -62,6 +63,20 @@
 	return names
 }
 
+// drainedRetry is how long a VM is not asked again after it could not lend what was asked. During a heartbeat gap it may
+// lend more with time.
+const drainedRetry = time.Second
+
+// noteDrained records the VMs that could not lend what was asked.
+func (a *account) noteDrained(vms []string, now time.Time) {
+	if a.drainedAt == nil {
+		a.drainedAt = make(map[string]time.Time)
+	}
+	for _, vm := range vms {
+		a.drainedAt[vm] = now
+	}
+}
+
 // lend lends tokens for a request of another VM: the amount, more if there is plenty, or what is
 // available if that is at least minLoan. It returns the lent amount. The answer to a repeated request is the same, and
 // nothing is lent for a request that arrives after its repayment.
@@ -127,50 +142,80 @@
 	p.startBorrow(p.account(entry), w)
 }
 
-// startBorrow starts to borrow for a waiter, once per waiter. It reports whether it has started. The
-// caller holds p.mu.
+// startBorrow starts to borrow for a waiter, once per waiter. Waiters that come while the account borrows share the next
+// search. It reports whether the waiter may get a loan. The caller holds p.mu.
 func (p *partition) startBorrow(a *account, w *waiter) bool {
 	if w.borrowTried || p.cfg.Peers == nil {
 		return false
 	}
 	w.borrowTried, w.borrowing = true, true
+	if !a.borrowing {
+		p.searchLenders(a)
+	}
+	return true
+}
+
+// searchLenders borrows for the waiters of an account that have not been served yet. The caller holds p.mu.
+func (p *partition) searchLenders(a *account) {
+	a.borrowing = true
 	obs.BorrowRequestsTotal.Add(1)
-	lenders := a.lenders()
+	now := p.cfg.Now()
+	var served []*waiter
+	amount := int64(0)
+	for _, w := range a.waiters {
+		if w.borrowing {
+			served = append(served, w)
+			amount += w.amount
+		}
+	}
+	amount += int64(borrowAhead.Seconds() * a.demand.perSecond(now))
+	lenders := a.lenders(now)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		defer cancel()
-		p.addLoans(a, w, p.cfg.Peers.Borrow(ctx, lenders, a.entry, w.amount))
+		loans, drained := p.cfg.Peers.Borrow(ctx, lenders, a.entry, amount)
+		p.addLoans(a, served, loans, drained)
 	}()
-	return true
 }
 
-// borrowTimeout bounds the search for lenders.
-const borrowTimeout = 250 * time.Millisecond
+const (
+	// borrowTimeout bounds the search for lenders.
+	borrowTimeout = 250 * time.Millisecond
+	// borrowAhead is the time for which more is borrowed at the present demand, so that the next requests need no loan.
+	borrowAhead = 500 * time.Millisecond
+)
 
-// addLoans adds loans to the account and answers the waiters.
-func (p *partition) addLoans(a *account, w *waiter, loans []Loan) {
+// addLoans adds loans to the account and answers the waiters for which they were searched.
+func (p *partition) addLoans(a *account, served []*waiter, loans []Loan, drained []string) {
 	prepaid, _ := p.cfg.Prepaid(a.entry)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w.borrowing = false
+	a.borrowing = false
+	for _, w := range served {
+		w.borrowing = false
+	}
 	now := p.cfg.Now()
+	a.noteDrained(drained, now)
 	for _, l := range loans {
 		a.borrowed += l.Amount
 		a.loans = append(a.loans, l)
 		obs.EventShareBorrowed.Log(p.cfg.Logger, logrus.Fields{
-			"entry": a.entry, "lender": l.Lender, "amount": l.Amount, "needed": w.amount,
+			"entry": a.entry, "lender": l.Lender, "amount": l.Amount, "waiters": len(served),
 			"log_age_ms": now.Sub(p.lastResponse).Milliseconds(),
 		})
 	}
-	if !p.logUnresponsive(now) {
-		// The log responds: the next read may find a larger share.
+	if p.logUnresponsive(now) {
+		// The log is not expected to respond in time, so waiters that no loan may still cover are refused now.
+		// All waiters began to wait before the given time.
+		p.answerWaiters(a, prepaid, now.Add(time.Nanosecond), now)
+	} else {
+		// The next read may find a larger share.
 		p.answerWaiters(a, prepaid, time.Time{}, now)
 		p.wake()
-		return
 	}
-	// The log is not expected to respond in time, so waiters that no loan may still cover are refused now.
-	// All waiters began to wait before the given time.
-	p.answerWaiters(a, prepaid, now.Add(time.Nanosecond), now)
+	if slices.ContainsFunc(a.waiters, func(w *waiter) bool { return w.borrowing }) && !a.borrowing {
+		p.searchLenders(a)
+	}
 }
 
 // Lend lends tokens of this VM's share for a request of another VM. It returns less than the amount
--- a/internal/coordination/prepaid/loans_test.go
+++ b/internal/coordination/prepaid/loans_test.go
@@ -17,7 +17,7 @@
 	amount := from.partition().available(from.account())
 	lent := from.m.Lend(modelEntry, id, amount)
 	is.Equal(lent, amount)
-	to.partition().addLoans(to.account(), &waiter{}, []Loan{{ID: id, Lender: from.name, Amount: lent}})
+	to.partition().addLoans(to.account(), nil, []Loan{{ID: id, Lender: from.name, Amount: lent}}, nil)
 	is.True(m.reserve(to, lent))
 	to.m.Settle(to.reservations[len(to.reservations)-1], settlementOf(lent))
 	to.reservations = to.reservations[:len(to.reservations)-1]
@@ -145,6 +145,7 @@
 
 		b.log.mode = logDown
 		m.now = m.now.Add(5 * time.Second)
+		b.partition().noteOutage(b.partition().sync(context.Background(), false))
 		is.True(errors.Is(m.refusal(b, 2000), budget.ErrExhausted)) // what is spent stays spent
 		b.m.cfg.ConfigStale = func() bool { return true }
 		is.True(!errors.Is(m.refusal(b, 2000), budget.ErrExhausted))
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -57,9 +57,9 @@
 
 // Peers transfers loans between VMs.
 type Peers interface {
-	// Borrow asks VMs to lend tokens, the preferred ones first, until the amount is covered, and
-	// returns what they have lent.
-	Borrow(ctx context.Context, preferred []string, entry string, amount int64) []Loan
+	// Borrow asks VMs to lend tokens, the preferred ones first, until the amount is covered. It returns what they have
+	// lent, and the VMs that could not lend what they were asked for.
+	Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []Loan, drained []string)
 	// Repay returns unused tokens of a loan to the lender, given the loan with the total that was repaid. A repayment
 	// that does not reach the lender counts as spent.
 	Repay(entry string, loan Loan)
@@ -124,8 +124,7 @@
 type waiter struct {
 	amount int64
 	since  time.Time
-	// borrowTried is true once other VMs were asked for a loan, and borrowing until they have
-	// responded.
+	// borrowTried is true once a search for lenders was requested, and borrowing until it has ended.
 	borrowTried, borrowing bool
 	done                   chan error
 }
--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -413,7 +413,7 @@
 				default:
 					loan.Amount = from.m.Lend(modelEntry, loan.ID, amount)
 					p := to.m.partitions[0]
-					p.addLoans(p.account(modelEntry), &waiter{}, []Loan{loan})
+					p.addLoans(p.account(modelEntry), nil, []Loan{loan}, nil)
 				}
 			},
 			"repay": func(t *rapid.T) {
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -108,8 +108,8 @@
 }
 
 // exhausted reports whether it is proven that the budget does not cover an amount. Shortly after a read of the log, running
-// requests count at their upper bounds. Later they may have ended with less, but what was spent by then stays spent, unless
-// a newer configuration has raised the budget. The caller holds p.mu.
+// requests count at their upper bounds. While the log does not respond they may have ended with less, but what was
+// spent stays spent, unless a newer configuration has raised the budget. The caller holds p.mu.
 func (p *partition) exhausted(a *account, amount, prepaid int64, now time.Time) bool {
 	if !p.loaded {
 		return false
@@ -117,7 +117,7 @@
 	if now.Sub(p.lastResponse) < exhaustionTTL {
 		return a.reachable(prepaid, a.totals(now, p.cfg.Policy.RecordFreshness), now) < amount
 	}
-	if p.cfg.ConfigStale != nil && p.cfg.ConfigStale() {
+	if !p.logUnresponsive(now) || p.cfg.ConfigStale != nil && p.cfg.ConfigStale() {
 		return false
 	}
 	others := a.totals(now, p.cfg.Policy.RecordFreshness)
--- a/internal/coordination/prepaid/restored_test.go
+++ b/internal/coordination/prepaid/restored_test.go
@@ -106,7 +106,7 @@
 					amount := rapid.Int64Range(1, 6_000).Draw(t, "amount")
 					m.loans++
 					id := fmt.Sprint("loan ", m.loans)
-					p.addLoans(p.account(modelEntry), &waiter{}, []Loan{{ID: id, Lender: from.name, Amount: from.m.Lend(modelEntry, id, amount)}})
+					p.addLoans(p.account(modelEntry), nil, []Loan{{ID: id, Lender: from.name, Amount: from.m.Lend(modelEntry, id, amount)}}, nil)
 				}
 			},
 			"topup": func(t *rapid.T) { m.prepaid += rapid.Int64Range(0, 500).Draw(t, "tokens") },
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -133,7 +133,7 @@
 		lent := a.m.Lend(modelEntry, "l", 2_000)
 		is.True(lent >= 2_000)
 		is.Equal(lender.available(0, DefaultPolicy()), before-lent)
-		b.partition().addLoans(borrower, &waiter{}, []Loan{{ID: "l", Lender: "vm-0", Amount: lent}})
+		b.partition().addLoans(borrower, nil, []Loan{{ID: "l", Lender: "vm-0", Amount: lent}}, nil)
 		is.Equal(borrower.available(0, DefaultPolicy()), lent)
 		repayment, ok := borrower.repay()
 		is.True(ok)
@@ -282,9 +282,9 @@
 // noPeers lends nothing.
 type noPeers struct{}
 
-func (noPeers) Borrow(context.Context, []string, string, int64) []Loan { return nil }
-func (noPeers) Recall(context.Context) []map[string][]byte             { return nil }
-func (noPeers) Repay(string, Loan)                                     {}
+func (noPeers) Borrow(context.Context, []string, string, int64) ([]Loan, []string) { return nil, nil }
+func (noPeers) Recall(context.Context) []map[string][]byte                         { return nil }
+func (noPeers) Repay(string, Loan)                                                 {}
 
 // Guards against a router that refuses its first requests because it has not read the log yet and
 // its peers lend nothing.
@@ -295,7 +295,7 @@
 		p := a.partition()
 		w, err := p.reserve(modelEntry, 1000, m.prepaid)
 		is.NoErr(err)
-		p.addLoans(a.account(), w, nil)
+		p.addLoans(a.account(), []*waiter{w}, nil, nil)
 		is.Equal(len(w.done), 0)
 		m.now = m.now.Add(time.Millisecond)
 		is.True(a.syncFor(w, 1000))
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -61,8 +61,9 @@
 )
 
 const (
-	// maxLenders limits the routers that are asked to lend for one request.
-	maxLenders = 8
+	// maxLenders limits the routers that are asked to lend in one search, lendersAtOnce those at the same time.
+	maxLenders    = 24
+	lendersAtOnce = 4
 	// borrowTimeout limits one call to a lender.
 	borrowTimeout = 100 * time.Millisecond
 	// repayTimeout limits one call that repays. It is repeated up to maxRepayCalls times, with a pause that begins
@@ -133,31 +134,53 @@
 	maxRecallQueries = 16
 )
 
-// Borrow implements prepaid.Peers. It asks one lender after the other, so that no more is lent than needed.
-func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []prepaid.Loan) {
+// Borrow implements prepaid.Peers. It asks a few lenders at a time, each for all that is still missing, and repays what comes
+// too much.
+func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []prepaid.Loan, drained []string) {
 	if p.pool == nil {
-		return nil
+		return nil, nil
 	}
-	for i, lender := range p.lenders(preferred) {
-		if i == maxLenders || amount <= 0 || ctx.Err() != nil {
-			break
+	lenders := p.lenders(preferred)
+	for len(lenders) > 0 && amount > 0 && ctx.Err() == nil {
+		n := min(lendersAtOnce, len(lenders))
+		for i, loan := range p.askLenders(ctx, lenders[:n], entry, amount) {
+			if loan.Amount > 0 {
+				loans = append(loans, loan)
+			}
+			if loan.Amount < amount && lenders[i].vm != "" {
+				drained = append(drained, lenders[i].vm)
+			}
 		}
-		callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
-		var response loanResponse
-		loan := prepaid.Loan{ID: uuid.NewString(), Lender: lender.address}
-		err := p.pool.Call(callCtx, lender.address, methodBorrow, loanRequest{Entry: entry, ID: loan.ID, Amount: amount}, &response)
-		cancel()
-		switch {
-		case err != nil:
-			// The router may have lent tokens that this one will not use.
-			loan.Repaid = prepaid.RepaidAll
-			go p.Repay(entry, loan)
-		case response.Lent > 0:
-			loan.Amount = response.Lent
-			loans = append(loans, loan)
-			amount -= response.Lent
+		lenders = lenders[n:]
+		for _, loan := range loans {
+			amount -= loan.Amount
 		}
 	}
+	return loans, drained
+}
+
+// askLenders asks lenders at the same time and returns their loans, which may be empty.
+func (p *gatewayPeers) askLenders(ctx context.Context, lenders []candidateLender, entry string, amount int64) []prepaid.Loan {
+	loans := make([]prepaid.Loan, len(lenders))
+	var calls sync.WaitGroup
+	for i, lender := range lenders {
+		calls.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
+			defer cancel()
+			var response loanResponse
+			loan := prepaid.Loan{ID: uuid.NewString(), Lender: lender.address}
+			err := p.pool.Call(callCtx, lender.address, methodBorrow, loanRequest{Entry: entry, ID: loan.ID, Amount: amount}, &response)
+			if err != nil {
+				// The router may have lent tokens that this one will not use.
+				loan.Repaid = prepaid.RepaidAll
+				go p.Repay(entry, loan)
+				return
+			}
+			loan.Amount = max(0, response.Lent)
+			loans[i] = loan
+		})
+	}
+	calls.Wait()
 	return loans
 }
 
@@ -183,6 +206,9 @@
 	obs.LoansLostTotal.Add(1)
 }
 
+// minRandomLenders is the number of other routers that are asked after the preferred ones. Their records may not be known.
+const minRandomLenders = 4
+
 // candidateLender is a router that can be asked for a loan.
 type candidateLender struct{ vm, address string }
 
@@ -196,8 +222,11 @@
 			out = append(out, candidateLender{vm, address})
 			known[address] = true
 		}
+		if len(out) == maxLenders {
+			return out
+		}
 	}
-	for _, address := range p.randomPeers(maxLenders) {
+	for _, address := range p.randomPeers(minRandomLenders) {
 		if !known[address] {
 			out = append(out, candidateLender{address: address})
 		}
