Probe an upstream again after its connection was lost, trials of shares in large fleets

Cause of TestPoisonMessageIsQuarantined (suspected): the listener of a process that ends closes a little after its connections, so that the only probe is accepted and the crash not counted. Two more probes follow, beside the request.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -65,7 +65,7 @@
 	return Policy{
 		MaxHeadroomFraction: 0.5, MaxShareDuration: 16 * time.Second, MaxShareRequests: 4, EqualFraction: 0.35,
 		BaseLimitDuration: 800 * time.Millisecond, MinBaseLimitFraction: 0.05, MinBaseLimitRequests: 1,
-		RampFactor: 1.3, RampDuration: 3 * time.Second, FullShareAfter: 7 * time.Second,
+		RampFactor: 1.3, RampDuration: 8 * time.Second, FullShareAfter: 20 * time.Second,
 		RecordFreshness: 10 * time.Second, MaxReportDelay: 3 * time.Second,
 	}
 }
@@ -254,6 +254,18 @@
 	return sum
 }
 
+const (
+	// routersPerFleetScale is the number of routers per unit of fleetScale, and maxFleetScale its greatest value.
+	routersPerFleetScale = 16
+	maxFleetScale        = 2.5
+)
+
+// fleetScale is by how much shares last longer in a large fleet. Each router there gets few requests for a budget, in bursts,
+// and what is divided equally lies idle at most routers while the log does not respond.
+func fleetScale(routers int) float64 {
+	return min(maxFleetScale, max(1, float64(routers)/routersPerFleetScale))
+}
+
 // targetHeadroom is the headroom that this VM's share should have.
 func (a *account) targetHeadroom(in planInput, others totals) int64 {
 	p := in.policy
@@ -261,14 +273,15 @@
 	if unspent <= 0 {
 		return 0
 	}
-	fraction := 1 / float64(max(1, in.routers))
+	fraction, scale := 1/float64(max(1, in.routers)), fleetScale(in.routers)
 	ownDemand := a.demand.perSecond(in.now)
 	if totalDemand := ownDemand + float64(others.demand); totalDemand > 0 {
-		fraction = p.EqualFraction*fraction + (1-p.EqualFraction)*ownDemand/totalDemand
+		equal := p.EqualFraction / scale
+		fraction = equal*fraction + (1-equal)*ownDemand/totalDemand
 	}
 	headroom := unspent * fraction
 	if a.meanRequest > 0 {
-		headroom = min(headroom, max(p.MaxShareDuration.Seconds()*ownDemand, p.MaxShareRequests*a.meanRequest))
+		headroom = min(headroom, scale*max(p.MaxShareDuration.Seconds()*ownDemand, p.MaxShareRequests*a.meanRequest))
 	}
 	if headroom < max(a.meanRequest*minUsefulRequests, minUsefulTokens) {
 		// Less could not cover a request and would only fragment the budget.
@@ -338,7 +351,8 @@
 		granted = wanted
 	}
 	granted = max(granted, used)
-	baseHeadroom := a.baseHeadroom(in.now, in.policy, target)
+	// The part of a larger share that all processes may lose at once stays the same.
+	baseHeadroom := a.baseHeadroom(in.now, in.policy, int64(float64(target)/fleetScale(in.routers)))
 	baseLimit := min(granted, used+waiting+baseHeadroom)
 	if logged := a.logged.BaseLimit; logged <= granted && waiting == 0 &&
 		logged-used >= baseHeadroom/2 && logged-used <= baseHeadroom*3/2 {
--- a/internal/transport/httpapi/crash.go
+++ b/internal/transport/httpapi/crash.go
@@ -97,22 +97,46 @@
 	if x.ctx.Err() != nil || x.progress.events >= soundEvents || x.api.Quarantine == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, crashProbeTimeout)
-	defer cancel()
-	if !refuses(ctx) {
+	if probeRefuses(x.ctx, refuses) {
+		x.crashedUpstream = x.progress.begun
+		x.recordCrash(upstreamName, x.progress)
 		return
 	}
+	// The listener of a process that ends may be closed a little later than its connections. The request need not wait.
+	progress, ctx := x.progress, context.WithoutCancel(x.ctx)
+	go func() {
+		for _, delay := range crashReprobeDelays {
+			time.Sleep(delay)
+			if probeRefuses(ctx, refuses) {
+				x.recordCrash(upstreamName, progress)
+				return
+			}
+		}
+	}()
+}
+
+// crashReprobeDelays are the pauses before the further probes of an upstream that still accepted a connection.
+var crashReprobeDelays = [...]time.Duration{30 * time.Millisecond, 100 * time.Millisecond}
+
+func probeRefuses(ctx context.Context, refuses func(ctx context.Context) bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	return refuses(ctx)
+}
+
+// recordCrash logs and records that the request was running when its upstream crashed. It uses only fields that do not
+// change while the request is processed.
+func (x *exchange) recordCrash(upstreamName string, progress attemptProgress) {
 	obs.CrashesObservedTotal.Add(1)
 	parts := make([]string, 0, len(x.subjects))
 	for _, s := range x.subjects[1:] {
 		parts = append(parts, s.String())
 	}
 	obs.EventCrashObserved.Log(x.api.Logger, logrus.Fields{
-		"request_id": x.id, "upstream": upstreamName, "begun": x.progress.begun, "events": x.progress.events,
-		"content": x.subjects[0].String(), "parts": parts, "ms": x.api.Now().Sub(x.progress.sentAt).Milliseconds(),
+		"request_id": x.id, "upstream": upstreamName, "begun": progress.begun, "events": progress.events,
+		"content": x.subjects[0].String(), "parts": parts, "ms": x.api.Now().Sub(progress.sentAt).Milliseconds(),
 	})
-	x.crashedUpstream = x.progress.begun
-	x.api.Quarantine.RecordCrash(upstreamName, x.subjects, x.progress.sentAt, x.progress.begun)
+	x.api.Quarantine.RecordCrash(upstreamName, x.subjects, progress.sentAt, progress.begun)
 }
 
 // suspected reports whether a failed request must not be sent again, because it has probably crashed an upstream.
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -380,8 +380,9 @@
 		}
 		op.countAttempt(x, err)
 		if errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, errAttemptTimeout) {
+			target := op.relayTarget(x)
 			x.noteCrash(op.upstream, func(ctx context.Context) bool {
-				return x.api.Forwarding.Forwarder.RefusesConnections(ctx, op.relayTarget(x))
+				return x.api.Forwarding.Forwarder.RefusesConnections(ctx, target)
 			})
 		}
 		if !op.mayRetry(x, err, retryBudget) {
