Say 402 when no router can cover a request any more

Change: besides what is left, what can still be reserved anywhere is summed from the records, with borrowed tokens that are held (a new field). If it covers no request for 2 s and nothing can be released any more, 402 is true.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -130,6 +130,8 @@
 	// the log nor other VMs could provide it.
 	deniedAmount int64
 	deniedAt     time.Time
+	// coveredAt is when the records last showed that a request could be covered somewhere.
+	coveredAt time.Time
 	// unreachable counts the requests that were refused although the budget may cover them, since they were last
 	// logged at unreachableLoggedAt.
 	unreachable         int
@@ -246,6 +248,28 @@
 	return left
 }
 
+// held is what is borrowed and neither spent nor reserved.
+func (a *account) held() int64 { return max(0, a.borrowed-a.spent-a.reserved) }
+
+// spendable is what requests can still reserve anywhere, as the records show it. Unlike remaining, it leaves out what is lost:
+// stranded tokens and the loans of processes that have ended. known is false while a share may still be released.
+func (a *account) spendable(prepaid int64, now time.Time, freshness time.Duration) (tokens int64, known bool) {
+	tokens = max(0, prepaid-a.totalGranted()) + max(0, a.limits.granted-a.shareUsed()) + a.held()
+	known = !a.releasable(now)
+	for _, r := range a.others {
+		headroom := r.Granted - r.Spent
+		if now.Sub(r.readAt) <= freshness {
+			headroom -= r.InFlight
+		}
+		if headroom >= minLoan {
+			tokens += headroom // less is not lent
+		}
+		tokens += r.Held
+		known = known && !r.Releasable
+	}
+	return tokens, known
+}
+
 // waitingTokens is the sum of the waiters' amounts.
 func (a *account) waitingTokens() (sum int64) {
 	for _, w := range a.waiters {
@@ -371,7 +395,7 @@
 		Process: in.process, Granted: granted, Spent: a.shareSpent(), InFlight: min(used+waiting, granted) - a.shareSpent(),
 		Stranded: a.stranded, Demand: int64(a.demand.perSecond(in.now)), BaseLimit: baseLimit, RampRate: rampRate,
 		Lent: a.priorLent + a.lent, BorrowedSpent: a.priorBorrowedSpent + min(a.borrowed, a.spent), Era: in.era + 1,
-		Releasable: a.releasable(in.now),
+		Releasable: a.releasable(in.now), Held: a.held(),
 	}
 	return next, a.shouldAppend(next, in)
 }
@@ -388,7 +412,7 @@
 	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.aboveBaseLimit(),
 		next.Releasable != old.Releasable:
 		return true
-	case next.Spent == old.Spent && next.InFlight == old.InFlight && next.BorrowedSpent == old.BorrowedSpent:
+	case next.Spent == old.Spent && next.InFlight == old.InFlight && next.BorrowedSpent == old.BorrowedSpent && next.Held == old.Held:
 		return false
 	}
 	unreported := float64(next.Spent - old.Spent + next.BorrowedSpent - old.BorrowedSpent)
--- a/internal/coordination/prepaid/record.go
+++ b/internal/coordination/prepaid/record.go
@@ -30,6 +30,8 @@
 	Revision uint64 `cbor:"12,keyasint,omitempty"`
 	// Releasable is true while part of Stranded may still turn out not to be spent.
 	Releasable bool `cbor:"13,keyasint,omitempty"`
+	// Held is what the process has borrowed and neither spent nor reserved.
+	Held int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // outdated reports whether the log was restored from an older copy after the record was written. The copy may lack later
@@ -43,7 +45,7 @@
 // budget.
 func (r shareRecord) valid() bool {
 	for _, n := range [...]int64{
-		r.Granted, r.Spent, r.InFlight, r.Stranded, r.Demand, r.BaseLimit, r.RampRate, r.Lent, r.BorrowedSpent,
+		r.Granted, r.Spent, r.InFlight, r.Stranded, r.Demand, r.BaseLimit, r.RampRate, r.Lent, r.BorrowedSpent, r.Held,
 	} {
 		if n < 0 || n > maxRecordTokens {
 			return false
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -111,20 +111,34 @@
 // requests count at their upper bounds. While the log does not respond they may have ended with less, but what was
 // spent stays spent, unless a newer configuration has raised the budget. The caller holds p.mu.
 func (p *partition) exhausted(a *account, amount, prepaid int64, now time.Time) bool {
-	if !p.loaded {
+	freshness := p.cfg.Policy.RecordFreshness
+	switch {
+	case !p.loaded:
 		return false
-	}
-	if now.Sub(p.lastResponse) < exhaustionTTL {
-		return a.reachable(prepaid, a.totals(now, p.cfg.Policy.RecordFreshness), now) < amount
-	}
-	if !p.logUnresponsive(now) || p.cfg.ConfigStale != nil && p.cfg.ConfigStale() {
+	case now.Sub(p.lastResponse) < exhaustionTTL:
+		return a.remaining(prepaid, now, freshness) < amount || p.nowhereSpendable(a, amount, prepaid, now)
+	case !p.logUnresponsive(now) || p.cfg.ConfigStale != nil && p.cfg.ConfigStale():
 		return false
 	}
-	others := a.totals(now, p.cfg.Policy.RecordFreshness)
+	others := a.totals(now, freshness)
 	others.inFlight = 0
 	return a.reachable(prepaid, others, now)+a.reserved < amount
 }
 
+// unspendableTime is how long the records must show that no request can be covered anywhere. By then loans and repayments
+// that were under way are in them.
+const unspendableTime = 2 * time.Second
+
+// nowhereSpendable reports whether no router can cover an amount, and none could for unspendableTime. The caller holds p.mu.
+func (p *partition) nowhereSpendable(a *account, amount, prepaid int64, now time.Time) bool {
+	tokens, known := a.spendable(prepaid, now, p.cfg.Policy.RecordFreshness)
+	if !known || tokens >= amount {
+		a.coveredAt = now
+		return false
+	}
+	return now.Sub(a.coveredAt) >= unspendableTime
+}
+
 // requestRefill requests a sync when the unused part of the base limit is small. The caller holds
 // p.mu.
 func (p *partition) requestRefill(a *account) {
