--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -70,6 +70,11 @@
 	}
 }
 
+// maxReportDelay is MaxReportDelay in a fleet of the given size. The reports of a large fleet are fewer.
+func (p Policy) maxReportDelay(routers int) time.Duration {
+	return time.Duration(fleetScale(routers) * float64(p.MaxReportDelay))
+}
+
 // account is the state of one budget on this VM.
 type account struct {
 	entry string
@@ -417,7 +422,7 @@
 	}
 	unreported := float64(next.Spent - old.Spent + next.BorrowedSpent - old.BorrowedSpent)
 	threshold := max(a.meanRequest, float64(in.prepaid-old.Spent)/float64(reportDivisor*max(1, in.routers)))
-	return unreported >= threshold || in.now.Sub(a.loggedAt) > in.policy.MaxReportDelay
+	return unreported >= threshold || in.now.Sub(a.loggedAt) > in.policy.maxReportDelay(in.routers)
 }
 
 // aboveBaseLimit reports whether more is used than the base limit in the log.
--- a/internal/coordination/prepaid/sync.go
+++ b/internal/coordination/prepaid/sync.go
@@ -108,12 +108,12 @@
 	if p.cfg.Now().Sub(p.lastReservation) > maxRecordAge {
 		return idleMaxRecordAge
 	}
-	return maxRecordAge
+	return time.Duration(fleetScale(p.cfg.Routers()) * float64(maxRecordAge))
 }
 
 const (
-	// maxRecordAge is the age from which the records of the other VMs are read again, and
-	// idleMaxRecordAge that for streams without recent reservations on this VM.
+	// maxRecordAge is the age from which the records of the other VMs are read again, multiplied by fleetScale so that
+	// the reads of a large fleet are fewer, and idleMaxRecordAge that for streams without recent reservations on this VM.
 	maxRecordAge     = 2 * time.Second
 	idleMaxRecordAge = 15 * time.Second
 )
