Open the whole share after 7 s of a heartbeat gap again

The times cannot depend on the size of the fleet unless the records state them: the successor of a process must count with what that process was allowed.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -65,7 +65,7 @@
 	return Policy{
 		MaxHeadroomFraction: 0.5, MaxShareDuration: 16 * time.Second, MaxShareRequests: 4, EqualFraction: 0.35,
 		BaseLimitDuration: 800 * time.Millisecond, MinBaseLimitFraction: 0.05, MinBaseLimitRequests: 1,
-		RampFactor: 1.3, RampDuration: 8 * time.Second, FullShareAfter: 20 * time.Second,
+		RampFactor: 1.3, RampDuration: 3 * time.Second, FullShareAfter: 7 * time.Second,
 		RecordFreshness: 10 * time.Second, MaxReportDelay: 3 * time.Second,
 	}
 }
