Send repayments to a lender together, one call at a time

Each lost request for a loan kept a goroutine that repeated its repayment for up to 30 s; 60 routers that cannot reach each other would have started thousands a second. A search also subtracted the loans of earlier rounds again. Change: a queue per lender; each lender is asked for its part of what is missing; all unused loans go back at once, also at a planned stop, which repaid only the latest loan of a budget.

--- a/internal/coordination/prepaid/fleet_test.go
+++ b/internal/coordination/prepaid/fleet_test.go
@@ -34,7 +34,7 @@
 func (p *modelPeers) Repay(entry string, loan Loan) {
 	for _, vm := range p.m.vms {
 		if vm.name == loan.Lender {
-			vm.m.AcceptRepayment(entry, loan.ID, loan.Repaid)
+			go vm.m.AcceptRepayment(entry, loan.ID, loan.Repaid) // the caller holds locks
 		}
 	}
 }
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -60,8 +60,8 @@
 	// Borrow asks VMs to lend tokens, the preferred ones first, until the amount is covered. It returns what they have
 	// lent, and the VMs that could not lend what they were asked for.
 	Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []Loan, drained []string)
-	// Repay returns unused tokens of a loan to the lender, given the loan with the total that was repaid. A repayment
-	// that does not reach the lender counts as spent.
+	// Repay returns unused tokens of a loan to the lender, given the loan with the total that was repaid. It must not wait
+	// or call the Manager. A repayment that does not reach the lender counts as spent.
 	Repay(entry string, loan Loan)
 	// Recall asks the other VMs for the latest records of this VM's shares that they know, see Manager.SharesOf.
 	Recall(ctx context.Context) []map[string][]byte
--- a/internal/coordination/prepaid/sync.go
+++ b/internal/coordination/prepaid/sync.go
@@ -305,15 +305,15 @@
 	p.repayLoans()
 }
 
-// repayLoans repays, for each account, the unused part of its latest loan. It is called when the log
+// repayLoans repays, for each account, the unused parts of its loans. It is called when the log
 // has responded, so a share can be raised instead of a loan. The caller holds p.mu.
 func (p *partition) repayLoans() {
 	if p.cfg.Peers == nil {
 		return
 	}
 	for entry, a := range p.accounts {
-		if repayment, ok := a.repay(); ok {
-			go p.cfg.Peers.Repay(entry, repayment)
+		for repayment, ok := a.repay(); ok; repayment, ok = a.repay() {
+			p.cfg.Peers.Repay(entry, repayment)
 		}
 	}
 }
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -12,7 +12,6 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
-	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
 )
 
@@ -34,8 +33,8 @@
 	Amount int64  `json:"amount"`
 }
 
-// repayRequest returns unused tokens of a loan.
-type repayRequest struct {
+// repayment returns unused tokens of a loan.
+type repayment struct {
 	Entry string `json:"entry"`
 	ID    string `json:"id"`
 	// Total is what was returned of the loan so far.
@@ -66,12 +65,8 @@
 	lendersAtOnce = 4
 	// borrowTimeout limits one call to a lender.
 	borrowTimeout = 100 * time.Millisecond
-	// repayTimeout limits one call that repays. It is repeated up to maxRepayCalls times, with a pause that begins
-	// with repayPause and doubles each time up to maxRepayPause. Together they cover a network partition of some seconds.
-	repayTimeout  = time.Second
-	maxRepayCalls = 12
-	repayPause    = 100 * time.Millisecond
-	maxRepayPause = 2 * time.Second
+	// repayTimeout limits one call that repays.
+	repayTimeout = time.Second
 )
 
 // registerHandlers registers the handlers of loans, of the ages of heartbeats, of crashes and of request limits.
@@ -84,8 +79,10 @@
 	registerHandler(p.server, methodBorrow, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
 		return loanResponse{Lent: m.Lend(r.Entry, r.ID, r.Amount)}, nil
 	})
-	registerHandler(p.server, methodRepay, func(_ context.Context, _ peerapi.Identity, r repayRequest) (any, error) {
-		m.AcceptRepayment(r.Entry, r.ID, r.Total)
+	registerHandler(p.server, methodRepay, func(_ context.Context, _ peerapi.Identity, repayments []repayment) (any, error) {
+		for _, r := range repayments {
+			m.AcceptRepayment(r.Entry, r.ID, r.Total)
+		}
 		return loanResponse{}, nil
 	})
 	registerHandler(p.server, methodRecall, func(_ context.Context, from peerapi.Identity, _ struct{}) (any, error) {
@@ -134,32 +131,30 @@
 	maxRecallQueries = 16
 )
 
-// Borrow implements prepaid.Peers. It asks a few lenders at a time, each for all that is still missing, and repays what comes
-// too much.
+// Borrow implements prepaid.Peers. It asks a few lenders at a time, each for its part of what is still missing.
 func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []prepaid.Loan, drained []string) {
 	if p.pool == nil {
 		return nil, nil
 	}
 	lenders := p.lenders(preferred)
 	for len(lenders) > 0 && amount > 0 && ctx.Err() == nil {
-		n := min(lendersAtOnce, len(lenders))
-		for i, loan := range p.askLenders(ctx, lenders[:n], entry, amount) {
+		asked := lenders[:min(lendersAtOnce, len(lenders))]
+		part := (amount + int64(len(asked)) - 1) / int64(len(asked))
+		for i, loan := range p.askLenders(ctx, asked, entry, part) {
+			amount -= loan.Amount
 			if loan.Amount > 0 {
 				loans = append(loans, loan)
 			}
-			if loan.Amount < amount && lenders[i].vm != "" {
-				drained = append(drained, lenders[i].vm)
+			if loan.Amount < part && asked[i].vm != "" {
+				drained = append(drained, asked[i].vm)
 			}
 		}
-		lenders = lenders[n:]
-		for _, loan := range loans {
-			amount -= loan.Amount
-		}
+		lenders = lenders[len(asked):]
 	}
 	return loans, drained
 }
 
-// askLenders asks lenders at the same time and returns their loans, which may be empty.
+// askLenders asks lenders at the same time and returns a loan for each. Its amount is 0 if the lender gave none.
 func (p *gatewayPeers) askLenders(ctx context.Context, lenders []candidateLender, entry string, amount int64) []prepaid.Loan {
 	loans := make([]prepaid.Loan, len(lenders))
 	var calls sync.WaitGroup
@@ -173,7 +168,7 @@
 			if err != nil {
 				// The router may have lent tokens that this one will not use.
 				loan.Repaid = prepaid.RepaidAll
-				go p.Repay(entry, loan)
+				p.Repay(entry, loan)
 				return
 			}
 			loan.Amount = max(0, response.Lent)
@@ -191,19 +186,15 @@
 
 // Repay implements prepaid.Peers. A lender is identified by its address.
 func (p *gatewayPeers) Repay(entry string, loan prepaid.Loan) {
-	pause := repayPause
-	for range maxRepayCalls {
-		ctx, cancel := context.WithTimeout(context.Background(), repayTimeout)
-		var response loanResponse
-		err := p.pool.Call(ctx, loan.Lender, methodRepay, repayRequest{Entry: entry, ID: loan.ID, Total: loan.Repaid}, &response)
-		cancel()
-		if err == nil {
-			return
-		}
-		time.Sleep(pause)
-		pause = min(2*pause, maxRepayPause)
-	}
-	obs.LoansLostTotal.Add(1)
+	p.repayments.add(loan.Lender, repayment{Entry: entry, ID: loan.ID, Total: loan.Repaid}, p.sendRepayments)
+}
+
+// sendRepayments sends repayments to a lender and reports whether they have arrived.
+func (p *gatewayPeers) sendRepayments(lender string, repayments []repayment) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), repayTimeout)
+	defer cancel()
+	var response loanResponse
+	return p.pool.Call(ctx, lender, methodRepay, repayments, &response) == nil
 }
 
 // minRandomLenders is the number of other routers that are asked after the preferred ones. Their records may not be known.
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -19,6 +19,8 @@
 	replicas map[string]*replica.Replica
 	pool     *peer.Pool
 	server   *peer.Server
+	// repayments are the repayments of loans that have not arrived yet.
+	repayments repaymentQueue
 
 	mu    sync.Mutex
 	seeds []string
