--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -417,7 +417,7 @@
 	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.aboveBaseLimit(),
 		next.Releasable != old.Releasable:
 		return true
-	case next.Spent == old.Spent && next.InFlight == old.InFlight && next.BorrowedSpent == old.BorrowedSpent && next.Held == old.Held:
+	case next.Spent == old.Spent && next.InFlight == old.InFlight && next.BorrowedSpent == old.BorrowedSpent:
 		return false
 	}
 	unreported := float64(next.Spent - old.Spent + next.BorrowedSpent - old.BorrowedSpent)
--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -249,5 +249,4 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.account(entry).acceptRepayment(id, total, p.cfg.Now())
-	p.wake()
 }
