Bound budgets to what share records may state; say that a caller has left

A budget above 2^50 tokens would have made all share records malformed. A request whose caller has closed its connection was logged as past its deadline.

--- a/internal/coordination/prepaid/record.go
+++ b/internal/coordination/prepaid/record.go
@@ -38,8 +38,9 @@
 // records of its VM.
 func (r shareRecord) outdated(era uint64) bool { return r.Era != 0 && r.Era <= era }
 
-// maxRecordTokens bounds the amounts of a record, so that sums over the records of a fleet do not overflow.
-const maxRecordTokens = 1 << 50
+// MaxRecordTokens bounds the amounts of a record, so that sums over the records of a fleet do not overflow. A budget must not
+// be larger.
+const MaxRecordTokens = 1 << 50
 
 // valid reports whether a router can have written the record. A negative share would make room for others that exceed the
 // budget.
@@ -47,7 +48,7 @@
 	for _, n := range [...]int64{
 		r.Granted, r.Spent, r.InFlight, r.Stranded, r.Demand, r.BaseLimit, r.RampRate, r.Lent, r.BorrowedSpent, r.Held,
 	} {
-		if n < 0 || n > maxRecordTokens {
+		if n < 0 || n > MaxRecordTokens {
 			return false
 		}
 	}
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -270,7 +270,7 @@
 // request waited, else the given one.
 func (x *exchange) contextErrorOr(e *APIError) *APIError {
 	switch {
-	case x.httpReq.Context().Err() != nil:
+	case x.httpReq.Context().Err() != nil || errors.Is(x.ctx.Err(), context.Canceled):
 		return refusal(statusClientClosedRequest, CodeCanceled, "the caller left before the request was sent")
 	case x.ctx.Err() != nil:
 		return refusal(http.StatusGatewayTimeout, CodeDeadlineExceeded,
