--- a/internal/transport/relay/duplicate_test.go
+++ b/internal/transport/relay/duplicate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,8 +45,11 @@
 			for _, copied := range []string{"answer", "refusal", "refusal without ID"} {
 				t.Run(framing+", "+timing+", "+copied, func(t *testing.T) {
 					is := is.New(t)
+					var mu sync.Mutex
 					earlier := ""
 					address, _ := startServer(t, func(c net.Conn, request string) {
+						mu.Lock()
+						defer mu.Unlock()
 						id := requestIDOf(request)
 						now, later := write(respond(id, "for "+id), earlier)
 						_, _ = io.WriteString(c, now)
