--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -133,8 +133,15 @@
 	}
 }
 
-// Publish writes a configuration, as the operator does.
+// Publish writes a configuration with one tenant, as the operator does.
 func (r *Rig) Publish(version int, routes []map[string]any) error {
+	return r.PublishFor(version, routes, []any{
+		map[string]any{"name": Tenant, "api_keys": []string{Key}, "priority": 1, "reserved": Reserved},
+	})
+}
+
+// PublishFor writes a configuration with the given tenants.
+func (r *Rig) PublishFor(version int, routes []map[string]any, tenants []any) error {
 	data, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{
@@ -147,7 +154,7 @@
 		"limits": map[string]any{
 			"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
-		"tenants": []any{map[string]any{"name": Tenant, "api_keys": []string{Key}, "priority": 1, "reserved": Reserved}},
+		"tenants": tenants,
 	})
 	if err != nil {
 		return err
@@ -276,8 +283,15 @@
 // Signal sends a signal to the process of the machine.
 func (m *Router) Signal(s syscall.Signal) { _ = m.cmd.Process.Signal(s) }
 
-// Exited is closed when the process of the machine has ended.
-func (m *Router) Exited() <-chan struct{} { return m.exited }
+// Pid is the ID of the process of the machine.
+func (m *Router) Pid() int { return m.cmd.Process.Pid }
+
+// Kill ends the process of the machine with SIGKILL.
+func (m *Router) Kill() {
+	m.Signal(syscall.SIGKILL)
+	<-m.exited
+	m.rig.Logf("%s: process killed", m.Name)
+}
 
 func (m *Router) kill() {
 	if m.cmd == nil || m.cmd.Process == nil {
