--- a/review/1/main.go
+++ b/review/1/main.go
@@ -18,29 +18,34 @@
 	eventEvery = 25 * time.Millisecond
 	// cutAfter is the number of events after which a server loses the connection of a stream.
 	cutAfter = 5
-	requests = 40
-	// cutEvery makes one stream in so many lose its connection; one resumed run in failEvery fails.
-	cutEvery  = 3
-	failEvery = 2
+	requests = 800
+	// atOnce is the number of requests that are open at the same time.
+	atOnce = 20
+	// Of the servers, one in seven (0.14) fails 9 of 20 (0.45) of the runs that resume a stream and no others, and four in
+	// seven (0.57) lose 2 of 5 of their answers (0.4).
+	servers          = 7
+	failing          = 1
+	failed, failedOf = 9, 20
+	losing           = 4
+	lost, lostOf     = 2, 5
 )
 
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) (int, error) {
 	var mu sync.Mutex
-	streams, resumed := 0, 0
+	runs := make(map[string]int)
 	handler := func(w *rig.Worker, c *rig.Call) {
 		first, _ := strconv.Atoi(c.Req.Header.Get("Last-Event-Id"))
+		var number int
+		_, _ = fmt.Sscanf(w.ID(), "i-%d", &number)
+		kind := fmt.Sprint(w.ID(), first > 0)
 		mu.Lock()
-		cut, fail := false, false
-		if first == 0 {
-			streams++
-			cut = rig.Trouble() && streams%cutEvery == 0
-		} else {
-			resumed++
-			fail = rig.Trouble() && resumed%failEvery == 0
-		}
+		n := runs[kind]
+		runs[kind]++
 		mu.Unlock()
+		fail := rig.Trouble() && number <= failing && first > 0 && n%2 == 0 && n%failedOf < 2*failed
+		cut := rig.Trouble() && number > failing && number <= failing+losing && n%lostOf < lost && first < cutAfter
 		r.Logf("server %s runs %s after event %d", w.ID(), c.ID, first)
 		w.Begin(c)
 		if fail {
@@ -63,7 +68,7 @@
 			}
 		}
 	}
-	for i := range 4 {
+	for i := range servers {
 		if _, err := r.AddWorker(fmt.Sprintf("i-%d", i+1), "setter-llm", handler); err != nil {
 			return 0, err
 		}
@@ -77,23 +82,36 @@
 		return 0, err
 	}
 	time.Sleep(2 * time.Second)
-	broken, whole, cutOff := 0, 0, 0
+	broken, whole, cutOff, refused := 0, 0, 0, 0
+	var open sync.WaitGroup
+	slots := make(chan struct{}, atOnce)
 	for n := range requests {
 		m := r.Routers[n%len(r.Routers)]
-		id := rig.NewAttempt()
-		answer := rig.Send(m, http.MethodPost, "/blade-history/review", "review", id, 12*time.Second, rig.Prompt(6610, 400, "5c1e07a2:512,91bd3f06:4870,e4402b7d:1228"))
-		got, rest := rig.Events(answer.Body)
-		r.Logf("client at %s: %s answered %d, %d of %d events, then %q, end of stream: %v", m.Name, id, answer.Status, len(got), events, rest, answer.Err)
-		switch {
-		case answer.Err != nil:
-			cutOff++
-		case answer.Status != http.StatusOK:
-		case len(got) < events || strings.TrimSpace(rest) != "":
-			broken++
-		default:
-			whole++
-		}
+		slots <- struct{}{}
+		open.Go(func() {
+			defer func() { <-slots }()
+			id := rig.NewAttempt()
+			// Each request has a session of its own, so that the requests spread over the servers.
+			prompt := rig.Prompt(6610, 400, fmt.Sprintf("5c1e07a2:512,%08x:4870,%08x:1228", n, n+requests))
+			answer := rig.Send(m, http.MethodPost, "/blade-history/review", "review", id, 12*time.Second, prompt)
+			got, rest := rig.Events(answer.Body)
+			r.Logf("client at %s: %s answered %d, %d of %d events, then %q, end of stream: %v", m.Name, id, answer.Status, len(got), events, rest, answer.Err)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case answer.Err != nil:
+				cutOff++
+			case answer.Status != http.StatusOK:
+				refused++
+			case len(got) < events || strings.TrimSpace(rest) != "":
+				broken++
+			default:
+				whole++
+			}
+		})
 	}
+	open.Wait()
+	r.Logf("%d other statuses", refused)
 	r.Logf("%d streams whole, %d broken off, %d that ended as complete before their last event", whole, cutOff, broken)
 	fmt.Printf("%d streams whole, %d broken off, %d that ended as complete before their last event\n", whole, cutOff, broken)
 	if broken > 0 {
