Treat a failed resume as a failed attempt, not as the answer

Cause: forwardOp.send chose stream or buffered response by the status alone. After events were written, any status but 200 went to forwardBuffered, which wrote the body into the open stream and returned success. A 200 of another content type was read as events.

Evidence: event 1611 of such a request on the old code has status 400, events 2, first_ms 1 and no "cut"; no 1612 for the second attempt. Ruled out: the relay joins responses (two connections were used); 5xx and 503 were handled (they are kept, and a committed stream is aborted).

Fix: once a stream has begun, only a response with its status and content type continues it. The own fleet did not have the fault; TestFailureAtResumeIsNoEvent keeps it so.

--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -335,6 +336,32 @@
 	is.Equal(charges, []int64{tokenCost(req)})
 }
 
+// Guards against a failure of the engine that resumes a stream whose text the caller gets as events, or whose end marker ends
+// the stream as if it were complete.
+func TestFailureAtResumeIsNoEvent(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNoContent, http.StatusBadRequest, http.StatusInternalServerError} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			is := is.New(t)
+			engine, handler := newEngine()
+			engine.SetFaults(standin.EngineFaults{Break: 1, BreakAt: 3})
+			f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				if req.Method != http.MethodGet || strings.HasSuffix(req.URL.Path, "/usage") {
+					handler.ServeHTTP(w, req)
+					return
+				}
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, "data: {\"choices\":[{\"delta\":{\"content\":\"the run has failed\"}}]}\n\ndata: "+chat.DoneMark+"\n\n")
+			}))
+			f.api.Limits.ResumeTimeout = 300 * time.Millisecond
+			r := f.chat(true, "a b c")
+			text, ended := streamText(r.body)
+			is.True(!ended)
+			is.True(!strings.Contains(text, "failed"))
+			is.Equal(r.apiError().Code, CodeOutcomeUnknown)
+		})
+	}
+}
+
 // Guards against a run that continues after the caller has disconnected, and against a bill for more than was
 // used.
 func TestCallerDisconnects(t *testing.T) {
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -276,7 +276,9 @@
 	// committed is true once status and headers of a stream are decided: just before its first event is
 	// written to the caller, or at the end of a stream without events. From then on events are written as
 	// they arrive, and the response cannot be replaced by an error.
-	committed   bool
+	committed bool
+	// contentType is that of the response that began the stream.
+	contentType string
 	events      int64
 	lastEventID string
 	// abortConnection is true when the caller's connection must be closed, because the stream is incomplete.
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -23,6 +23,9 @@
 // that does not say so. It is not passed on.
 var errUnprovenRefusal = errors.New("upstream responded with the status of a refusal and may have run the request")
 
+// errResumeFailed reports a response that does not continue the stream of which the caller already has events.
+var errResumeFailed = errors.New("response does not continue the stream")
+
 // saysNotRun reports whether callers take a status for the statement that the request has not run and will not.
 func saysNotRun(status int) bool {
 	switch status {
@@ -62,6 +65,9 @@
 	case !info.Genuine:
 		return errors.Mark(
 			errors.Newf("response with status %d did not come from an upstream", response.Status), upstream.ErrMismatch)
+	case op.committed && !op.continuesStream(response):
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxEventBytes))
+		return errors.Wrapf(errResumeFailed, "status %d, type %.60q", response.Status, response.Header.Get("Content-Type"))
 	case saysNotRun(response.Status):
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxEventBytes))
 		return errors.Wrapf(errUnprovenRefusal, "status %d", response.Status)
@@ -171,11 +177,17 @@
 // streamBufferBytes is the size of the read buffer. It holds several events.
 const streamBufferBytes = 4 << 10
 
+// continuesStream reports whether the events of a response may follow those that the caller has. Only a response like the
+// one that began the stream may: a failure, or a body of another type, would be read as events.
+func (op *forwardOp) continuesStream(response *relay.Response) bool {
+	return response.Status == op.status && response.Header.Get("Content-Type") == op.contentType
+}
+
 // commitHeader copies the status and headers of the stream from the response. It is called once: if another
 // upstream resumes the stream, those of the first response are kept.
 func (op *forwardOp) commitHeader(x *exchange, response *relay.Response) {
 	op.committed = true
-	op.status = response.Status
+	op.status, op.contentType = response.Status, response.Header.Get("Content-Type")
 	if op.firstByteAt.IsZero() {
 		op.firstByteAt = x.api.Now()
 	}
@@ -243,7 +255,7 @@
 // a crash, as the function routingResult would, because connections are reset for other reasons too.
 func (op *forwardOp) routingResult(err error) routing.Result {
 	switch {
-	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal):
+	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal, errResumeFailed):
 		return routing.ResultError
 	case errors.Is(err, relay.ErrConnectionLimit):
 		return routing.ResultRefused
