Do not give peers an offset behind removals that are deferred

Cause: replica.Since leaves deferred removals out of what a peer gets and stated the offset behind them, so the peer never read them.

Routers in their grace period had read to 82; edge-mu-west-b-1 fetched up to 87 without a removal (1805) and then read the store from 87 on (1806). Ruled out: slow reads, the length of the grace period, an older listing (docs/incidents/hidden-removal.md).

Fix: the offset is at most that of the first deferred removal. The same holds for tombstones that were pruned, and an older record of a peer no longer cancels a deferred removal.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -69,6 +69,8 @@
 	// tombstones holds the offsets of removals, so that a peer's older record does not bring a key
 	// back.
 	tombstones map[string]uint64
+	// prunedTo is the offset below which tombstones may have been pruned.
+	prunedTo uint64
 	// next is the offset from which the stream is read next.
 	next   uint64
 	loaded bool
@@ -282,12 +284,14 @@
 	}
 	if rec.Value != nil {
 		delete(r.tombstones, rec.Key)
-		delete(r.deferred, rec.Key)
+		if r.deferred[rec.Key] < rec.Offset {
+			delete(r.deferred, rec.Key)
+		}
 		r.records[rec.Key] = rec
 		return true
 	}
 	if ok && r.cfg.Now().Before(r.graceUntil) {
-		r.deferred[rec.Key] = rec.Offset
+		r.deferred[rec.Key] = max(r.deferred[rec.Key], rec.Offset)
 		return false
 	}
 	r.remove(rec.Key, rec.Offset)
@@ -313,6 +317,7 @@
 	for key, offset := range r.tombstones {
 		if offset+maxTombstones < r.next {
 			delete(r.tombstones, key)
+			r.prunedTo = max(r.prunedTo, offset+1)
 		}
 	}
 }
@@ -333,12 +338,18 @@
 	}
 }
 
-// Since returns the records and the tombstones from an offset on, for a peer. Pruned tombstones and
-// deferred removals are missing from the result.
+// Since returns the records and the tombstones from an offset on, for a peer. Deferred removals and pruned tombstones are
+// missing from the result, and so are they before Next: the peer must not take what it has not been told for read.
 func (r *Replica) Since(from uint64) keyedlog.Page {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	page := keyedlog.Page{Next: r.next}
+	for _, offset := range r.deferred {
+		page.Next = min(page.Next, offset)
+	}
+	if from < r.prunedTo {
+		page.Next = min(page.Next, from)
+	}
 	for _, rec := range r.records {
 		if rec.Offset >= from {
 			page.Records = append(page.Records, rec)
@@ -359,8 +370,7 @@
 	return maps.Clone(r.records)
 }
 
-// Next returns the offset up to which the log or a peer was read. Removals before it may be missing:
-// deferred ones, and those that a peer's page lacked, see Since.
+// Next returns the offset up to which the log or a peer was read. Removals before it that are deferred are not applied yet.
 func (r *Replica) Next() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
