Count crashes at any point of a stream

Cause: two events counted as proof that a request is sound. noteCrash ignored later crashes, and noteEvent reported an answer at the second event, which cleared earlier crashes in the whole fleet.

Ruled out: the probe, the reports to peers.

Fix: a lost connection is probed at any point of a stream, and only a complete answer clears a request. Streams that break together share a probe. The own fleet probes as a stream breaks, not after the resume was given up; a listener may close 0.5 s late.

--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
@@ -166,6 +167,8 @@
 	Now             func() time.Time
 
 	openRequests atomic.Int64
+	// crashProbes are the probes in progress, by upstream.
+	crashProbes singleflight.Group
 }
 
 // Handler returns the handler of chat completions, plain services and request lookups.
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -119,6 +119,8 @@
 		return x.handleAttemptError(ctx, call, err)
 	}
 	if err != nil {
+		// By the end of the resume, a crashed engine may have restarted.
+		x.noteFailedAttempt(err)
 		err = s.resume(ctx, call, op.model, err)
 	}
 	if err != nil {
--- a/internal/transport/httpapi/crash.go
+++ b/internal/transport/httpapi/crash.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// soundEvents is the number of events after which a stream shows that its request does not crash the upstream.
-	// One that crashes it does so as the answer begins.
-	soundEvents = 2
+	// resendableEvents is the number of events after which a stream that its upstream's crash has ended is sent again. Most
+	// requests are then only running beside the one that caused the crash.
+	resendableEvents = 2
 	// crashProbeTimeout limits the connection attempt that tells a crash from a lost connection.
 	crashProbeTimeout = 300 * time.Millisecond
 )
@@ -49,7 +49,7 @@
 	Check(subjects []quarantine.Subject) error
 	// Suspected reports whether a request that has failed must not be sent again.
 	Suspected(subjects []quarantine.Subject) bool
-	// RecordAnswer records that the answer to a request has begun without a crash.
+	// RecordAnswer records that a request was answered completely.
 	RecordAnswer(subjects []quarantine.Subject)
 	// RecordCrash records that a request, sent at sentAt, was running when its upstream crashed.
 	RecordCrash(upstream string, subjects []quarantine.Subject, sentAt time.Time, begun bool)
@@ -61,6 +61,8 @@
 	// events counts the events of its stream, and begun is true once its response has begun.
 	events int
 	begun  bool
+	// crashChecked is true once the upstream was probed after the connection of the attempt was lost.
+	crashChecked bool
 }
 
 // checkQuarantine refuses a request whose content crashes upstreams.
@@ -79,12 +81,10 @@
 // noteEvent counts an event of the attempt in progress.
 func (x *exchange) noteEvent() {
 	x.progress.begun = true
-	if x.progress.events++; x.progress.events == soundEvents {
-		x.noteAnswer()
-	}
+	x.progress.events++
 }
 
-// noteAnswer records that the answer to the request has begun without a crash.
+// noteAnswer records that the request was answered completely. A request may crash its upstream at any time before.
 func (x *exchange) noteAnswer() {
 	if x.api.Quarantine != nil {
 		x.api.Quarantine.RecordAnswer(x.subjects)
@@ -94,11 +94,13 @@
 // noteCrash records a crash of the upstream after the attempt in progress has lost its connection. Connections are
 // lost for other reasons too, so the upstream must also refuse new ones, as refuses reports.
 func (x *exchange) noteCrash(upstreamName string, refuses func(ctx context.Context) bool) {
-	if x.ctx.Err() != nil || x.progress.events >= soundEvents || x.api.Quarantine == nil {
+	if x.ctx.Err() != nil || x.progress.crashChecked || x.api.Quarantine == nil {
 		return
 	}
-	if probeRefuses(x.ctx, refuses) {
-		x.crashedUpstream = x.progress.begun
+	x.progress.crashChecked = true
+	probe := func(ctx context.Context) bool { return x.api.probeRefuses(ctx, upstreamName, refuses) }
+	if probe(x.ctx) {
+		x.crashedUpstream = x.progress.begun && x.progress.events < resendableEvents
 		x.recordCrash(upstreamName, x.progress)
 		return
 	}
@@ -107,7 +109,7 @@
 	go func() {
 		for _, delay := range crashReprobeDelays {
 			time.Sleep(delay)
-			if probeRefuses(ctx, refuses) {
+			if probe(ctx) {
 				x.recordCrash(upstreamName, progress)
 				return
 			}
@@ -116,12 +118,17 @@
 }
 
 // crashReprobeDelays are the pauses before the further probes of an upstream that still accepted a connection.
-var crashReprobeDelays = [...]time.Duration{30 * time.Millisecond, 100 * time.Millisecond}
-
-func probeRefuses(ctx context.Context, refuses func(ctx context.Context) bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
-	defer cancel()
-	return refuses(ctx)
+var crashReprobeDelays = [...]time.Duration{30 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+
+// probeRefuses calls refuses with a timeout. Requests that lose their connections to an upstream together share one
+// probe.
+func (a *API) probeRefuses(ctx context.Context, upstreamName string, refuses func(ctx context.Context) bool) bool {
+	refused, _, _ := a.crashProbes.Do(upstreamName, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
+		defer cancel()
+		return refuses(ctx), nil
+	})
+	return refused.(bool)
 }
 
 // recordCrash logs and records that the request was running when its upstream crashed. It uses only fields that do not
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -66,7 +66,7 @@
 	crashedUpstream bool
 	// streaming is true once the response is being streamed to the caller.
 	streaming bool
-	// attempt is the attempt in progress of a forwarded request.
+	// attempt is the attempt in progress.
 	attempt Attempt
 	// entryWithClass is a copy of the entry with the class of the forwarded request.
 	entryWithClass catalogue.BoundEntry
--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,7 +16,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
@@ -362,6 +365,95 @@
 	}
 }
 
+// crashRecorder is a Quarantine that records calls and blocks nothing.
+type crashRecorder struct {
+	mu               sync.Mutex
+	crashes, answers int
+}
+
+func (q *crashRecorder) Check([]quarantine.Subject) error    { return nil }
+func (q *crashRecorder) Suspected([]quarantine.Subject) bool { return false }
+
+func (q *crashRecorder) RecordAnswer([]quarantine.Subject) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answers++
+}
+
+func (q *crashRecorder) RecordCrash(string, []quarantine.Subject, time.Time, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.crashes++
+}
+
+func (q *crashRecorder) counts() (crashes, answers int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.crashes, q.answers
+}
+
+// Guards against an engine's crash in the middle of a stream that does not count, because some events were received or because
+// the router looks for the engine only after it has given up the resume.
+func TestCrashMidStreamIsRecorded(t *testing.T) {
+	is := is.New(t)
+	var server *httptest.Server
+	engine, handler := newEngine()
+	engine.SetFaults(standin.EngineFaults{Break: 1, BreakAt: 4})
+	f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				_ = server.Listener.Close()
+				panic(cause)
+			}
+		}()
+		handler.ServeHTTP(w, req)
+	}))
+	server = f.upstreams[0]
+	// The address is served again before the resume is given up.
+	address := server.Listener.Addr().String()
+	time.AfterFunc(400*time.Millisecond, func() {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	})
+	f.api.Limits.ResumeTimeout = 800 * time.Millisecond
+	recorder := &crashRecorder{}
+	f.api.Quarantine = recorder
+	r := f.chat(true, "a b c")
+	_, ended := streamText(r.body)
+	is.True(!ended)
+	crashes, answers := recorder.counts()
+	is.Equal(crashes, 1)
+	is.Equal(answers, 0)
+}
+
+// Guards against a crash that does not count because the listener of the process is closed a little later than its
+// connections.
+func TestCrashIsRecordedAfterListenerCloses(t *testing.T) {
+	is := is.New(t)
+	recorder := &crashRecorder{}
+	x := &exchange{api: &API{Quarantine: recorder, Logger: logrus.New(), Now: time.Now}, ctx: context.Background(),
+		subjects: []quarantine.Subject{1}}
+	began := time.Now()
+	x.noteCrash("e1", func(context.Context) bool { return time.Since(began) > 350*time.Millisecond })
+	for range 200 {
+		if crashes, _ := recorder.counts(); crashes == 1 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Fail() // the crash was not recorded
+}
+
 // Guards against a run that continues after the caller has disconnected, and against a bill for more than was
 // used.
 func TestCallerDisconnects(t *testing.T) {
--- a/internal/transport/httpapi/fixture_test.go
+++ b/internal/transport/httpapi/fixture_test.go
@@ -160,6 +160,8 @@
 	retryBudget *fixedRetryBudget
 	url         string
 	now         time.Time
+	// upstreams are the servers of the upstreams.
+	upstreams []*httptest.Server
 }
 
 // Current implements Configuration.
@@ -193,6 +195,7 @@
 		server := httptest.NewServer(h)
 		t.Cleanup(server.CloseClientConnections)
 		t.Cleanup(server.Close)
+		f.upstreams = append(f.upstreams, server)
 		u := catalogue.Upstream{Name: string(rune('a' + i)), Kind: catalogue.KindEngine, Address: server.URL, Models: []string{model}}
 		if _, isService := h.(interface{ Calls(a, b, c string) int }); isService {
 			u.Kind, u.Service, u.RequestTokens = catalogue.KindService, "orders", 7
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -219,9 +219,7 @@
 		op.commitHeader(x, response)
 	}
 	op.settle(x, outcomeComplete)
-	if x.progress.events < soundEvents {
-		x.noteAnswer()
-	}
+	x.noteAnswer()
 	return nil
 }
 
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -48,16 +48,13 @@
 		if err != nil {
 			return x.fail(errors.CombineErrors(lastErr, err))
 		}
+		x.attempt = attempt
 		lastErr = x.runAttempt(attempt)
 		if lastErr == nil {
 			x.noteAnswer()
 			return nil
 		}
-		if x.op.routingResult(lastErr) == routing.ResultCrashed {
-			x.noteCrash(attempt.Upstream().Name, func(ctx context.Context) bool {
-				return upstream.RefusesConnections(ctx, attempt.Upstream().Address)
-			})
-		}
+		x.noteFailedAttempt(lastErr)
 		if !x.mayRetry(lastErr) {
 			return x.fail(lastErr)
 		}
@@ -66,6 +63,15 @@
 	}
 }
 
+// noteFailedAttempt records a crash of the upstream if the error of the attempt in progress may be due to one.
+func (x *exchange) noteFailedAttempt(err error) {
+	if x.op.routingResult(err) != routing.ResultCrashed {
+		return
+	}
+	target := x.attempt.Upstream()
+	x.noteCrash(target.Name, func(ctx context.Context) bool { return upstream.RefusesConnections(ctx, target.Address) })
+}
+
 // runAttempt makes one attempt and reports its result to the routing.
 func (x *exchange) runAttempt(attempt Attempt) error {
 	target := attempt.Upstream()
