Count copies of a deadly request as crashes of their own

Cause: of crashes at the same time only one counted, so that upstreams that fail together do not put the blame on what ran there. And at the end of a quarantine all routers whose time had come let a copy through.

Routers take turns of 2 s with a quarantined content. Parts of prompts are handled as before: TestRoutersTryOneAfterTheOther now names a content beside its part, as real requests do, and asserts the same.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -4,7 +4,7 @@
 //
 // A Subject stands for a part that several requests may have in common, or for the content of a request as a
 // whole. A subject is suspected when requests with it were running in crashes, one after the other, and none has
-// run since. An answer to a request with the subject clears it. After QuarantineCrashes crashes in a row the
+// been answered since. A complete answer to a request with the subject clears it. After QuarantineCrashes crashes in a row the
 // subject is quarantined. If several subjects explain the crashes, it is the most specific one, which the fewest
 // requests have; but two requests that differ in their content show that a part is the cause. A quarantine ends by
 // itself: after some time a single request is let through, and its
@@ -107,6 +107,7 @@
 	mu       sync.Mutex
 	crashes  []*crash
 	subjects map[Subject]*subjectState
+	answered recentSubjects
 	report   Report
 }
 
@@ -137,6 +138,8 @@
 	crash  *crash
 	sentAt time.Time
 	begun  bool
+	// answered is true if the content of the request had recently been answered by an upstream.
+	answered bool
 	// specific are the more specific subjects of the request, its content first.
 	specific []Subject
 }
@@ -158,7 +161,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
-	s := Observation{Upstream: upstream, Subjects: subjects, Begun: begun, sentAt: sentAt, at: now}
+	s := Observation{
+		Upstream: upstream, Subjects: subjects, Begun: begun, Answered: len(subjects) > 0 && r.answered.contains(subjects[0], now),
+		sentAt: sentAt, at: now,
+	}
 	r.addObservation(s, false)
 	r.report.Observations = append(r.report.Observations, s)
 	r.expire(now)
@@ -170,7 +176,7 @@
 	c.begun = c.begun || s.Begun
 	for i, subject := range s.Subjects {
 		known := r.subject(subject)
-		o := crashRecord{crash: c, sentAt: s.sentAt, begun: s.Begun, specific: s.Subjects[:i]}
+		o := crashRecord{crash: c, sentAt: s.sentAt, begun: s.Begun, answered: s.Answered, specific: s.Subjects[:i]}
 		at := slices.IndexFunc(known.records, func(o crashRecord) bool { return o.crash == c })
 		switch {
 		case at < 0:
@@ -178,6 +184,7 @@
 		case s.Begun && !known.records[at].begun:
 			known.records[at] = o
 		default:
+			known.records[at].answered = known.records[at].answered || s.Answered
 			continue
 		}
 		slices.SortFunc(known.records, func(a, b crashRecord) int { return a.crash.at.Compare(b.crash.at) })
@@ -212,13 +219,16 @@
 }
 
 // crashesInRow returns the crashes since the subject was last cleared. Of crashes at the same time only one
-// counts: a request that counts was sent after the last counted crash. A request does not count if its answer had
-// not begun and that of another request had, or if a more specific part of it is quarantined.
+// counts, because upstreams may fail together: a request that counts was sent after the last counted crash. Copies of
+// one content count each, unless upstreams have answered it: many callers may send the same sound request. A
+// request does not count if its answer had not begun and that of another request had, or if a more specific part
+// of it is quarantined.
 func (r *Registry) crashesInRow(s *subjectState) []crashRecord {
 	var counted []crashRecord
 	last := s.clearedAt
 	for _, o := range s.records {
-		if o.crash.at.Before(s.clearedAt) || !o.begun && o.crash.begun || len(counted) > 0 && o.sentAt.Before(last) ||
+		copied := len(o.specific) == 0 && !o.answered
+		if o.crash.at.Before(s.clearedAt) || !o.begun && o.crash.begun || len(counted) > 0 && o.sentAt.Before(last) && !copied ||
 			slices.ContainsFunc(o.moreSpecificParts(), r.quarantined) {
 			continue
 		}
@@ -261,12 +271,15 @@
 	return most
 }
 
-// RecordAnswer records that the answer to a request with the given subjects has begun without a crash. This
-// clears them of all crashes so far.
+// RecordAnswer records that a request with the given subjects was answered completely. This clears them of all crashes so
+// far.
 func (r *Registry) RecordAnswer(subjects []Subject) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
+	if len(subjects) > 0 {
+		r.answered.add(subjects[0], now)
+	}
 	for _, s := range subjects {
 		if known := r.subjects[s]; known != nil && (len(known.records) > 0 || known.verdict.Active) {
 			r.clear(s, known, now, false)
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -287,7 +287,7 @@
 	is.True(!blocked(fourth, "dead")) // too old to hold
 }
 
-// Guards against a trial on every router at the same time when a quarantine ends.
+// Guards against a trial on every router at the same time when the quarantine of a part ends.
 func TestRoutersTryOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
 	c := newClock()
@@ -304,7 +304,7 @@
 	}
 	allowed := func() (n int) {
 		for _, r := range routers {
-			if !blocked(r, "dead") {
+			if !blocked(r, "content", "dead") {
 				n++
 			}
 		}
@@ -318,6 +318,69 @@
 	is.Equal(allowed(), 10)
 }
 
+// Guards against copies of a deadly request that reach upstreams through many routers at once when its quarantine ends.
+func TestRoutersTakeTurnsWithContent(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	var members []string
+	for i := range 9 {
+		members = append(members, fmt.Sprint("vm-", i))
+	}
+	verdict := Verdict{Subject: PartSubject("dead"), At: c.now.UnixMilli(), Until: c.now.Add(firstQuarantine).UnixMilli(), Active: true}
+	tried := make(map[string]bool)
+	for turn := range len(members) {
+		c.now = verdict.until().Add(time.Duration(turn)*contentTrialTurn + contentTrialTurn/2)
+		allowed := 0
+		for _, vm := range members {
+			r := New(Config{Now: c.time, VM: vm, Members: func() []string { return members }})
+			r.MergeVerdicts([]Verdict{verdict})
+			if !blocked(r, "dead", "first") {
+				allowed++
+				tried[vm] = true
+			}
+		}
+		is.Equal(allowed, 1)
+	}
+	is.Equal(len(tried), len(members)) // a router with all requests of a content gets its turn, too
+}
+
+// Guards against copies of a deadly request that come at the same time, at several upstreams, and count as one crash.
+func TestCopiesOfDeadlyContentCount(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	routers := []*Registry{newRegistry(c), newRegistry(c), newRegistry(c), newRegistry(c)}
+	sent := c.now
+	c.advance(30 * time.Millisecond)
+	for i, r := range routers {
+		r.RecordCrash(fmt.Sprint("u", i), parts("deadly"), sent, false)
+	}
+	for _, to := range routers {
+		for _, from := range routers {
+			to.Merge(from.Export())
+		}
+		is.True(blocked(to, "deadly"))
+	}
+}
+
+// Guards against quarantining a popular request when many upstreams fail at the same time.
+func TestSimultaneousCrashesOfAnsweredContentCountOnce(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRegistry(c)
+	r.RecordAnswer(parts("popular"))
+	c.advance(answeredRetention - time.Second)
+	sent := c.now
+	c.advance(200 * time.Millisecond)
+	for i := range 20 {
+		r.RecordCrash(fmt.Sprint("u", i), parts("popular"), sent, true)
+	}
+	is.True(!blocked(r, "popular"))
+	for range 2 {
+		crashWith(r, c, "popular")
+	}
+	is.True(blocked(r, "popular")) // it has become deadly
+}
+
 // Guards against a registry that grows with the requests of a long series of crashes.
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
@@ -333,6 +396,10 @@
 	c.advance(2 * crashRetention)
 	_ = r.Export()
 	is.Equal(len(r.subjects), 0)
+	for i := range 5 * maxAnswered {
+		r.RecordAnswer(parts(fmt.Sprint("content", i)))
+	}
+	is.True(len(r.answered.current)+len(r.answered.previous) <= 2*maxAnswered)
 }
 
 // BenchmarkRequest checks a request and records its answer while another part is quarantined, and reports the size
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -19,6 +19,8 @@
 	// Subjects are those of the request, as for Registry.RecordCrash.
 	Subjects []Subject `json:"subjects"`
 	Begun    bool      `json:"begun,omitempty"`
+	// Answered is true if the reporting router has recently seen an answer to the same content.
+	Answered bool `json:"answered,omitempty"`
 	// SentAgoMillis and AgoMillis are the times since the request was sent and since the crash.
 	SentAgoMillis int64 `json:"sent_ago"`
 	AgoMillis     int64 `json:"ago"`
@@ -26,7 +28,7 @@
 	sentAt, at time.Time
 }
 
-// Clear says that the answer to a request with a subject has begun without a crash.
+// Clear says that a request with a subject was answered completely.
 type Clear struct {
 	Subject   Subject `json:"subject"`
 	AgoMillis int64   `json:"ago"`
@@ -68,7 +70,7 @@
 	for s, known := range r.subjects {
 		for _, o := range known.records {
 			out.Observations = append(out.Observations, Observation{
-				Upstream: o.crash.upstream, Subjects: append(slices.Clone(o.specific), s), Begun: o.begun,
+				Upstream: o.crash.upstream, Subjects: append(slices.Clone(o.specific), s), Begun: o.begun, Answered: o.answered,
 				sentAt: o.sentAt, at: o.crash.at,
 			})
 		}
--- a/internal/coordination/quarantine/verdict.go
+++ b/internal/coordination/quarantine/verdict.go
@@ -16,6 +16,9 @@
 	// trialStep is the time after which one more router may let a request through. The first one whose callers
 	// send such a request reports what happened before many others may.
 	trialStep = 300 * time.Millisecond
+	// contentTrialTurn is how long each router in turn may let through a request whose whole content is quarantined.
+	// Copies of it may arrive at many routers at once, and its report arrives at the others within a turn.
+	contentTrialTurn = 2 * time.Second
 	// trialTimeout is how long a trial counts as running. It may end without a crash and without an answer.
 	trialTimeout = 10 * time.Second
 	// verdictRetention is how long a quarantine lasts if no request comes after its end, and how long its release
@@ -107,7 +110,7 @@
 		return nil
 	}
 	now := r.cfg.Now()
-	for _, s := range subjects {
+	for i, s := range subjects {
 		known := r.subjects[s]
 		if known == nil || !known.verdict.Active {
 			continue
@@ -115,7 +118,7 @@
 		if left := known.verdict.until().Sub(now); left > 0 {
 			return &BlockedError{Subject: s, RetryAfter: left}
 		}
-		if !r.mayTry(s, known, now) {
+		if !r.mayTry(s, known, now, i == 0) {
 			return &BlockedError{Subject: s, RetryAfter: blockedRetryAfter}
 		}
 	}
@@ -128,25 +131,37 @@
 	return nil
 }
 
-// mayTry reports whether this router may let a request through.
-func (r *Registry) mayTry(s Subject, known *subjectState, now time.Time) bool {
+// mayTry reports whether this router may let a request through. For a part, one more router may do so after each trialStep;
+// for a whole content, the routers take turns.
+func (r *Registry) mayTry(s Subject, known *subjectState, now time.Time, content bool) bool {
 	if now.Sub(known.trialAt) < trialTimeout {
 		return false
 	}
-	return time.Duration(r.rank(s))*trialStep <= now.Sub(known.verdict.until())
+	rank, routers := r.rank(s)
+	since := now.Sub(known.verdict.until())
+	if content {
+		return int(since/contentTrialTurn)%routers == rank
+	}
+	return time.Duration(rank)*trialStep <= since
 }
 
-// rank returns the number of routers that may let a request with the subject through before this one.
-func (r *Registry) rank(s Subject) int {
+// rank returns the number of routers that may let a request with the subject through before this one, and the number of
+// all routers.
+func (r *Registry) rank(s Subject) (rank, routers int) {
+	routers = 1
 	if r.cfg.Members == nil {
-		return 0
+		return rank, routers
 	}
 	weight := func(vm string) uint64 { return xxhash.Sum64String(s.String() + vm) }
-	own, rank := weight(r.cfg.VM), 0
+	own := weight(r.cfg.VM)
 	for _, vm := range r.cfg.Members() {
-		if vm != r.cfg.VM && weight(vm) > own {
+		if vm == r.cfg.VM {
+			continue
+		}
+		routers++
+		if weight(vm) > own {
 			rank++
 		}
 	}
-	return rank
+	return rank, routers
 }
