Ask for a key also when the configuration has no tenant left

Cause: findRoute asked for a key only if the catalogue had entries, and the decoder did not tell an empty list from a missing field.

Ruled out: an old configuration in force, a stale index of keys.

An empty key admits nobody.

--- a/internal/state/catalogue/forwarding.go
+++ b/internal/state/catalogue/forwarding.go
@@ -67,6 +67,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   CallerLimits
+	// RequireCredential is true if requests on routes that are not public need the credential of an entry, also while
+	// there is no entry.
+	RequireCredential bool
 }
 
 // forwardingIndex is the index of a Forwarding.
@@ -74,12 +77,14 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	limits   CallerLimits
+
+	requireCredential bool
 }
 
-// WithForwarding returns a copy of the snapshot with the given routes, services and limits.
+// WithForwarding returns a copy of the snapshot with the given Forwarding.
 func (s *Snapshot) WithForwarding(f Forwarding) *Snapshot {
 	out := *s
-	index := &forwardingIndex{byHost: make(map[string][]*Route), services: make(map[string]*Service), limits: f.Limits}
+	index := &forwardingIndex{byHost: make(map[string][]*Route), services: make(map[string]*Service), limits: f.Limits, requireCredential: f.RequireCredential}
 	for _, r := range f.Routes {
 		host := strings.ToLower(r.Host)
 		index.byHost[host] = append(index.byHost[host], &r)
@@ -136,8 +141,10 @@
 	return s.forwarding.limits
 }
 
-// HasEntries reports whether the catalogue has any entry.
-func (s *Snapshot) HasEntries() bool { return len(s.entries) > 0 }
+// NeedsCredential reports whether requests on a route need the credential of an entry.
+func (s *Snapshot) NeedsCredential(r *Route) bool {
+	return !r.Public && s.forwarding != nil && s.forwarding.requireCredential
+}
 
 // PrepaidTokens returns the sum of the prepaid changes of an entry.
 func (e *Entry) PrepaidTokens() int64 {
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -236,7 +236,7 @@
 		return x.notInConfig(refusal(http.StatusNotFound, CodeNotFound, "no route has this host and path"))
 	}
 	x.entry = &catalogue.BoundEntry{}
-	if op.route.Public || !x.snapshot.HasEntries() {
+	if !x.snapshot.NeedsCredential(op.route) {
 		return nil
 	}
 	entry := x.snapshot.EntryByCredential(op.caller.Secret)
