Limit the memory for all responses in progress together

Report of another operator: a faulty worker sent bytes without end, and the machine that had called it ran out of memory, with the requests of other clients.

Without memory the response is incomplete (502, or a retry).

New metric: responses_over_memory_total.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/settings"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -67,7 +68,7 @@
 	}
 	d := &Daemon{
 		cfg: cfg, logger: logger, log: log, config: configsync.NewFollower(log, logger),
-		holder: record.HolderID(cfg.VM + "/" + id.String()), engines: upstream.New(),
+		holder: record.HolderID(cfg.VM + "/" + id.String()), engines: upstream.New(membuf.NewLimiter(cfg.ResponseMemory)),
 		crashHistory: routing.NewCrashHistory(time.Now), started: time.Now(), drainRequested: make(chan struct{}),
 	}
 	d.crashes = quarantine.New(quarantine.Config{
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -29,6 +30,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 )
@@ -46,6 +48,9 @@
 	PeerKey    string
 	// MaxSockets limits the open sockets of the process.
 	MaxSockets int
+	// ResponseMemory limits the memory for upstreams' responses in progress, in bytes. One upstream may use half of
+	// it.
+	ResponseMemory int64
 	// LinkBandwidth is the bandwidth of the VM's network link, in bytes per second; 0 means unknown.
 	LinkBandwidth float64
 	// GracePeriod is the time from the shutdown signal until the process is killed.
@@ -61,6 +66,7 @@
 // Defaults of GatewayConfig.
 const (
 	DefaultGracePeriod        = 8 * time.Second
+	DefaultResponseMemory     = 32 << 20
 	DefaultRetryRatio         = 0.1
 	DefaultRetryWindow        = 10 * time.Second
 	DefaultConfigApplyTimeout = 2 * time.Second
@@ -98,6 +104,7 @@
 	upstreams  *replica.Replica
 	heartbeats *heartbeat.Monitor
 	peers      *gatewayPeers
+	buffers    *membuf.Limiter
 	// rebuildMu is held while the snapshot is rebuilt. It guards decoded.
 	rebuildMu sync.Mutex
 	decoded   decodedRecords
@@ -166,8 +173,9 @@
 	}
 	g := &Gateway{
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
-		pool: relay.NewPool(deps.ResponseID), shedder: overload.New(overload.Config{}), started: time.Now(),
+		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
 	}
+	g.pool = relay.NewPool(deps.ResponseID, g.buffers)
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
 	g.config = replica.New(replica.Config{
 		Log: deps.Log, Stream: deps.ConfigStream, Wait: configLongPoll, Now: time.Now, OnChange: g.rebuild, Logger: logger,
@@ -316,7 +324,7 @@
 		Config: g, Budget: g.budget, Admission: admissionAdapter{g.admission}, Routing: routingAdapter{g.routing},
 		Quarantine: g.crashes,
 		Forwarding: httpapi.Forwarding{
-			Forwarder: g.pool, Headers: g.deps.Headers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
+			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse, Busy: g.shedder.Busy,
 		},
 		Requests: request.NewTable(request.Config{
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -32,6 +32,9 @@
 	LedgerRecordsSkipped = newMetric("ledger_records_skipped_total")
 	// LogAppendsTotal counts appends of claims, bills and budget records.
 	LogAppendsTotal = newMetric("log_appends_total")
+	// ResponsesOverMemoryTotal counts responses that were not read to their end, because the memory for responses in
+	// progress was used up.
+	ResponsesOverMemoryTotal = newMetric("responses_over_memory_total")
 	// MismatchedResponsesTotal counts responses to another request than the one that was sent, or to an attempt
 	// that a later attempt has replaced.
 	MismatchedResponsesTotal = newMetric("mismatched_answers_total")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,7 @@
 	RequestRetention     time.Duration `long:"request-retention" env:"DOTTERELTHREAD_REQUEST_RETENTION" default:"10m" description:"time for which the status of a finished request can be queried"`
 	MaxFinishedRequests  int           `long:"requests-kept" env:"DOTTERELTHREAD_REQUESTS_KEPT" default:"20000" description:"largest number of finished requests kept in memory"`
 	AnswerMemory         int           `long:"answer-memory" env:"DOTTERELTHREAD_ANSWER_MEMORY" default:"33554432" description:"memory for responses stored under their idempotency keys, in bytes"`
+	ResponseMemory       int64         `long:"response-memory" env:"DOTTERELTHREAD_RESPONSE_MEMORY" default:"134217728" description:"memory for the upstreams' responses in progress, in bytes; one upstream may use half of it"`
 	MaxAnswerBytes       int           `long:"max-answer-bytes" env:"DOTTERELTHREAD_MAX_ANSWER_BYTES" default:"1048576" description:"largest response stored under its idempotency key, in bytes"`
 	MaxRequests          int64         `long:"max-requests" env:"DOTTERELTHREAD_MAX_REQUESTS" default:"4096" description:"largest number of open requests"`
 	MaxConnections       int           `long:"max-connections" env:"DOTTERELTHREAD_MAX_CONNECTIONS" default:"8192" description:"largest number of callers' connections"`
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -66,6 +67,7 @@
 	if err != nil {
 		return x.handleAttemptError(ctx, call, err)
 	}
+	defer response.Release()
 	return x.deliver(attemptNumber, response.Usage, request.StoredResponse{
 		Status: http.StatusOK, ContentType: contentTypeJSON, Body: response.Body,
 	})
@@ -82,10 +84,10 @@
 	return ctx, func() { timer.Stop() }
 }
 
-// handleAttemptError counts a mismatched response. If the attempt timed out and may have run, it also starts
+// handleAttemptError counts a dropped response. If the attempt timed out and may have run, it also starts
 // to cancel the run at the upstream and marks the error errAttemptTimeout.
 func (x *exchange) handleAttemptError(ctx context.Context, call upstream.Call, err error) error {
-	countMismatch(err)
+	countResponseError(err)
 	if !errors.Is(context.Cause(ctx), errAttemptTimeout) || provablyNotRun(err) {
 		return err
 	}
@@ -95,10 +97,14 @@
 	return errors.Mark(err, errAttemptTimeout)
 }
 
-// countMismatch counts a response that was dropped because it belongs to another request or attempt.
-func countMismatch(err error) {
-	if errors.Is(err, upstream.ErrMismatch) {
+// countResponseError counts a response that was dropped because it belongs to another request or attempt, or because there
+// was no memory for it.
+func countResponseError(err error) {
+	switch {
+	case errors.Is(err, upstream.ErrMismatch):
 		obs.MismatchedResponsesTotal.Add(1)
+	case errors.Is(err, membuf.ErrLimit):
+		obs.ResponsesOverMemoryTotal.Add(1)
 	}
 }
 
@@ -201,14 +207,14 @@
 func (s *streamWriter) resume(ctx context.Context, call upstream.Call, model string, err error) error {
 	limits, now := s.x.api.Limits, s.x.api.Now
 	deadline := now().Add(limits.ResumeTimeout)
-	countMismatch(err)
+	countResponseError(err)
 	for mayBeHeld := true; mayBeHeld && s.resumable(ctx, err) && now().Before(deadline); {
 		mayBeHeld = false
 		for _, address := range s.x.resumeAddresses(model, call.Address) {
 			eventsBefore := s.eventsSent
 			call.Address = address
 			err = s.x.api.Engines.Resume(ctx, call, s.eventsSent, s.writeEvent)
-			countMismatch(err)
+			countResponseError(err)
 			mayBeHeld = mayBeHeld || !errors.Is(err, upstream.ErrNotHeld)
 			if s.eventsSent > eventsBefore {
 				obs.StreamsResumedTotal.Add(1)
--- a/internal/transport/httpapi/event_fuzz_test.go
+++ b/internal/transport/httpapi/event_fuzz_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"testing"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 )
 
 // FuzzReadEvent guards against bytes of a stream that end the process, that are lost or changed, or that make an
@@ -15,8 +17,10 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r := bufio.NewReaderSize(bytes.NewReader(data), 64)
 		var got []byte
+		var limiter *membuf.Limiter
+		buffer := limiter.NewBuffer("", maxEventBytes)
 		for {
-			event, _, err := readEvent(r)
+			event, _, err := readEvent(r, buffer)
 			got = append(got, event...)
 			if err != nil {
 				break
--- a/internal/transport/httpapi/fixture_test.go
+++ b/internal/transport/httpapi/fixture_test.go
@@ -205,7 +205,7 @@
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	client := upstream.New()
+	client := upstream.New(nil)
 	f.api = &API{
 		Config: f, Budget: f.budget, Engines: client, Services: client, Admission: router, Routing: router,
 		Retry: f.retryBudget, Claimer: f.claimer, Holder: "vm/1", Logger: logger, Now: time.Now,
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
@@ -123,6 +124,8 @@
 type Forwarding struct {
 	Forwarder Forwarder
 	Headers   HeaderCodec
+	// Buffers limits the memory for responses in progress. It may be nil.
+	Buffers *membuf.Limiter
 	// Retry returns the retry budget of a service.
 	Retry func(service string) RetryBudget
 	// Routers returns the number of live routers, among which the connections to an upstream are divided.
@@ -164,6 +167,7 @@
 	x.ctx, x.span = obs.StartSpan(obs.ExtractTrace(httpReq.Context(), httpReq.Header), obs.SpanRequest, x.id)
 	defer x.finish()
 	op := &forwardOp{}
+	defer op.keepErrorResponse(nil)
 	x.op = op
 	e := x.beginForward(op)
 	for i := 0; e == nil && i < len(forwardSteps); i++ {
@@ -298,7 +302,7 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *membuf.Buffer
 }
 
 func (op *forwardOp) billTarget() string { return op.route.Name }
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
@@ -35,8 +36,8 @@
 	return false
 }
 
-// maxBufferedBytes bounds the body of a response that is buffered before it is written to the caller. Some dozen
-// bodies without end, read at the same time, must fit into the memory of a small VM.
+// maxBufferedBytes bounds the body of a response that is buffered before it is written to the caller. Forwarding.Buffers
+// bounds all of them together.
 const maxBufferedBytes = 4 << 20
 
 // send implements operation.
@@ -100,10 +101,10 @@
 // requests that run at busy upstreams a second time.
 const attemptTimeoutFactor = 4
 
-// attemptError counts a mismatched response. It marks the error of an attempt that timed out with
+// attemptError counts a dropped response. It marks the error of an attempt that timed out with
 // errAttemptTimeout, unless the attempt provably did not run.
 func (op *forwardOp) attemptError(ctx context.Context, err error) error {
-	countMismatch(err)
+	countResponseError(err)
 	if err != nil && errors.Is(context.Cause(ctx), errAttemptTimeout) && !provablyNotRun(err) {
 		return errors.Mark(err, errAttemptTimeout)
 	}
@@ -113,24 +114,31 @@
 // forwardBuffered writes a response that is not a stream to the caller once its body is complete. It stores a
 // server error in errorResponse instead, because another attempt may succeed.
 func (op *forwardOp) forwardBuffered(x *exchange, response *relay.Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	switch {
-	case err != nil:
-		return err
-	case len(body) > maxBufferedBytes:
-		return errors.Mark(errors.New("response body is too large"), upstream.ErrIncomplete)
+	body := x.api.Forwarding.Buffers.NewBuffer(op.upstream, maxBufferedBytes)
+	if err := body.ReadAll(response.Body); err != nil {
+		body.Release()
+		return errors.Mark(errors.Wrap(err, "response body"), upstream.ErrIncomplete)
 	}
 	buffered := &bufferedResponse{status: response.Status, header: endToEndHeaders(response.Header), body: body}
 	if response.Status >= http.StatusInternalServerError {
-		op.errorResponse = buffered
+		op.keepErrorResponse(buffered)
 		return errUpstreamServerError
 	}
+	defer body.Release()
 	op.settle(x, outcomeComplete)
 	x.noteAnswer()
 	op.writeBuffered(x, buffered)
 	return nil
 }
 
+// keepErrorResponse replaces the server error that the caller gets if no attempt succeeds. A nil response drops it.
+func (op *forwardOp) keepErrorResponse(response *bufferedResponse) {
+	if op.errorResponse != nil {
+		op.errorResponse.body.Release()
+	}
+	op.errorResponse = response
+}
+
 // writeBuffered writes a buffered response to the caller.
 func (op *forwardOp) writeBuffered(x *exchange, response *bufferedResponse) {
 	header := x.w.Header()
@@ -138,21 +146,23 @@
 		header[name] = values
 	}
 	if x.httpReq.Method != http.MethodHead && response.status != http.StatusNoContent {
-		header.Set("Content-Length", strconv.Itoa(len(response.body)))
+		header.Set("Content-Length", strconv.Itoa(response.body.Len()))
 	}
 	op.status = response.status
 	op.firstByteAt = x.api.Now()
 	x.setWriteDeadline()
 	x.w.WriteHeader(response.status)
-	_, _ = x.w.Write(response.body)
+	_, _ = x.w.Write(response.body.Bytes())
 }
 
 // forwardStream writes events to the caller as they arrive. Only complete events are written, so that another
 // upstream can resume after the last one.
 func (op *forwardOp) forwardStream(x *exchange, response *relay.Response, stopTimer func()) error {
 	reader := bufio.NewReaderSize(response.Body, streamBufferBytes)
+	buffer := x.api.Forwarding.Buffers.NewBuffer(op.upstream, maxEventBytes)
+	defer buffer.Release()
 	for {
-		event, id, err := readEvent(reader)
+		event, id, err := readEvent(reader, buffer)
 		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
 			return op.endStream(x, response)
 		}
@@ -227,24 +237,26 @@
 const maxEventBytes = 1 << 20
 
 // readEvent reads an event up to and including the empty line that ends it, and returns it with its ID, if it
-// has one. At the end of the stream it returns io.EOF with what was read of an incomplete event.
-func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+// has one. At the end of the stream it returns io.EOF with what was read of an incomplete event. The event is in
+// the buffer and valid until the next call.
+func readEvent(r *bufio.Reader, buffer *membuf.Buffer) (event []byte, id string, err error) {
+	buffer.Reset()
 	for {
 		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		if _, writeErr := buffer.Write(line); writeErr != nil {
+			return buffer.Bytes(), id, errors.Wrap(writeErr, "event")
+		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEventBytes:
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
-			return event, id, err
-		case len(event) > maxEventBytes:
-			return event, id, errors.New("stream event is too large")
+			return buffer.Bytes(), id, err
 		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, id, nil
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && buffer.Len() > len(line) {
+			return buffer.Bytes(), id, nil
 		}
 	}
 }
--- a/internal/transport/httpapi/limits_test.go
+++ b/internal/transport/httpapi/limits_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/standin"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -123,3 +127,62 @@
 	is.Equal(routingResult(errors.Mark(io.EOF, upstream.ErrIncomplete)), routing.ResultCrashed)
 	is.True(!errors.Is(request.ErrTransition, request.ErrStaleAttempt))
 }
+
+// Guards against an upstream of the own fleet that sends to many callers at once without end: a body, an event of a
+// stream, or the response of a plain service. The router must not run out of memory.
+func TestResponsesWithoutEndStayWithinMemory(t *testing.T) {
+	const (
+		callers = 60
+		held    = 6 << 20
+		memory  = 64 << 20
+	)
+	endless := func(w http.ResponseWriter, r *http.Request, begin string) {
+		w.Header().Set(chat.HeaderRequestID, r.Header.Get(chat.HeaderRequestID))
+		w.Header().Set(chat.HeaderAttempt, r.Header.Get(chat.HeaderAttempt))
+		_, err := io.WriteString(w, begin)
+		filler := strings.Repeat("x", 64<<10)
+		for sent := 0; err == nil; sent += len(filler) {
+			if sent >= held {
+				time.Sleep(100 * time.Millisecond)
+			}
+			_, err = io.WriteString(w, filler)
+		}
+	}
+	for name, stream := range map[string]bool{"body": false, "event": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			limiter := membuf.NewLimiter(memory)
+			f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { endless(w, r, "data: ") }))
+			f.api.Engines = upstream.New(limiter)
+			f.api.Limits.RequestTimeout = time.Second
+			done := make(chan struct{})
+			peak := make(chan uint64)
+			go func() {
+				most := uint64(0)
+				for {
+					select {
+					case <-done:
+						peak <- most
+						return
+					case <-time.After(10 * time.Millisecond):
+						var stats runtime.MemStats
+						runtime.ReadMemStats(&stats)
+						most = max(most, stats.HeapAlloc)
+					}
+				}
+			}()
+			var requests sync.WaitGroup
+			for range callers {
+				requests.Go(func() {
+					if r := f.chat(stream, "a"); r.status == http.StatusOK {
+						t.Errorf("a response without end became %d", r.status)
+					}
+				})
+			}
+			requests.Wait()
+			close(done)
+			is.True(<-peak < 3*memory) // the garbage collector lets the heap double
+			is.Equal(limiter.Used(), int64(0))
+		})
+	}
+}
--- a/internal/transport/httpapi/services.go
+++ b/internal/transport/httpapi/services.go
@@ -96,6 +96,7 @@
 	if err != nil {
 		return x.handleAttemptError(ctx, call, err)
 	}
+	defer response.Release()
 	for name, values := range response.Header {
 		if name != chat.HeaderAttempt && name != "Content-Length" {
 			x.w.Header()[name] = values
--- a/internal/transport/relay/fuzz_test.go
+++ b/internal/transport/relay/fuzz_test.go
@@ -29,7 +29,7 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + refusalOf("r0", false)))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\nX-Id: r1\r\n\r\nffffffffffffffff\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c := newConn(fuzzConn{bytes.NewReader(data)}, "")
+		c := newConn(fuzzConn{bytes.NewReader(data)}, "", nil)
 		id := func(h http.Header) string { return h.Get(idHeader) }
 		resp, err := c.roundTrip(Request{Method: "POST", URI: "/", Host: "h", ID: "r1"}, id)
 		if err != nil {
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
@@ -43,6 +44,10 @@
 	// maxHeadBytes bounds the status line and header of a response. Without it a header without end would be stored
 	// until the deadline of the request.
 	maxHeadBytes = 256 << 10
+	// freeHeadBytes is the size up to which a header does not count towards the limit of memory. A larger one counts
+	// headCopies times, because it is copied as it is parsed.
+	freeHeadBytes = 16 << 10
+	headCopies    = 3
 )
 
 // errHeadTooLarge reports a response whose header exceeds maxHeadBytes.
@@ -93,6 +98,7 @@
 type Pool struct {
 	// responseID returns the ID of the request that a response belongs to.
 	responseID func(http.Header) string
+	buffers    *membuf.Limiter
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -102,9 +108,9 @@
 }
 
 // NewPool returns a pool without connections. responseID extracts from a response's header the ID of the
-// request that the response belongs to.
-func NewPool(responseID func(http.Header) string) *Pool {
-	return &Pool{responseID: responseID, idle: make(map[string][]*conn), openConns: make(map[string]int)}
+// request that the response belongs to. Large headers count towards the limit of buffers, which may be nil.
+func NewPool(responseID func(http.Header) string, buffers *membuf.Limiter) *Pool {
+	return &Pool{responseID: responseID, buffers: buffers, idle: make(map[string][]*conn), openConns: make(map[string]int)}
 }
 
 // conn is one connection. It serves one exchange, that is a request and its response, at a time.
@@ -158,7 +164,7 @@
 	// An upstream may respond before it has read the whole request, so a response is read even after a failed
 	// write.
 	for range maxResponses {
-		c.head.limited, c.head.left = true, maxHeadBytes
+		c.head.begin()
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
 		c.head.limited = false
 		if err != nil {
@@ -228,11 +234,11 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	obs.UpstreamConnectionsTotal.Add(1)
-	return newConn(raw, address), nil
+	return newConn(raw, address, p.buffers), nil
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	head := &headLimiter{r: raw}
+func newConn(raw net.Conn, address string, buffers *membuf.Limiter) *conn {
+	head := &headLimiter{r: raw, buffers: buffers, owner: address}
 	return &conn{Conn: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
@@ -241,6 +247,35 @@
 	r       io.Reader
 	limited bool
 	left    int
+
+	buffers *membuf.Limiter
+	owner   string
+	// reserved are the bytes that the header counts for.
+	reserved int64
+}
+
+// begin starts a header.
+func (l *headLimiter) begin() {
+	l.release()
+	l.limited, l.left = true, maxHeadBytes
+}
+
+func (l *headLimiter) release() {
+	l.buffers.Release(l.owner, l.reserved)
+	l.reserved = 0
+}
+
+// reserve counts the next n bytes of the header.
+func (l *headLimiter) reserve(n int) error {
+	if maxHeadBytes-l.left < freeHeadBytes {
+		return nil
+	}
+	bytes := int64(n) * headCopies
+	if err := l.buffers.Reserve(l.owner, bytes); err != nil {
+		return err
+	}
+	l.reserved += bytes
+	return nil
 }
 
 // Read implements io.Reader.
@@ -251,7 +286,11 @@
 	if l.left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.r.Read(p[:min(len(p), l.left)])
+	p = p[:min(len(p), l.left)]
+	if err := l.reserve(len(p)); err != nil {
+		return 0, err
+	}
+	n, err := l.r.Read(p)
 	l.left -= n
 	return n, err
 }
@@ -297,12 +336,14 @@
 }
 
 func (p *Pool) discard(c *conn) {
+	c.head.release()
 	_ = c.Close()
 	p.decrementOpenConns(c.address)
 }
 
 // release makes a connection available to the next request.
 func (p *Pool) release(c *conn, idleTimeout time.Duration) {
+	c.head.release()
 	c.idleUntil = time.Now().Add(idleTimeout)
 	p.mu.Lock()
 	closed := p.closed
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -62,7 +62,7 @@
 }
 
 func newPool(t *testing.T) *Pool {
-	p := NewPool(func(h http.Header) string { return h.Get(idHeader) })
+	p := NewPool(func(h http.Header) string { return h.Get(idHeader) }, nil)
 	t.Cleanup(p.Close)
 	return p
 }
--- a/internal/transport/upstream/control.go
+++ b/internal/transport/upstream/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/orders"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 )
 
 // Control sends orders to engines. It implements orders.Control.
@@ -26,8 +27,9 @@
 	if err != nil {
 		return orders.EngineState{}, err
 	}
+	defer body.Release()
 	var state orders.EngineState
-	return state, errors.Wrap(json.Unmarshal(body, &state), "decode engine state")
+	return state, errors.Wrap(json.Unmarshal(body.Bytes(), &state), "decode engine state")
 }
 
 // Apply implements orders.Control.
@@ -36,11 +38,12 @@
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
-	_, err = c.call(ctx, http.MethodPost, engine.Address+"/v1/engine/orders", data)
+	body, err := c.call(ctx, http.MethodPost, engine.Address+"/v1/engine/orders", data)
+	body.Release()
 	return err
 }
 
-func (c *Control) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+func (c *Control) call(ctx context.Context, method, url string, body []byte) (*membuf.Buffer, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build engine request")
@@ -57,5 +60,5 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
 		return nil, errors.Newf("engine responded %s: %s", resp.Status, strings.TrimSpace(string(text)))
 	}
-	return readBody(resp)
+	return c.client.readBody(resp)
 }
--- a/internal/transport/upstream/load.go
+++ b/internal/transport/upstream/load.go
@@ -40,9 +40,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("%s responded %s", path, resp.Status)
 	}
-	body, err := readBody(resp)
+	body, err := c.readBody(resp)
 	if err != nil {
 		return err
 	}
-	return errors.Wrapf(json.Unmarshal(body, v), "decode %s", path)
+	defer body.Release()
+	return errors.Wrapf(json.Unmarshal(body.Bytes(), v), "decode %s", path)
 }
--- a/internal/transport/upstream/notice_test.go
+++ b/internal/transport/upstream/notice_test.go
@@ -45,13 +45,13 @@
 		Body: []byte(`{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`),
 	}
 	engine.SetFaults(standin.EngineFaults{Draining: true})
-	_, err := New().Complete(context.Background(), call)
+	_, err := New(nil).Complete(context.Background(), call)
 	is.NoErr(err)
 	engine.SetFaults(standin.EngineFaults{Refuse: 2, RefuseRetryAfter: "1.5"})
-	_, err = New().Complete(context.Background(), call)
+	_, err = New(nil).Complete(context.Background(), call)
 	is.True(errors.Is(err, ErrRefused))
 	engine.SetFaults(standin.EngineFaults{Refuse: 1, RefuseRetryAfter: "1e300"})
-	_, err = New().Complete(context.Background(), call)
+	_, err = New(nil).Complete(context.Background(), call)
 	is.True(errors.Is(err, ErrRefused))
 	is.Equal(len(got), 3)
 	is.Equal(got[0], Notice{Ran: true, Leaving: true})
@@ -65,6 +65,6 @@
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }))
 	defer server.Close()
-	err := NewControl(New()).Apply(context.Background(), &catalogue.Upstream{Address: server.URL}, orders.Order{})
+	err := NewControl(New(nil)).Apply(context.Background(), &catalogue.Upstream{Address: server.URL}, orders.Order{})
 	is.True(errors.Is(err, orders.ErrStaleFencingToken))
 }
--- a/internal/transport/upstream/service.go
+++ b/internal/transport/upstream/service.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 )
 
 // ServiceCall is one attempt at a request to a plain service.
@@ -24,8 +26,13 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	buffer *membuf.Buffer
 }
 
+// Release stops counting the memory of the body.
+func (r ServiceResponse) Release() { r.buffer.Release() }
+
 // hopByHopHeaders are meaningful for a single connection only (RFC 9110, section 7.6.1).
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -60,13 +67,13 @@
 	if err != nil {
 		return ServiceResponse{}, err
 	}
-	body, err := readBody(resp)
+	body, err := c.readBody(resp)
 	if err != nil {
 		return ServiceResponse{}, errors.Wrapf(err, "%s %s", call.Method, call.Path)
 	}
 	header := make(http.Header)
 	copyHeader(header, resp.Header)
-	return ServiceResponse{Status: resp.StatusCode, Header: header, Body: body}, nil
+	return ServiceResponse{Status: resp.StatusCode, Header: header, Body: body.Bytes(), buffer: body}, nil
 }
 
 // copyHeader copies the end-to-end fields of src that dst does not have.
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 )
 
 // Event is one event of a stream. Data is valid until the next event is read.
@@ -30,7 +32,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	return readEvents(resp, call, 0, emit)
+	return c.readEvents(resp, call, 0, emit)
 }
 
 // Resume reads a stream that the engine holds, starting at event number offset.
@@ -43,17 +45,17 @@
 	if err := checkResponseIDs(resp, call); err != nil {
 		return err
 	}
-	return readEvents(resp, call, offset, emit)
+	return c.readEvents(resp, call, offset, emit)
 }
 
 // readEvents reads events starting at number next. An event without an ID has the next number. An event with
 // any other number ends the read, because the caller would receive an event twice or miss one.
-func readEvents(resp *http.Response, call Call, next int, emit func(Event) error) error {
-	scanner := bufio.NewScanner(resp.Body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+func (c *Client) readEvents(resp *http.Response, call Call, next int, emit func(Event) error) error {
+	lines := lineReader{r: bufio.NewReaderSize(resp.Body, lineBufferBytes), buffer: c.newBuffer(resp, maxEventBytes)}
+	defer lines.buffer.Release()
 	number := next
-	for scanner.Scan() {
-		line := scanner.Bytes()
+	for lines.read() {
+		line := lines.line
 		if id, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
 			n, err := strconv.Atoi(string(id))
 			if err != nil {
@@ -78,7 +80,42 @@
 		next++
 		number = next
 	}
-	return errors.Mark(errors.Newf("stream ended before its end marker: %v", scanner.Err()), ErrIncomplete)
+	return errors.Mark(errors.Newf("stream ended before its end marker: %v", lines.err), ErrIncomplete)
+}
+
+// lineBufferBytes is the size of the read buffer of a stream. It holds most lines.
+const lineBufferBytes = 4 << 10
+
+// lineReader reads lines into a buffer of limited memory.
+type lineReader struct {
+	r      *bufio.Reader
+	buffer *membuf.Buffer
+	// line is the last line without its end. It is valid until the next call of read.
+	line []byte
+	// err is the error that ended the reads, io.EOF at the end.
+	err error
+}
+
+// read reads the next line and reports whether there was one. The last line need not end.
+func (l *lineReader) read() bool {
+	l.buffer.Reset()
+	for l.err == nil {
+		var part []byte
+		part, l.err = l.r.ReadSlice('\n')
+		if _, err := l.buffer.Write(part); err != nil {
+			l.err = err
+			return false
+		}
+		if errors.Is(l.err, bufio.ErrBufferFull) {
+			l.err = nil
+			continue
+		}
+		if l.err == nil || errors.Is(l.err, io.EOF) && l.buffer.Len() > 0 {
+			l.line = bytes.TrimSuffix(bytes.TrimSuffix(l.buffer.Bytes(), []byte("\n")), []byte("\r"))
+			return true
+		}
+	}
+	return false
 }
 
 func emitEvent(data []byte, call Call, emit func(Event) error) error {
@@ -110,12 +147,13 @@
 		return chat.RunUsage{}, err
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp)
+	body, err := c.readBody(resp)
 	if err != nil {
 		return chat.RunUsage{}, err
 	}
+	defer body.Release()
 	var usage chat.RunUsage
-	if err := json.Unmarshal(body, &usage); err != nil {
+	if err := json.Unmarshal(body.Bytes(), &usage); err != nil {
 		return chat.RunUsage{}, errors.Wrap(err, "decode usage")
 	}
 	if usage.RequestID != call.RequestID {
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 )
 
 // Errors of a failed attempt. After ErrNotSent and ErrRefused the upstream has not run the request; after any
@@ -70,12 +71,9 @@
 }
 
 const (
-	dialTimeout      = 2 * time.Second
-	maxResponseBytes = 32 << 20
-	maxEventBytes    = 1 << 20
-	// maxPreallocBytes bounds the buffer allocated before the body arrives: Content-Length may be wrong, and
-	// in a response to HEAD no body follows.
-	maxPreallocBytes  = 64 << 10
+	dialTimeout       = 2 * time.Second
+	maxResponseBytes  = 32 << 20
+	maxEventBytes     = 1 << 20
 	maxErrorTextBytes = 256
 	idleConnTimeout   = 90 * time.Second
 	// maxIdleConnsPerUpstream is large enough that a burst of callers does not open and close a connection
@@ -85,7 +83,8 @@
 
 // Client sends requests to upstreams over HTTP. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http    *http.Client
+	buffers *membuf.Limiter
 }
 
 // RefusesConnections reports whether the host of an upstream refuses connections, because no process listens. The
@@ -104,16 +103,17 @@
 }
 
 // maxHeadBytes bounds the header of a response, which an upstream in trouble may send without end.
-const maxHeadBytes = 256 << 10
+const maxHeadBytes = 64 << 10
 
-// New returns a client. It sets no timeout on requests; their context bounds them.
-func New() *Client {
+// New returns a client whose responses in progress are held in buffers of the limiter, which may be nil. It sets no
+// timeout on requests; their context bounds them.
+func New(buffers *membuf.Limiter) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 		IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &Client{http: &http.Client{
+	return &Client{buffers: buffers, http: &http.Client{
 		Transport: transport,
 		// Following a redirect would send the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -192,8 +192,13 @@
 type Completion struct {
 	Body  []byte
 	Usage *chat.Usage
+
+	buffer *membuf.Buffer
 }
 
+// Release stops counting the memory of the body.
+func (c Completion) Release() { c.buffer.Release() }
+
 // responseFields are the fields of an engine's response that the router reads.
 type responseFields struct {
 	ID    string      `json:"id"`
@@ -207,35 +212,35 @@
 		return Completion{}, err
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp)
+	body, err := c.readBody(resp)
 	if err != nil {
 		return Completion{}, err
 	}
 	var fields responseFields
-	if err := json.Unmarshal(body, &fields); err != nil {
+	if err := json.Unmarshal(body.Bytes(), &fields); err != nil {
+		body.Release()
 		return Completion{}, errors.Mark(err, ErrIncomplete)
 	}
 	if fields.ID != call.RequestID {
+		body.Release()
 		return Completion{}, ErrMismatch
 	}
-	return Completion{Body: body, Usage: fields.Usage}, nil
+	return Completion{Body: body.Bytes(), Usage: fields.Usage, buffer: body}, nil
 }
 
-// readBody reads a complete body. A truncated or oversized body is an ErrIncomplete.
-func readBody(resp *http.Response) ([]byte, error) {
-	var buffer bytes.Buffer
-	if resp.ContentLength > 0 {
-		// ReadFrom needs bytes.MinRead free bytes to detect the end without growing the buffer.
-		buffer.Grow(int(min(resp.ContentLength, maxPreallocBytes)) + bytes.MinRead)
-	}
-	n, err := buffer.ReadFrom(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
+// readBody reads a complete body. A truncated or oversized body is an ErrIncomplete. The caller releases the buffer.
+func (c *Client) readBody(resp *http.Response) (*membuf.Buffer, error) {
+	buffer := c.newBuffer(resp, maxResponseBytes)
+	if err := buffer.ReadAll(resp.Body); err != nil {
+		buffer.Release()
 		return nil, errors.Mark(errors.Wrap(err, "read response body"), ErrIncomplete)
 	}
-	if n > maxResponseBytes {
-		return nil, errors.Mark(errors.Newf("response body exceeds %d bytes", maxResponseBytes), ErrIncomplete)
-	}
-	return buffer.Bytes(), nil
+	return buffer, nil
+}
+
+// newBuffer returns a buffer for the body of a response.
+func (c *Client) newBuffer(resp *http.Response, max int) *membuf.Buffer {
+	return c.buffers.NewBuffer(resp.Request.URL.Host, max)
 }
 
 // postChat sends a chat completion request and checks the response with sendChecked.
