Answer requests that a stop takes late or cannot wait for

Report of another operator: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer.

Here: an order whose body came 4 s after SIGTERM was passed on, and it and one that its server still ran lost their connections after 7.4 s without an answer. In the own fleet the connections were closed after the drain timeout, and the end counted as a crash of the engine.

Cause: whether the router stops was asked once, before the body and the waits; at the end connections were closed whatever was open on them.

Fix: what has not run is not sent any more once new requests are refused (503), and open requests are ended with an answer, 502 or 503, before the connections are closed. A stream in progress is aborted; in the own fleet it ends with an error event.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -204,6 +204,9 @@
 // tokens of the shares.
 const shutdownFlushTimeout = 30 * time.Second
 
+// lastResponsesTimeout limits the time for the responses to requests that the shutdown has ended.
+const lastResponsesTimeout = 2 * time.Second
+
 // shutdown ends the process. The load balancer sends no new requests once the router reports that it is not
 // ready. Open requests may finish within the drain timeout; after it, their connections are closed. Then the
 // last bills are written and the unspent tokens of the shares are returned. The result is an error if the
@@ -223,8 +226,11 @@
 	d.server.SetKeepAlivesEnabled(false)
 	err := d.server.Shutdown(ctx)
 	if err != nil {
-		// The drain timeout has expired. Once their connections are closed, the open requests stop their runs
-		// and bill what they used.
+		// The drain timeout has expired. The open requests stop their runs, bill what they used and tell their callers.
+		d.api.EndRequests()
+		ctx, cancelLast := context.WithTimeout(context.Background(), lastResponsesTimeout)
+		defer cancelLast()
+		_ = d.server.Shutdown(ctx) // an error means that connections are left, which Close closes
 		_ = d.server.Close()
 	}
 	ctx, cancelClose := context.WithTimeout(context.Background(), shutdownFlushTimeout)
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -78,13 +78,14 @@
 	keepAliveGrace = 300 * time.Millisecond
 	// shutdownMargin is left at the end of the grace period for returning the unspent tokens of the shares.
 	shutdownMargin = 900 * time.Millisecond
-	// closeTimeout limits the time for requests that arrived while the shares were returned. They are refused, and
-	// their responses must be written before their connections are closed.
+	// closeTimeout limits the time for the last responses: to requests that arrived while the shares were returned, and to
+	// those that were still in progress then. They must be written before their connections are closed.
 	closeTimeout = 300 * time.Millisecond
 )
 
-// closeServers closes the servers. The one for callers first completes the responses in progress.
+// closeServers ends the requests in progress and closes the servers. The one for callers first completes its responses.
 func (g *Gateway) closeServers(servers []gatewayServer) {
+	g.api.EndRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	// An error means that connections are left, which Close closes.
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -299,3 +299,31 @@
 	is.True(!ended)
 	is.Equal(billedTokens(t, logURL, key), engine.Tokens.Load())
 }
+
+// TestDrainTimeoutAnswersOpenRequests guards against a shutdown that closes the connections of requests that did not finish
+// within the drain timeout without telling their callers: a complete response says what happened, and a stream ends
+// with an error event.
+func TestDrainTimeoutAnswersOpenRequests(t *testing.T) {
+	is := is.New(t)
+	logURL := startStandin(t, "log")
+	engine := &standin.Engine{TokenInterval: 200 * time.Millisecond}
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	key := publishEngines(t, logURL, server.URL)
+	r := startRouter(t, "vm-1", logURL, "--drain-timeout", "300ms")
+	stream := startCompletion(t, r.url, longRequest(true), "")
+	<-stream.firstByte
+	whole := startCompletion(t, r.url, longRequest(false), "")
+	for deadline := time.Now().Add(10 * time.Second); engine.Runs.Load() < 2 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.NoErr(r.cmd.Process.Signal(syscall.SIGTERM))
+	_ = r.cmd.Wait()
+	whole.wait(t)
+	is.NoErr(whole.err)
+	is.Equal(whole.status, http.StatusBadGateway)
+	stream.wait(t)
+	is.NoErr(stream.err)
+	is.True(strings.Contains(stream.body, "event: error"))
+	is.Equal(billedTokens(t, logURL, key), engine.Tokens.Load())
+}
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -169,6 +169,7 @@
 	openRequests atomic.Int64
 	// crashProbes are the probes in progress, by upstream.
 	crashProbes singleflight.Group
+	stop        requestStop
 }
 
 // Handler returns the handler of chat completions, plain services and request lookups.
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -34,7 +34,7 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	httpReq *http.Request
-	// ctx ends with the caller's connection or at the deadline of the request.
+	// ctx ends with the caller's connection, at the deadline of the request or by API.EndRequests.
 	ctx    context.Context
 	cancel context.CancelFunc
 	span   trace.Span
@@ -103,7 +103,9 @@
 func (a *API) serve(w http.ResponseWriter, httpReq *http.Request, parse func(*exchange) *APIError) {
 	obs.RequestsTotal.Add(1)
 	x := &exchange{api: a, w: w, control: http.NewResponseController(w), httpReq: httpReq, id: uuid.NewString()}
-	x.ctx, x.span = obs.StartSpan(obs.ExtractTrace(httpReq.Context(), httpReq.Header), obs.SpanRequest, x.id)
+	ctx, release := a.requestContext(httpReq)
+	defer release()
+	x.ctx, x.span = obs.StartSpan(obs.ExtractTrace(ctx, httpReq.Header), obs.SpanRequest, x.id)
 	defer x.finish()
 	e := x.begin(parse)
 	for i := 0; e == nil && i < len(steps); i++ {
@@ -266,10 +268,12 @@
 	}
 }
 
-// contextErrorOr returns the matching error if the caller disconnected or the deadline passed while the
-// request waited, else the given one.
+// contextErrorOr returns the matching error if the router is stopping, the caller disconnected or the deadline passed while
+// the request waited, else the given one.
 func (x *exchange) contextErrorOr(e *APIError) *APIError {
 	switch {
+	case x.stopped():
+		return stoppingRefusal()
 	case x.httpReq.Context().Err() != nil || errors.Is(x.ctx.Err(), context.Canceled):
 		return refusal(statusClientClosedRequest, CodeCanceled, "the caller left before the request was sent")
 	case x.ctx.Err() != nil:
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -134,7 +134,7 @@
 	ConfigStale func() bool
 	// ConfigAge returns how long ago the configuration was known to be the newest one. It is only logged.
 	ConfigAge func() time.Duration
-	// Closing reports whether the process is shutting down and accepts no new requests.
+	// Closing reports whether the process is shutting down and sends no new requests.
 	Closing func() bool
 	// ShouldShed reports whether load shedding refuses a request of the given priority.
 	ShouldShed func(priority int) bool
@@ -164,7 +164,9 @@
 func (a *API) forward(w http.ResponseWriter, httpReq *http.Request) (abort bool) {
 	obs.RequestsTotal.Add(1)
 	x := &exchange{api: a, w: w, control: http.NewResponseController(w), httpReq: httpReq, startedAt: a.Now()}
-	x.ctx, x.span = obs.StartSpan(obs.ExtractTrace(httpReq.Context(), httpReq.Header), obs.SpanRequest, x.id)
+	ctx, release := a.requestContext(httpReq)
+	defer release()
+	x.ctx, x.span = obs.StartSpan(obs.ExtractTrace(ctx, httpReq.Header), obs.SpanRequest, x.id)
 	defer x.finish()
 	op := &forwardOp{}
 	defer op.keepErrorResponse(nil)
@@ -196,8 +198,7 @@
 		return refusal(http.StatusServiceUnavailable, CodeOverloaded,
 			"too many open requests").withRetryAfter(defaultRetryAfter)
 	case x.api.Forwarding.Closing():
-		return refusal(http.StatusServiceUnavailable, CodeOverloaded,
-			"the router is stopping").withRetryAfter(otherRouterRetryAfter)
+		return stoppingRefusal()
 	case x.snapshot == nil || x.snapshot.Version == 0:
 		return refusal(http.StatusServiceUnavailable, CodeConfigurationUnavailable,
 			"the router does not know the configuration yet").withRetryAfter(defaultRetryAfter)
@@ -374,6 +375,10 @@
 			x.cancel()
 			return op.finishFailed(x, errors.CombineErrors(errCallerLeft, op.cause))
 		}
+		if x.api.Forwarding.Closing() && !op.mayHaveRun && x.request.NotRun() {
+			// The request came before the shutdown refused new ones, and would be cut off at its end.
+			return stoppingRefusal()
+		}
 		attempt, err := x.api.Routing.Pick(x.routingReq)
 		if err != nil {
 			return op.finishFailed(x, errors.CombineErrors(err, op.cause))
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -101,10 +101,13 @@
 	if err != nil && x.ctx.Err() == nil {
 		obs.UpstreamFailuresTotal.Add(1)
 	}
-	if x.failedOver {
+	switch {
+	case x.failedOver:
 		// Another engine continued the stream, so the chosen one counts as crashed.
 		attempt.Done(routing.ResultCrashed)
-	} else {
+	case err != nil && x.stopped():
+		attempt.Done(routing.ResultAbandoned)
+	default:
 		attempt.Done(x.op.routingResult(err))
 	}
 	return err
@@ -181,6 +184,9 @@
 	}
 	outcome, code := outcomeCanceled, CodeCanceled
 	status := statusClientClosedRequest
+	if x.stopped() {
+		status = http.StatusBadGateway
+	}
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		outcome, code, status = outcomeDeadline, CodeDeadlineExceeded, http.StatusGatewayTimeout
 	}
