Keep what a peer sent against an older listing of the log

A listing that was taken before a record was written removed the record if a peer had sent it meanwhile together with later ones: the listing was stated to reach as far as the peer's page. The key came back only with its next change.

Only records from before the listing are removed by it now. TestOlderListingKeepsNewerRecords failed before.

--- a/internal/coordination/replica/peer_test.go
+++ b/internal/coordination/replica/peer_test.go
@@ -141,6 +141,23 @@
 	is.Equal(value(f.replicas[1], "leaves"), "")
 }
 
+// Guards against a record from a peer that a listing removes which was taken before the record was written.
+func TestOlderListingKeepsNewerRecords(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	f.put("a", "1")
+	f.poll()
+	listing, err := f.log.Newest(context.Background(), stream)
+	is.NoErr(err)
+	f.put("new", "1")
+	f.put("a", "2")
+	is.NoErr(f.replicas[1].poll(context.Background()))
+	f.fetch(0, 1)
+	f.replicas[0].applyListing(listing)
+	is.Equal(value(f.replicas[0], "new"), "1")
+	is.Equal(value(f.replicas[0], "a"), "2")
+}
+
 // Guards against replicas that differ from the log for good after any order of changes, disconnections and fetches from
 // peers.
 func TestReplicasAgreeWithTheLogAfterDisconnections(t *testing.T) {
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -242,10 +242,7 @@
 			"records": len(page.Records), "known": len(r.records), "grace_ms": r.cfg.RemovalGrace.Milliseconds(),
 		})
 	}
-	if page.Next < r.next {
-		// The listing is older than what a peer or an earlier read has provided.
-		page.Next = r.next
-	}
+	// The listing may be older than what a peer has provided, which then holds.
 	for key, rec := range r.records {
 		if !listed[key] && rec.Offset < page.Next {
 			page.Records = append(page.Records, keyedlog.Record{Key: key, Offset: page.Next - 1})
