--- a/internal/transport/httpapi/limits_test.go
+++ b/internal/transport/httpapi/limits_test.go
@@ -1,8 +1,11 @@
 package httpapi
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strconv"
@@ -128,6 +131,39 @@
 	is.True(!errors.Is(request.ErrTransition, request.ErrStaleAttempt))
 }
 
+// Guards against a caller that waits for "100 Continue" on a connection that was idle for longer than the write timeout, and
+// gets neither that nor the response, although its request runs.
+func TestContinueAfterIdleConnection(t *testing.T) {
+	is := is.New(t)
+	_, handler := newEngine()
+	f := newFixture(t, handler)
+	f.api.Limits.WriteTimeout = 100 * time.Millisecond
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+	reader := bufio.NewReader(c)
+	_, body := chatRequest(false, "a b")
+	for range 2 {
+		_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n",
+			secret, len(body))
+		is.NoErr(err)
+		status, err := reader.ReadString('\n')
+		is.NoErr(err)
+		is.Equal(status, "HTTP/1.1 100 Continue\r\n")
+		_, err = reader.ReadString('\n')
+		is.NoErr(err)
+		_, err = io.WriteString(c, body)
+		is.NoErr(err)
+		resp, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		time.Sleep(2 * f.api.Limits.WriteTimeout)
+	}
+}
+
 // Guards against an upstream of the own fleet that sends to many callers at once without end: a body, an event of a
 // stream, or the response of a plain service. The router must not run out of memory.
 func TestResponsesWithoutEndStayWithinMemory(t *testing.T) {
