Tell streams that run beside a crash from answers that have just begun

Running streams are a stage of their own: they count, and do not excuse requests that waited. TestCrashBesideStreamsCounts fails with the earlier rule. TestUnrelatedCrashesQuarantineFew draws the new stage too.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -115,8 +115,7 @@
 type crash struct {
 	upstream string
 	at       time.Time
-	// begun is true if the answer to a request had begun. Then requests whose answer had not begun did not cause
-	// the crash.
+	// begun is true if the answer to a request had just begun. Then requests that still waited did not cause the crash.
 	begun bool
 }
 
@@ -137,7 +136,7 @@
 type crashRecord struct {
 	crash  *crash
 	sentAt time.Time
-	begun  bool
+	stage  Stage
 	// answered is true if the content of the request had recently been answered by an upstream.
 	answered bool
 	// specific are the more specific subjects of the request, its content first.
@@ -154,15 +153,25 @@
 	return &Registry{cfg: cfg, subjects: make(map[Subject]*subjectState)}
 }
 
+// Stage is how far a request had come when its upstream crashed. A higher one is stronger evidence that it is the cause.
+type Stage int
+
+// Stages. Of the requests at an upstream, most are either waiting or streaming, and hardly any is just begun.
+const (
+	StageWaiting Stage = iota
+	StageStreaming
+	StageBegun
+)
+
 // RecordCrash records that a request with the given subjects was running when its upstream crashed. The first
 // subject is that of its content, the others those of parts, the most specific one first. The request was sent at
-// sentAt; begun says whether its answer had begun.
-func (r *Registry) RecordCrash(upstream string, subjects []Subject, sentAt time.Time, begun bool) {
+// sentAt.
+func (r *Registry) RecordCrash(upstream string, subjects []Subject, sentAt time.Time, stage Stage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	s := Observation{
-		Upstream: upstream, Subjects: subjects, Begun: begun, Answered: len(subjects) > 0 && r.answered.contains(subjects[0], now),
+		Upstream: upstream, Subjects: subjects, Begun: stage == StageBegun, Streaming: stage == StageStreaming, Answered: len(subjects) > 0 && r.answered.contains(subjects[0], now),
 		sentAt: sentAt, at: now,
 	}
 	r.addObservation(s, false)
@@ -173,15 +182,16 @@
 // addObservation adds a crash to the subjects of a request and evaluates them.
 func (r *Registry) addObservation(s Observation, reported bool) {
 	c := r.crash(s.Upstream, s.at)
-	c.begun = c.begun || s.Begun
+	stage := s.stage()
+	c.begun = c.begun || stage == StageBegun
 	for i, subject := range s.Subjects {
 		known := r.subject(subject)
-		o := crashRecord{crash: c, sentAt: s.sentAt, begun: s.Begun, answered: s.Answered, specific: s.Subjects[:i]}
+		o := crashRecord{crash: c, sentAt: s.sentAt, stage: stage, answered: s.Answered, specific: s.Subjects[:i]}
 		at := slices.IndexFunc(known.records, func(o crashRecord) bool { return o.crash == c })
 		switch {
 		case at < 0:
 			known.records = append(known.records, o)
-		case s.Begun && !known.records[at].begun:
+		case stage > known.records[at].stage:
 			known.records[at] = o
 		default:
 			known.records[at].answered = known.records[at].answered || s.Answered
@@ -221,14 +231,14 @@
 // crashesInRow returns the crashes since the subject was last cleared. Of crashes at the same time only one
 // counts, because upstreams may fail together: a request that counts was sent after the last counted crash. Copies of
 // one content count each, unless upstreams have answered it: many callers may send the same sound request. A
-// request does not count if its answer had not begun and that of another request had, or if a more specific part
+// request does not count if it waited while the answer to another one had just begun, or if a more specific part
 // of it is quarantined.
 func (r *Registry) crashesInRow(s *subjectState) []crashRecord {
 	var counted []crashRecord
 	last := s.clearedAt
 	for _, o := range s.records {
 		copied := len(o.specific) == 0 && !o.answered
-		if o.crash.at.Before(s.clearedAt) || !o.begun && o.crash.begun || len(counted) > 0 && o.sentAt.Before(last) && !copied ||
+		if o.crash.at.Before(s.clearedAt) || o.stage == StageWaiting && o.crash.begun || len(counted) > 0 && o.sentAt.Before(last) && !copied ||
 			slices.ContainsFunc(o.moreSpecificParts(), r.quarantined) {
 			continue
 		}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -36,7 +36,7 @@
 func crashWith(r *Registry, c *clock, names ...string) {
 	sent := c.now
 	c.advance(100 * time.Millisecond)
-	r.RecordCrash(fmt.Sprintf("u%d", c.now.UnixNano()), parts(names...), sent, true)
+	r.RecordCrash(fmt.Sprintf("u%d", c.now.UnixNano()), parts(names...), sent, StageBegun)
 	c.advance(300 * time.Millisecond)
 }
 
@@ -122,8 +122,8 @@
 		sent := c.now
 		c.advance(100 * time.Millisecond)
 		up := fmt.Sprint("u", i)
-		r.RecordCrash(up, parts(fmt.Sprint("other", i), "waiting"), sent, false)
-		r.RecordCrash(up, parts(fmt.Sprint("content", i), "dead"), sent, true)
+		r.RecordCrash(up, parts(fmt.Sprint("other", i), "waiting"), sent, StageWaiting)
+		r.RecordCrash(up, parts(fmt.Sprint("content", i), "dead"), sent, StageBegun)
 		c.advance(time.Second)
 	}
 	is.True(blocked(r, "dead"))
@@ -138,14 +138,38 @@
 	for i := range QuarantineCrashes {
 		sent := c.now
 		c.advance(100 * time.Millisecond)
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "dead"), sent, false)
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("other", i), fmt.Sprint("own", i)), sent, false)
+		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "dead"), sent, StageWaiting)
+		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("other", i), fmt.Sprint("own", i)), sent, StageWaiting)
 		c.advance(time.Second)
 	}
 	is.True(blocked(r, "dead"))
 	is.True(!blocked(r, "own0"))
 }
 
+// Guards against a request that crashes upstreams before its answer begins, and does not count because others stream there; and
+// against quarantining those.
+func TestCrashBesideStreamsCounts(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRegistry(c)
+	for i := range QuarantineCrashes {
+		sent := c.now
+		c.advance(100 * time.Millisecond)
+		up := fmt.Sprint("u", i)
+		for n := range 5 {
+			r.RecordCrash(up, parts(fmt.Sprint("stream", i, n), fmt.Sprint("own", n), "first"), sent, StageStreaming)
+		}
+		r.RecordCrash(up, parts(fmt.Sprint("content", i), "dead", "first"), sent, StageWaiting)
+		c.advance(time.Second)
+		for n := range 5 {
+			r.RecordAnswer(parts(fmt.Sprint("stream", i, n), fmt.Sprint("own", n), "first"))
+		}
+	}
+	is.True(blocked(r, "dead"))
+	is.True(!blocked(r, "own0"))
+	is.True(!blocked(r, "first"))
+}
+
 // Guards against quarantining a part of which many requests run when many upstreams fail at the same time.
 func TestSimultaneousCrashesCountOnce(t *testing.T) {
 	is := is.New(t)
@@ -154,7 +178,7 @@
 	sent := c.now
 	c.advance(200 * time.Millisecond)
 	for i := range 20 {
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "hot"), sent, true)
+		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "hot"), sent, StageBegun)
 		c.advance(5 * time.Millisecond)
 	}
 	is.True(!blocked(r, "hot"))
@@ -175,7 +199,7 @@
 			continue
 		}
 		if random.IntN(10) == 0 {
-			r.RecordCrash(fmt.Sprint("u", i/20), subjects, c.now.Add(-40*time.Millisecond), random.IntN(3) == 0)
+			r.RecordCrash(fmt.Sprint("u", i/20), subjects, c.now.Add(-40*time.Millisecond), Stage(random.IntN(3)))
 		} else {
 			r.RecordAnswer(subjects)
 		}
@@ -352,7 +376,7 @@
 	sent := c.now
 	c.advance(30 * time.Millisecond)
 	for i, r := range routers {
-		r.RecordCrash(fmt.Sprint("u", i), parts("deadly"), sent, false)
+		r.RecordCrash(fmt.Sprint("u", i), parts("deadly"), sent, StageWaiting)
 	}
 	for _, to := range routers {
 		for _, from := range routers {
@@ -372,7 +396,7 @@
 	sent := c.now
 	c.advance(200 * time.Millisecond)
 	for i := range 20 {
-		r.RecordCrash(fmt.Sprint("u", i), parts("popular"), sent, true)
+		r.RecordCrash(fmt.Sprint("u", i), parts("popular"), sent, StageBegun)
 	}
 	is.True(!blocked(r, "popular"))
 	for range 2 {
@@ -387,7 +411,7 @@
 	c := newClock()
 	r := newRegistry(c)
 	for i := range 6000 {
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), fmt.Sprint("own", i)), c.now, true)
+		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), fmt.Sprint("own", i)), c.now, StageBegun)
 		c.advance(time.Millisecond)
 		_ = r.TakeReport()
 	}
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -18,7 +18,9 @@
 	Upstream string `json:"upstream"`
 	// Subjects are those of the request, as for Registry.RecordCrash.
 	Subjects []Subject `json:"subjects"`
-	Begun    bool      `json:"begun,omitempty"`
+	// Begun and Streaming state its stage; without either it was waiting.
+	Begun     bool `json:"begun,omitempty"`
+	Streaming bool `json:"streaming,omitempty"`
 	// Answered is true if the reporting router has recently seen an answer to the same content.
 	Answered bool `json:"answered,omitempty"`
 	// SentAgoMillis and AgoMillis are the times since the request was sent and since the crash.
@@ -28,6 +30,16 @@
 	sentAt, at time.Time
 }
 
+func (o Observation) stage() Stage {
+	switch {
+	case o.Begun:
+		return StageBegun
+	case o.Streaming:
+		return StageStreaming
+	}
+	return StageWaiting
+}
+
 // Clear says that a request with a subject was answered completely.
 type Clear struct {
 	Subject   Subject `json:"subject"`
@@ -70,7 +82,7 @@
 	for s, known := range r.subjects {
 		for _, o := range known.records {
 			out.Observations = append(out.Observations, Observation{
-				Upstream: o.crash.upstream, Subjects: append(slices.Clone(o.specific), s), Begun: o.begun, Answered: o.answered,
+				Upstream: o.crash.upstream, Subjects: append(slices.Clone(o.specific), s), Begun: o.stage == StageBegun, Streaming: o.stage == StageStreaming, Answered: o.answered,
 				sentAt: o.sentAt, at: o.crash.at,
 			})
 		}
--- a/internal/transport/httpapi/crash.go
+++ b/internal/transport/httpapi/crash.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// resendableEvents is the number of events after which a stream that its upstream's crash has ended is sent again. Most
-	// requests are then only running beside the one that caused the crash.
-	resendableEvents = 2
+	// streamingEvents is the number of events after which a stream is no longer just begun. Most streams beyond it that a crash
+	// ends only ran beside the cause, so they are sent again.
+	streamingEvents = 2
 	// crashProbeTimeout limits the connection attempt that tells a crash from a lost connection.
 	crashProbeTimeout = 300 * time.Millisecond
 )
@@ -52,7 +52,7 @@
 	// RecordAnswer records that a request was answered completely.
 	RecordAnswer(subjects []quarantine.Subject)
 	// RecordCrash records that a request, sent at sentAt, was running when its upstream crashed.
-	RecordCrash(upstream string, subjects []quarantine.Subject, sentAt time.Time, begun bool)
+	RecordCrash(upstream string, subjects []quarantine.Subject, sentAt time.Time, stage quarantine.Stage)
 }
 
 // attemptProgress is what is known of the attempt in progress.
@@ -65,6 +65,16 @@
 	crashChecked bool
 }
 
+func (p attemptProgress) stage() quarantine.Stage {
+	switch {
+	case !p.begun:
+		return quarantine.StageWaiting
+	case p.events < streamingEvents:
+		return quarantine.StageBegun
+	}
+	return quarantine.StageStreaming
+}
+
 // checkQuarantine refuses a request whose content crashes upstreams.
 func (x *exchange) checkQuarantine() *APIError {
 	if x.api.Quarantine == nil {
@@ -100,7 +110,7 @@
 	x.progress.crashChecked = true
 	probe := func(ctx context.Context) bool { return x.api.probeRefuses(ctx, upstreamName, refuses) }
 	if probe(x.ctx) {
-		x.crashedUpstream = x.progress.begun && x.progress.events < resendableEvents
+		x.crashedUpstream = x.progress.stage() == quarantine.StageBegun
 		x.recordCrash(upstreamName, x.progress)
 		return
 	}
@@ -143,7 +153,7 @@
 		"request_id": x.id, "upstream": upstreamName, "begun": progress.begun, "events": progress.events,
 		"content": x.subjects[0].String(), "parts": parts, "ms": x.api.Now().Sub(progress.sentAt).Milliseconds(),
 	})
-	x.api.Quarantine.RecordCrash(upstreamName, x.subjects, progress.sentAt, progress.begun)
+	x.api.Quarantine.RecordCrash(upstreamName, x.subjects, progress.sentAt, progress.stage())
 }
 
 // suspected reports whether a failed request must not be sent again, because it has probably crashed an upstream.
--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -380,7 +380,7 @@
 	q.answers++
 }
 
-func (q *crashRecorder) RecordCrash(string, []quarantine.Subject, time.Time, bool) {
+func (q *crashRecorder) RecordCrash(string, []quarantine.Subject, time.Time, quarantine.Stage) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.crashes++
