--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -5,7 +5,9 @@
 // Events of forwarded requests, numbers 1610 to 1649.
 var (
 	EventRequestServed = register(1610, logrus.InfoLevel, "request succeeded",
-		"The upstream's response was delivered. The field \"first_ms\" is the time to its first byte.")
+		"The upstream's response was delivered. The field \"first_ms\" is the time to its first byte. "+
+			"\"out_of_order\" counts events of a stream that did not follow the one before; \"unproven_end\" says that a stream "+
+			"ended with the upstream's connection and had neither a length nor chunks.")
 	EventRequestFailed = register(1611, logrus.WarnLevel, "request failed",
 		"The fields \"code\" and \"cause\" say why; docs/OPERATIONS.md explains their values.")
 	EventAttemptFailed = register(1612, logrus.InfoLevel, "attempt failed",
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -38,7 +38,12 @@
 	// MismatchedResponsesTotal counts responses to another request than the one that was sent, or to an attempt
 	// that a later attempt has replaced.
 	MismatchedResponsesTotal = newMetric("mismatched_answers_total")
-	ChargedTokensTotal       = newMetric("charged_tokens_total")
+	// StreamEventsOutOfOrderTotal counts events of forwarded streams that did not follow the one before, and
+	// StreamEndsUnprovenTotal the responses of such streams that had neither a length nor chunks and ended with their
+	// connections.
+	StreamEventsOutOfOrderTotal = newMetric("stream_events_out_of_order_total")
+	StreamEndsUnprovenTotal     = newMetric("stream_ends_unproven_total")
+	ChargedTokensTotal          = newMetric("charged_tokens_total")
 	// OutcomeUnknownTotal counts requests that may have run, but whose response was lost.
 	OutcomeUnknownTotal = newMetric("outcome_unknown_total")
 	// ConfigRecordsSkipped counts malformed records of the config stream.
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -47,6 +47,8 @@
 	Timeout time.Duration
 	// Prompt is nil for requests that use no tokens.
 	Prompt *Prompt
+	// LastEventID is the ID of the last event that the caller has of a stream that it resumes, empty for a new stream.
+	LastEventID string
 }
 
 // Prompt describes the prompt and the token limits of a request.
@@ -186,7 +188,7 @@
 	open := x.api.openRequests.Add(1)
 	obs.RequestsOpen.Add(1)
 	caller, err := x.api.Forwarding.Headers.ParseCaller(x.httpReq.Header)
-	x.id, op.caller = caller.ID, caller
+	x.id, op.caller, op.order = caller.ID, caller, eventOrderAfter(caller.LastEventID)
 	x.snapshot = x.api.Config.Current()
 	if age := x.api.Forwarding.ConfigAge; age != nil {
 		op.configAge = age()
@@ -286,6 +288,11 @@
 	contentType string
 	events      int64
 	lastEventID string
+	// order is what is known of the numbers of the stream's events, and outOfOrder counts those that did not follow.
+	order      eventOrder
+	outOfOrder int
+	// unprovenEnd is true if the last response of the stream ended with its connection.
+	unprovenEnd bool
 	// abortConnection is true when the caller's connection must be closed, because the stream is incomplete.
 	abortConnection bool
 	// mayHaveRun is true when an upstream may have started the request.
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -43,6 +43,12 @@
 	if op.abortConnection {
 		fields["cut"] = true
 	}
+	if op.outOfOrder > 0 {
+		fields["out_of_order"] = op.outOfOrder
+	}
+	if op.unprovenEnd {
+		fields["unproven_end"] = true
+	}
 	obs.RequestLatency.Record(now.Sub(x.startedAt))
 	if op.status >= 200 && op.status < 300 && !op.abortConnection {
 		obs.EventRequestServed.Log(x.api.Logger, fields)
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
@@ -176,6 +177,10 @@
 		if err := op.writeEvent(x, event, reader.Buffered() == 0); err != nil {
 			return err
 		}
+		if !isComment(event) && op.order.accept(id) != nil {
+			obs.StreamEventsOutOfOrderTotal.Add(1)
+			op.outOfOrder++
+		}
 		op.events++
 		x.noteEvent()
 		if id != "" {
@@ -225,6 +230,10 @@
 }
 
 func (op *forwardOp) endStream(x *exchange, response *relay.Response) error {
+	if !response.Framed {
+		obs.StreamEndsUnprovenTotal.Add(1)
+		op.unprovenEnd = true
+	}
 	if !op.committed {
 		op.commitHeader(x, response)
 	}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -82,6 +82,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
+	// Framed is false if the body has neither a length nor chunks. Then its end is that of the connection, which also ends
+	// if the upstream's process does, so that the body may be incomplete.
+	Framed bool
 	Body   io.Reader
 
 	pool *Pool
@@ -148,7 +151,7 @@
 		return nil, err
 	}
 	r := &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: isFramed(resp),
 		pool: p, conn: c, stop: stop, ctx: ctx, resp: resp,
 	}
 	r.Body = bodyReader{r}
@@ -178,15 +181,16 @@
 		}
 		obs.MismatchedResponsesTotal.Add(1)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes))
-		if err != nil || n == maxMismatchedBytes || resp.Close || resp.ContentLength < 0 && !chunked(resp) {
+		if err != nil || n == maxMismatchedBytes || resp.Close || !isFramed(resp) {
 			return nil, errors.Mark(errors.New("response to another request"), upstream.ErrMismatch)
 		}
 	}
 	return nil, errors.Mark(errors.New("only responses to other requests received"), upstream.ErrMismatch)
 }
 
-func chunked(resp *http.Response) bool {
-	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+// isFramed reports whether the body of a response has a length or chunks.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
 
 func (r Request) encode() []byte {
