Pass on only events that follow the one before

Callers saw: events whose numbers go back or skip, a second copy of an answer behind the first one, or the text of a failure, in a stream that ends as complete.

Cause: the router passed on whatever had the form of an event. A response that resumed a stream was accepted for its status and type, wherever it began, and what a body without length or chunks held behind its last event was read as further events.

Ruled out: joined responses of two requests in the relay, which are told apart by the ID of the attempt.

Change: events have consecutive numbers from 0 or 1, or from behind the event that the caller has, over all responses of a stream. What does not follow ends the response; the stream is resumed or broken off. Events are flushed before each read, so that those ahead of a bad one, or of one that has only begun, reach the caller.

--- a/internal/transport/httpapi/event_order.go
+++ b/internal/transport/httpapi/event_order.go
@@ -16,8 +16,8 @@
 	next uint64
 	// known is false until the first event of a stream that the caller reads from its beginning.
 	known bool
-	// begunNext is true if event next had begun when a response broke off.
-	begunNext bool
+	// nextHasBegun is true if a response broke off within event next.
+	nextHasBegun bool
 }
 
 // eventOrderAfter returns the order of a stream whose caller has the events up to the one with the given ID. If the ID is
@@ -39,7 +39,7 @@
 	case o.known && n != o.next, !o.known && n > 1:
 		return errors.Wrapf(errEventOrder, "event %d instead of event %d", n, o.next)
 	}
-	o.next, o.known, o.begunNext = n+1, true, false
+	o.next, o.known, o.nextHasBegun = n+1, true, false
 	return nil
 }
 
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -288,9 +288,11 @@
 	contentType string
 	events      int64
 	lastEventID string
-	// order is what is known of the numbers of the stream's events, and outOfOrder counts those that did not follow.
+	// order checks the numbers of the stream's events, and outOfOrder counts those that did not follow.
 	order      eventOrder
 	outOfOrder int
+	// unflushed is true while events may be in the buffer of the caller's connection.
+	unflushed bool
 	// unprovenEnd is true if the last response of the stream ended with its connection.
 	unprovenEnd bool
 	// abortConnection is true when the caller's connection must be closed, because the stream is incomplete.
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -156,39 +156,68 @@
 	_, _ = x.w.Write(response.body.Bytes())
 }
 
-// forwardStream writes events to the caller as they arrive. Only complete events are written, so that another
-// upstream can resume after the last one.
+// forwardStream writes events to the caller as they arrive. Only complete events that follow the one before are written,
+// so that another upstream can resume after the last one.
 func (op *forwardOp) forwardStream(x *exchange, response *relay.Response, stopTimer func()) error {
-	reader := bufio.NewReaderSize(response.Body, streamBufferBytes)
+	err := op.copyEvents(x, response, stopTimer)
+	if err == nil {
+		return nil
+	}
+	// The stream may go on much later, or be aborted.
+	return errors.CombineErrors(op.flushEvents(x), err)
+}
+
+func (op *forwardOp) copyEvents(x *exchange, response *relay.Response, stopTimer func()) error {
+	reader := bufio.NewReaderSize(flushingReader{response.Body, func() error { return op.flushEvents(x) }}, streamBufferBytes)
 	buffer := x.api.Forwarding.Buffers.NewBuffer(op.upstream, maxEventBytes)
 	defer buffer.Release()
 	for {
 		event, id, err := readEvent(reader, buffer)
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
+		begun := len(bytes.TrimSpace(event)) > 0
+		switch {
+		case errors.Is(err, errCallerWriteFailed):
+			return err
+		case errors.Is(err, io.EOF) && !begun:
 			return op.endStream(x, response)
-		}
-		if err != nil {
+		case err != nil:
+			op.order.nextHasBegun = op.order.nextHasBegun || begun
 			return errors.Mark(errors.Wrap(err, "stream"), upstream.ErrIncomplete)
 		}
+		comment := isComment(event)
+		if !comment {
+			if err := op.order.accept(id); err != nil {
+				return op.orderError(err)
+			}
+		}
 		stopTimer()
 		if !op.committed {
 			op.commitHeader(x, response)
 		}
-		if err := op.writeEvent(x, event, reader.Buffered() == 0); err != nil {
+		if err := op.writeEvent(x, event); err != nil {
 			return err
 		}
-		if !isComment(event) && op.order.accept(id) != nil {
-			obs.StreamEventsOutOfOrderTotal.Add(1)
-			op.outOfOrder++
-		}
-		op.events++
-		x.noteEvent()
-		if id != "" {
+		if !comment {
+			op.events++
 			op.lastEventID = id
+			x.noteEvent()
 		}
 	}
 }
 
+// flushingReader calls flush before each read. A read may wait.
+type flushingReader struct {
+	r     io.Reader
+	flush func() error
+}
+
+// Read implements io.Reader.
+func (f flushingReader) Read(p []byte) (int, error) {
+	if err := f.flush(); err != nil {
+		return 0, err
+	}
+	return f.r.Read(p)
+}
+
 // streamBufferBytes is the size of the read buffer. It holds several events.
 const streamBufferBytes = 4 << 10
 
@@ -215,24 +244,35 @@
 	}
 }
 
-func (op *forwardOp) writeEvent(x *exchange, event []byte, flush bool) error {
+func (op *forwardOp) writeEvent(x *exchange, event []byte) error {
 	x.setWriteDeadline()
+	op.unflushed = true
 	if _, err := x.w.Write(event); err != nil {
 		return errors.Mark(err, errCallerWriteFailed)
 	}
-	if !flush {
+	return nil
+}
+
+// flushEvents sends the events that are in the buffer of the caller's connection.
+func (op *forwardOp) flushEvents(x *exchange) error {
+	if !op.unflushed {
 		return nil
 	}
+	op.unflushed = false
 	if err := x.control.Flush(); err != nil {
 		return errors.Mark(err, errCallerWriteFailed)
 	}
 	return nil
 }
 
+// endStream ends the stream with the response, if it is proven that the response has all of the stream.
 func (op *forwardOp) endStream(x *exchange, response *relay.Response) error {
-	if !response.Framed {
+	op.unprovenEnd = !response.Framed
+	if op.unprovenEnd {
 		obs.StreamEndsUnprovenTotal.Add(1)
-		op.unprovenEnd = true
+	}
+	if op.order.nextHasBegun {
+		return op.orderError(errors.Wrapf(errEventOrder, "end of the stream instead of event %d", op.order.next))
 	}
 	if !op.committed {
 		op.commitHeader(x, response)
@@ -242,6 +282,13 @@
 	return nil
 }
 
+// orderError counts an event, or an end of a stream, that does not follow the event before it.
+func (op *forwardOp) orderError(err error) error {
+	obs.StreamEventsOutOfOrderTotal.Add(1)
+	op.outOfOrder++
+	return errors.Wrap(err, "stream")
+}
+
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -274,7 +321,7 @@
 // a crash, as the function routingResult would, because connections are reset for other reasons too.
 func (op *forwardOp) routingResult(err error) routing.Result {
 	switch {
-	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal, errResumeFailed):
+	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal, errResumeFailed, errEventOrder):
 		return routing.ResultError
 	case errors.Is(err, relay.ErrConnectionLimit):
 		return routing.ResultRefused
