Do not take the end of a connection for the end of a stream

Callers saw: a stream that stops between two events and ends as complete.

Cause: a response with neither a length nor chunks ends with its connection, and the router took the close of the connection for the end of the stream. The kernel closes the connections of a process that ends in the same way, so a crash between two events looked like the end.

Change: only a length or the last chunk proves the end. Else a stream that may be resumed is asked for its rest at another upstream, whose empty, marked response proves the end; other streams are broken off, with all events delivered.

--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -28,6 +28,10 @@
 // errResumeFailed reports a response that does not continue the stream of which the caller already has events.
 var errResumeFailed = errors.New("response does not continue the stream")
 
+// errUnprovenEnd reports a stream that ended with the upstream's connection and had neither a length nor chunks. The connection
+// of an upstream whose process ends is closed in the same way.
+var errUnprovenEnd = errors.New("the end of the stream is not proven")
+
 // saysNotRun reports whether callers take a status for the statement that the request has not run and will not.
 func saysNotRun(status int) bool {
 	switch status {
@@ -270,6 +274,7 @@
 	op.unprovenEnd = !response.Framed
 	if op.unprovenEnd {
 		obs.StreamEndsUnprovenTotal.Add(1)
+		return errors.Mark(errors.WithStack(errUnprovenEnd), upstream.ErrIncomplete)
 	}
 	if op.order.nextHasBegun {
 		return op.orderError(errors.Wrapf(errEventOrder, "end of the stream instead of event %d", op.order.next))
