Read events with lines that are longer than the read buffer

Callers saw (by reading): events behind a lost connection missing, if a line of an event ended where the read buffer of 4 KiB did.

Cause: readEvent read long lines in parts and looked at each part as if it were a line. A line feed alone at the start of the next part counted as the empty line that ends an event, and text at the start of a part as the ID. Without a broken connection the bytes passed unchanged; a resume could skip the rest of the event.

Change: only the first part of a line is looked at.

--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -302,16 +302,21 @@
 // the buffer and valid until the next call.
 func readEvent(r *bufio.Reader, buffer *membuf.Buffer) (event []byte, id string, err error) {
 	buffer.Reset()
-	for {
+	for continued := false; ; {
 		line, err := r.ReadSlice('\n')
 		if _, writeErr := buffer.Write(line); writeErr != nil {
 			return buffer.Bytes(), id, errors.Wrap(writeErr, "event")
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
+			continued = true
 			continue
 		case err != nil:
 			return buffer.Bytes(), id, err
+		case continued:
+			// The end of a line that is longer than the read buffer.
+			continued = false
+			continue
 		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
