Do not state a length for a response that has none

Callers saw: the body of a plain service that ended with its connection, with a Content-Length of the router's own, which says that the body is complete. The connection of a process that ends is closed in the same way, so nothing proves that.

Change: such a response keeps its form: neither length nor chunks, and the connection is closed behind it. It is still delivered, since HTTP/1.1 and the platform allow it, and an order that has run must not lose its answer. TestResponseWithoutLengthGetsNone failed before.

--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -313,6 +313,8 @@
 	status int
 	header http.Header
 	body   *membuf.Buffer
+	// framed is relay.Response.Framed.
+	framed bool
 }
 
 func (op *forwardOp) billTarget() string { return op.route.Name }
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -124,7 +124,9 @@
 		body.Release()
 		return errors.Mark(errors.Wrap(err, "response body"), upstream.ErrIncomplete)
 	}
-	buffered := &bufferedResponse{status: response.Status, header: endToEndHeaders(response.Header), body: body}
+	buffered := &bufferedResponse{
+		status: response.Status, header: endToEndHeaders(response.Header), body: body, framed: response.Framed,
+	}
 	if response.Status >= http.StatusInternalServerError {
 		op.keepErrorResponse(buffered)
 		return errUpstreamServerError
@@ -150,7 +152,11 @@
 	for name, values := range response.header {
 		header[name] = values
 	}
-	if x.httpReq.Method != http.MethodHead && response.status != http.StatusNoContent {
+	switch {
+	case !response.framed:
+		// Nothing proves that the body is complete, so no length is stated either.
+		header.Set("Transfer-Encoding", "identity")
+	case x.httpReq.Method != http.MethodHead && response.status != http.StatusNoContent:
 		header.Set("Content-Length", strconv.Itoa(response.body.Len()))
 	}
 	op.status = response.status
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -192,9 +192,9 @@
 	return nil, errors.Mark(errors.New("only responses to other requests received"), upstream.ErrMismatch)
 }
 
-// isFramed reports whether the body of a response has a length or chunks.
+// isFramed reports whether the body of a response has a length or chunks, or is none.
 func isFramed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
 
 func (r Request) encode() []byte {
