Answer the requests that a stopping router reads last

Callers saw: in a planned stop some connections end without a response although the router has read their requests.

Cause: closeServers called http.Server.Shutdown while callers still connected. From its first statement on, net/http closes a connection of which it reads the head of a request, without a response (conn.serve asks shuttingDown after readRequest). That begins before the listener is closed, so that a caller could lose two requests in a row.

Change: the router closes its listener first, and waits for at most 300 ms until the accepted connections have ended after their responses; only then it closes the server. Event 1002 counts the connections that were cut: connections_queued were accepted by the kernel and never by the router, connections_closed were open at the end of the wait.

Ruled out: load shedding and the limit of connections (their ends are responses), and connections of the kernel's queue alone. Connections in that queue are still reset when the listener is closed.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -358,7 +358,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	servers, err := g.listen()
+	servers, callers, err := g.listen()
 	if err != nil {
 		return err
 	}
@@ -391,10 +391,12 @@
 	err = g.budget.Close(returnCtx)
 	g.heartbeats.Leave(returnCtx)
 	stop()
-	g.closeServers(servers)
+	left := g.closeServers(servers, callers)
 	g.pool.Close()
 	loops.Wait()
-	obs.EventStopped.Log(g.logger, logrus.Fields{"open": g.api.InProgress()})
+	obs.EventStopped.Log(g.logger, logrus.Fields{
+		"open": g.api.InProgress(), "connections_closed": left.closed, "connections_queued": left.queued,
+	})
 	return err
 }
 
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -24,8 +24,9 @@
 	MetricsPath = "/debug/vars"
 )
 
-// listen opens the listening sockets for callers, readiness checks and metrics, in this order.
-func (g *Gateway) listen() ([]gatewayServer, error) {
+// listen opens the listening sockets for callers, readiness checks and metrics, in this order. The listener for callers is
+// also returned by itself.
+func (g *Gateway) listen() (servers []gatewayServer, limited *netopt.LimitedListener, err error) {
 	callers := &http.Server{
 		Handler: g.api.ForwardHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: gatewayMaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
@@ -34,7 +35,6 @@
 	ready.GET(g.deps.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { g.serveReady(w) })
 	metrics := httprouter.New()
 	metrics.Handler(http.MethodGet, MetricsPath, expvar.Handler())
-	var servers []gatewayServer
 	for _, s := range []struct {
 		address string
 		server  *http.Server
@@ -45,14 +45,15 @@
 	} {
 		listener, err := listenTCP(s.address)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if s.server == callers {
-			listener = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
+			limited = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
+			listener = limited
 		}
 		servers = append(servers, gatewayServer{server: s.server, listener: listener})
 	}
-	return servers, nil
+	return servers, limited, nil
 }
 
 func listenTCP(address string) (net.Listener, error) {
@@ -81,18 +82,40 @@
 	// closeTimeout limits the time for the last responses: to requests that arrived while the shares were returned, and to
 	// those that were still in progress then. They must be written before their connections are closed.
 	closeTimeout = 300 * time.Millisecond
+	// closePollInterval is the time between two checks for open connections in closeTimeout.
+	closePollInterval = 5 * time.Millisecond
 )
 
+// callersLeft are the connections of callers that ended with the process and not with a response.
+type callersLeft struct {
+	// queued is the number of connections that the kernel had accepted and the router had not when it stopped listening.
+	queued int
+	// closed is the number of accepted connections that were open at the end of closeTimeout. Their requests were not
+	// complete, or their responses were not written.
+	closed int
+}
+
 // closeServers ends the requests in progress and closes the servers. The one for callers first completes its responses.
-func (g *Gateway) closeServers(servers []gatewayServer) {
+// It does not use Shutdown, after whose start net/http closes connections of which it reads a request, without a response.
+func (g *Gateway) closeServers(servers []gatewayServer, callers *netopt.LimitedListener) callersLeft {
 	g.api.EndRequests()
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	// An error means that connections are left, which Close closes.
-	_ = servers[0].server.Shutdown(ctx)
+	left := callersLeft{queued: callers.Queued()}
+	_ = callers.Close()
+	// Closes connections that have become idle since drain did so. The others are closed after their responses.
+	servers[0].server.SetKeepAlivesEnabled(false)
+	// Counts pauses instead of comparing times: after a time in which the process got no processor, the goroutines of the
+	// requests still get theirs.
+	for range closeTimeout / closePollInterval {
+		if callers.Open() == 0 {
+			break
+		}
+		time.Sleep(closePollInterval)
+	}
+	left.closed = callers.Open()
 	for _, s := range servers {
 		_ = s.server.Close()
 	}
+	return left
 }
 
 // drain stops accepting requests and waits until the open ones have finished or the grace period is nearly
--- a/internal/obs/events_daemon.go
+++ b/internal/obs/events_daemon.go
@@ -9,7 +9,7 @@
 	EventStopping = register(1001, logrus.InfoLevel, "router is draining",
 		"A graceful shutdown began: readiness is false, open requests finish. No action.")
 	EventStopped = register(1002, logrus.InfoLevel, "router stopped",
-		"All requests have finished and the shares were returned. No action.")
+		"All requests have finished and the shares were returned. Connections that were cut instead are counted: \"connections_closed\" had no complete request or no complete response; \"connections_queued\" were accepted by the kernel only. No action.")
 	EventStartOrStopFailed = register(1003, logrus.ErrorLevel, "router failed to start or to shut down cleanly",
 		"An address is in use, the log cannot be read or the shutdown failed; see the field \"error\". If only the peer address is in use, the router runs without peers.")
 	EventSettingInvalid = register(1004, logrus.ErrorLevel, "invalid setting",
--- a/internal/transport/netopt/closed_test.go
+++ b/internal/transport/netopt/closed_test.go
@@ -71,3 +71,27 @@
 	_, open := <-accepted
 	is.True(!open)
 }
+
+// Guards against connections that a router resets by closing its listener and that its log does not count.
+func TestLimitedListenerCountsConnections(t *testing.T) {
+	is := is.New(t)
+	inner, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	l := LimitConnections(inner, 3)
+	defer l.Close()
+	for range 3 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+	}
+	is.Equal(l.Queued(), 3)
+	is.Equal(l.Open(), 0)
+	c, err := l.Accept()
+	is.NoErr(err)
+	is.Equal(l.Queued(), 2)
+	is.Equal(l.Open(), 1)
+	is.NoErr(c.Close())
+	is.Equal(l.Open(), 0)
+	is.NoErr(l.Close())
+	is.Equal(l.Queued(), 0)
+}
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -75,11 +75,11 @@
 }
 
 // countingListener wraps accepted connections in countingConn.
-type countingListener struct{ net.Listener }
+type countingListener struct{ *net.TCPListener }
 
 // Accept implements net.Listener.
 func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -93,16 +93,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return countingListener{l}, nil
+	return countingListener{l.(*net.TCPListener)}, nil
 }
 
 // LimitConnections returns a listener that has at most limit connections open. Unlike netutil.LimitListener, its
 // connections implement syscall.Conn if those of the given listener do.
-func LimitConnections(l net.Listener, limit int) net.Listener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+func LimitConnections(l net.Listener, limit int) *LimitedListener {
+	return &LimitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
 }
 
-type limitedListener struct {
+// LimitedListener is the listener that LimitConnections returns.
+type LimitedListener struct {
 	net.Listener
 	slots     chan struct{}
 	closeOnce sync.Once
@@ -110,7 +111,7 @@
 }
 
 // Accept implements net.Listener. It waits while limit connections are open.
-func (l *limitedListener) Accept() (net.Conn, error) {
+func (l *LimitedListener) Accept() (net.Conn, error) {
 	select {
 	case l.slots <- struct{}{}:
 	case <-l.closed:
@@ -129,11 +130,34 @@
 }
 
 // Close implements net.Listener. It does not close the accepted connections.
-func (l *limitedListener) Close() error {
+func (l *LimitedListener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
 
+// Open returns the number of open connections. A call of Accept in progress counts as one.
+func (l *LimitedListener) Open() int { return len(l.slots) }
+
+// Queued returns the number of connections that the kernel has accepted and Accept has not returned. The kernel resets
+// them when the listener is closed. Queued returns 0 for a listener without a file descriptor.
+func (l *LimitedListener) Queued() int {
+	sys, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	queued := 0
+	_ = raw.Control(func(fd uintptr) { // an error means that the listener is closed
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			queued = int(info.Unacked) // the length of the accept queue if the socket listens
+		}
+	})
+	return queued
+}
+
 type limitedConn struct {
 	net.Conn
 	release func()
