Mend what the review of the stream checks found

The connection is reset on close until all of the response is written, which also covers the end of the process; so are streams of HTTP/1.0 callers. Lines within an event of an unframed response must be fields of an event. - An end that nothing proves counted as a failure of the upstream. It counts neither for nor against it now; the crash probe stays.

Not changed: events must have consecutive numbers though the users' page says increasing (docs/design-platform.md); plain responses without a marked end are delivered; limits of the router's memory count as failures of the upstream (older).

--- a/internal/transport/httpapi/caller_conn.go
+++ b/internal/transport/httpapi/caller_conn.go
@@ -31,10 +31,18 @@
 	return ok && netopt.PeerHasClosed(c)
 }
 
-// resetCallerConn makes the close of the caller's connection a reset. A caller that reads a response without a length and
-// without chunks would otherwise take a truncated one for complete.
-func resetCallerConn(ctx context.Context) {
+// defaultLinger lets the kernel send what is in its buffer after a connection is closed.
+const defaultLinger = -1
+
+// resetCallerConn makes the close of the caller's connection a reset, also at the end of the process. A caller that reads a
+// response without a length and without chunks would otherwise take a truncated one for complete.
+func resetCallerConn(ctx context.Context) { setCallerLinger(ctx, 0) }
+
+// keepCallerConn undoes resetCallerConn, once the response is written completely.
+func keepCallerConn(ctx context.Context) { setCallerLinger(ctx, defaultLinger) }
+
+func setCallerLinger(ctx context.Context, seconds int) {
 	if c, ok := ctx.Value(callerConnKey{}).(interface{ SetLinger(int) error }); ok {
-		_ = c.SetLinger(0) // the connection is closed in any case
+		_ = c.SetLinger(seconds) // fails only if the connection is closed
 	}
 }
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -188,7 +188,7 @@
 	open := x.api.openRequests.Add(1)
 	obs.RequestsOpen.Add(1)
 	caller, err := x.api.Forwarding.Headers.ParseCaller(x.httpReq.Header)
-	x.id, op.caller, op.order = caller.ID, caller, eventOrderAfter(caller.LastEventID)
+	x.id, op.caller = caller.ID, caller
 	x.snapshot = x.api.Config.Current()
 	if age := x.api.Forwarding.ConfigAge; age != nil {
 		op.configAge = age()
@@ -326,6 +326,7 @@
 // prepare picks one of the route's services, at random by weight, and sets the fields of the exchange that the
 // following steps need.
 func (op *forwardOp) prepare(x *exchange) {
+	op.order = eventOrderAfter(op.caller.LastEventID, op.route.Resumable)
 	name := op.route.Pick(rand.Float64())
 	if op.service = x.snapshot.Service(name); op.service == nil {
 		op.service = &catalogue.Service{Name: name}
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -162,8 +162,28 @@
 	op.status = response.status
 	op.firstByteAt = x.api.Now()
 	x.setWriteDeadline()
+	if !response.framed {
+		resetCallerConn(x.httpReq.Context())
+	}
 	x.w.WriteHeader(response.status)
-	_, _ = x.w.Write(response.body.Bytes())
+	_, err := x.w.Write(response.body.Bytes())
+	if !response.framed {
+		op.finishUnframed(x, err)
+	}
+}
+
+// finishUnframed ends a response whose end is that of the caller's connection. The connection is reset unless all of the
+// response is written.
+func (op *forwardOp) finishUnframed(x *exchange, err error) {
+	if err == nil {
+		err = x.control.Flush()
+	}
+	if err != nil {
+		op.abortConnection = true
+		op.cause = errors.CombineErrors(errors.Mark(err, errCallerWriteFailed), op.cause)
+		return
+	}
+	keepCallerConn(x.httpReq.Context())
 }
 
 // forwardStream writes events to the caller as they arrive. Only complete events that follow the one before are written,
@@ -183,19 +203,18 @@
 	defer buffer.Release()
 	for {
 		event, id, err := readEvent(reader, buffer)
-		begun := len(bytes.TrimSpace(event)) > 0
 		switch {
 		case errors.Is(err, errCallerWriteFailed):
 			return err
-		case errors.Is(err, io.EOF) && !begun:
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0:
 			return op.endStream(x, response)
 		case err != nil:
-			op.order.nextHasBegun = op.order.nextHasBegun || begun
+			op.order.breakOff(event)
 			return errors.Mark(errors.Wrap(err, "stream"), upstream.ErrIncomplete)
 		}
 		comment := isComment(event)
 		if !comment {
-			if err := op.order.accept(id); err != nil {
+			if err := op.order.acceptFrom(response.Framed, event, id); err != nil {
 				return op.orderError(err)
 			}
 		}
@@ -252,8 +271,15 @@
 	for name, values := range endToEndHeaders(response.Header) {
 		header[name] = values
 	}
+	if op.endsByClose(x) {
+		resetCallerConn(x.httpReq.Context())
+	}
 }
 
+// endsByClose reports whether the caller reads a stream to the end of its connection. A caller that speaks HTTP/1.0 gets no
+// chunks.
+func (op *forwardOp) endsByClose(x *exchange) bool { return !x.httpReq.ProtoAtLeast(1, 1) }
+
 func (op *forwardOp) writeEvent(x *exchange, event []byte) error {
 	x.setWriteDeadline()
 	op.unflushed = true
@@ -290,6 +316,9 @@
 	}
 	op.settle(x, outcomeComplete)
 	x.noteAnswer()
+	if op.endsByClose(x) {
+		op.finishUnframed(x, nil)
+	}
 	return nil
 }
 
@@ -339,6 +368,9 @@
 	switch {
 	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal, errResumeFailed, errEventOrder):
 		return routing.ResultError
+	case errors.Is(err, errUnprovenEnd):
+		// The stream may be complete, so this says nothing about the upstream.
+		return routing.ResultAbandoned
 	case errors.Is(err, relay.ErrConnectionLimit):
 		return routing.ResultRefused
 	case errors.Is(err, upstream.ErrNotSent):
