Do not take an event without a number for the next one

Callers of the own fleet could get an event twice, or miss one, in a stream that ended as complete: an event without a number counted as the next one, also between numbered ones and after a resume. If a copy of event 1 or event 2 in the place of event 1 had no number, it was passed on. An engine without numbers that ignored the offset of a resume sent the stream from its start again. "data:" without a space was no event at all, so that a stream in that form ended as complete and empty.

Now either all events of a stream have numbers or none has. A stream without numbers is not resumed, and is read only if the end of its body is marked, because a second response can follow in an unmarked body.

Ruled out, passed before: numbers that go back, skip, repeat or begin late; a second copy of a response with numbers in a body with neither length nor chunks, behind a part and behind the end mark; an offset that is ignored by an engine with numbers; an end between two events; an end mark cut short.

--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -48,41 +48,79 @@
 	return c.readEvents(resp, call, offset, emit)
 }
 
-// readEvents reads events starting at number next. An event without an ID has the next number. An event with
-// any other number ends the read, because the caller would receive an event twice or miss one.
+// readEvents reads events starting at number next. Any other number ends the read, because the caller would receive an
+// event twice or miss one. So does an event without a number, unless no event of the stream has one: a missing or a
+// second copy of an event would else be taken for its neighbor.
+//
+// A stream without numbers is read from its start only, and only if the end of its body is marked: without a mark, a
+// second response can follow in the same body.
 func (c *Client) readEvents(resp *http.Response, call Call, next int, emit func(Event) error) error {
 	lines := lineReader{r: bufio.NewReaderSize(resp.Body, lineBufferBytes), buffer: c.newBuffer(resp, maxEventBytes)}
 	defer lines.buffer.Release()
-	number := next
+	sequence := eventSequence{next: next, started: next > 0, numbered: next > 0 || !endIsMarked(resp), number: noNumber}
 	for lines.read() {
-		line := lines.line
-		if id, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
-			n, err := strconv.Atoi(string(id))
-			if err != nil {
-				return errors.Mark(err, ErrIncomplete)
+		switch name, value := cutField(lines.line); {
+		case len(lines.line) == 0:
+			sequence.number = noNumber
+		case string(name) == "id":
+			n, err := strconv.Atoi(string(value))
+			if err != nil || n < 0 {
+				return errors.Mark(errors.Newf("%.60q is not the number of an event", value), ErrIncomplete)
 			}
-			number = n
-			continue
-		}
-		data, ok := bytes.CutPrefix(line, []byte("data: "))
-		if !ok {
-			continue
-		}
-		if string(data) == chat.DoneMark {
+			sequence.number = n
+		case string(name) == "data" && string(value) == chat.DoneMark:
 			return nil
+		case string(name) == "data":
+			if err := sequence.accept(); err != nil {
+				return errors.Mark(err, ErrIncomplete)
+			}
+			if err := emitEvent(value, call, emit); err != nil {
+				return err
+			}
 		}
-		if number != next {
-			return errors.Mark(errors.Newf("received event %d instead of event %d", number, next), ErrIncomplete)
-		}
-		if err := emitEvent(data, call, emit); err != nil {
-			return err
-		}
-		next++
-		number = next
 	}
 	return errors.Mark(errors.Newf("stream ended before its end marker: %v", lines.err), ErrIncomplete)
 }
 
+// cutField divides a line of a stream at its colon. One space after the colon does not belong to the value.
+func cutField(line []byte) (name, value []byte) {
+	name, value, _ = bytes.Cut(line, []byte(":"))
+	return name, bytes.TrimPrefix(value, []byte(" "))
+}
+
+// noNumber is the number of an event that has none.
+const noNumber = -1
+
+// eventSequence checks that each event follows the one before.
+type eventSequence struct {
+	// next is the number of the next event.
+	next int
+	// number is the number that the event in progress states, or noNumber.
+	number int
+	// numbered is true if each event must state its number. Unless it is true from the start, the first event decides.
+	numbered bool
+	started  bool
+}
+
+// accept accepts the event in progress as the next one.
+func (s *eventSequence) accept() error {
+	stated := s.number != noNumber
+	if !s.started {
+		s.numbered = s.numbered || stated
+	}
+	switch {
+	case s.numbered && !stated:
+		return errors.Newf("received an event without a number instead of event %d", s.next)
+	case !s.numbered && stated:
+		return errors.Newf("received event %d after %d events without a number", s.number, s.next)
+	case stated && s.number != s.next:
+		return errors.Newf("received event %d instead of event %d", s.number, s.next)
+	}
+	s.started, s.number = true, noNumber
+	s.next++
+	return nil
+}
+
 // lineBufferBytes is the size of the read buffer of a stream. It holds most lines.
 const lineBufferBytes = 4 << 10
 
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -238,6 +238,12 @@
 	return buffer, nil
 }
 
+// endIsMarked reports whether the end of a response body is marked by its length or its last chunk. Without a mark, the
+// end cannot be told from the end of the upstream's process.
+func endIsMarked(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // newBuffer returns a buffer for the body of a response.
 func (c *Client) newBuffer(resp *http.Response, max int) *membuf.Buffer {
 	return c.buffers.NewBuffer(resp.Request.URL.Host, max)
