Do not present a service's answer without a marked end as whole

Callers of a plain service got status 200 with a Content-Length and an empty or short body when the service's process ended within a response that had neither length nor chunks: of one answer of 129 bytes, cut at each byte and closed by FIN, all 13 cuts behind the head looked whole. The short answer was also kept for its idempotency key.

Cause: readBody took the end of the connection for the end of the body. Nothing on the wire tells the two apart, so Client.Call now fails with ErrUnmarked, whether or not the process has ended. An idempotent call goes to another upstream within the retry budget, the outcome of others is unknown. It counts as a failure of the upstream, not as a crash, so that no content is quarantined for it.

Ruled out, passed before, for a streamed and a non-streamed chat and a service call that may not be repeated: a head or body with length or chunks cut at each byte, closed by FIN or RST; any head cut at each byte; the chat completions without marked end, which JSON and end mark prove (also with a second copy behind them); a second run and "not run" after a cut.

--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -19,6 +19,10 @@
 	listener net.Listener
 	answer   func(req *http.Request) (response string, reset bool)
 	serving  sync.WaitGroup
+
+	mu     sync.Mutex
+	open   map[net.Conn]bool
+	closed bool
 }
 
 // NewRawServer starts a server on a loopback address. It calls answer, possibly concurrently, for each request, whose
@@ -28,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &RawServer{listener: listener, answer: answer}
+	s := &RawServer{listener: listener, answer: answer, open: make(map[net.Conn]bool)}
 	s.serving.Go(s.serve)
 	return s, nil
 }
@@ -36,12 +40,32 @@
 // URL returns the base URL of the server.
 func (s *RawServer) URL() string { return "http://" + s.listener.Addr().String() }
 
-// Close closes the listener and waits until no request is in progress.
+// Close closes the listener and all connections.
 func (s *RawServer) Close() {
 	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.open {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
 	s.serving.Wait()
 }
 
+// track reports whether the server still serves the new connection.
+func (s *RawServer) track(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = true
+	return !s.closed
+}
+
+func (s *RawServer) untrack(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
 func (s *RawServer) serve() {
 	for {
 		c, err := s.listener.Accept()
@@ -54,6 +78,10 @@
 
 func (s *RawServer) serveConnection(c net.Conn) {
 	defer c.Close()
+	defer s.untrack(c)
+	if !s.track(c) {
+		return
+	}
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
--- a/internal/transport/httpapi/limits_test.go
+++ b/internal/transport/httpapi/limits_test.go
@@ -128,6 +128,7 @@
 	is.Equal(routingResult(errors.Mark(io.EOF, upstream.ErrNotSent)), routing.ResultFailed)
 	is.Equal(routingResult(errors.Mark(context.Canceled, errAttemptTimeout)), routing.ResultFailed)
 	is.Equal(routingResult(errors.Mark(io.EOF, upstream.ErrIncomplete)), routing.ResultCrashed)
+	is.Equal(routingResult(errors.Mark(errors.Mark(io.EOF, upstream.ErrUnmarked), upstream.ErrIncomplete)), routing.ResultFailed)
 	is.True(!errors.Is(request.ErrTransition, request.ErrStaleAttempt))
 }
 
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -133,7 +133,8 @@
 		return routing.ResultDraining
 	case errors.Is(err, upstream.ErrRefused):
 		return routing.ResultRefused
-	case errors.IsAny(err, upstream.ErrNotSent, context.DeadlineExceeded, upstream.ErrMismatch):
+	case errors.IsAny(err, upstream.ErrNotSent, context.DeadlineExceeded, upstream.ErrMismatch, upstream.ErrUnmarked):
+		// A response without a marked end does not show that the upstream was lost.
 		return routing.ResultFailed
 	default:
 		return routing.ResultCrashed
--- a/internal/transport/upstream/service.go
+++ b/internal/transport/upstream/service.go
@@ -41,7 +41,8 @@
 
 // Call sends a request to a plain service and reads the complete response. Every status except 429 is a
 // response for the caller. 429 means that the service rejected the call without running it. A service may
-// return 503 after it has done some of the work, so 503 does not prove that the call did not run.
+// return 503 after it has done some of the work, so 503 does not prove that the call did not run. A response whose
+// body has neither length nor chunks is an ErrUnmarked, because nothing shows that it is whole.
 func (c *Client) Call(ctx context.Context, call ServiceCall) (ServiceResponse, error) {
 	target := strings.TrimRight(call.Address, "/") + call.Path
 	if call.Query != "" {
@@ -67,6 +68,10 @@
 	if err != nil {
 		return ServiceResponse{}, err
 	}
+	if !endIsMarked(resp) && call.Method != http.MethodHead {
+		err := errors.Newf("%s %s: the response has neither length nor chunks", call.Method, call.Path)
+		return ServiceResponse{}, errors.Mark(errors.Mark(err, ErrUnmarked), ErrIncomplete)
+	}
 	body, err := c.readBody(resp)
 	if err != nil {
 		return ServiceResponse{}, errors.Wrapf(err, "%s %s", call.Method, call.Path)
--- a/internal/transport/upstream/stream_test.go
+++ b/internal/transport/upstream/stream_test.go
@@ -113,3 +113,23 @@
 		}
 	}
 }
+
+// Guards against a completion that is taken for whole with a second response behind it in a body that nothing ends, and
+// against bytes of that response that reach the caller.
+func TestSecondCopyBehindCompletion(t *testing.T) {
+	is := is.New(t)
+	const completion = `{"id":"r1","choices":[{"message":{"content":"x"}}]}`
+	for body, whole := range map[string]bool{
+		completion: true, completion + "\n": true, completion + rawHead + completion: false, completion + completion: false,
+	} {
+		server, err := standin.NewRawServer(func(req *http.Request) (string, bool) {
+			head, rawBody := standin.RawResponse(req, standin.FramingNone, "application/json", body)
+			return head + rawBody, false
+		})
+		is.NoErr(err)
+		_, err = New(nil).Complete(context.Background(), Call{Address: server.URL(), RequestID: "r1", Attempt: "a1"})
+		server.Close()
+		is.Equal(err == nil, whole)
+		is.True(whole || errors.Is(err, ErrIncomplete))
+	}
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -37,6 +37,9 @@
 	ErrMismatch = errors.New("response belongs to another request or attempt")
 	// ErrIncomplete reports a truncated, oversized or undecodable response.
 	ErrIncomplete = errors.New("response is incomplete")
+	// ErrUnmarked reports a response whose end is not marked, so that nothing shows whether it is whole. It is an
+	// ErrIncomplete too.
+	ErrUnmarked = errors.New("end of the response is not marked")
 	// ErrNotHeld reports that the engine has no run of the request, or that another attempt holds the run. It
 	// does not prove that the request never ran there.
 	ErrNotHeld = errors.New("engine does not hold the request")
@@ -228,7 +231,8 @@
 	return Completion{Body: body.Bytes(), Usage: fields.Usage, buffer: body}, nil
 }
 
-// readBody reads a complete body. A truncated or oversized body is an ErrIncomplete. The caller releases the buffer.
+// readBody reads a complete body. A truncated or oversized body is an ErrIncomplete. If the end of the body is not marked,
+// the caller checks that the content is whole, as that of a JSON object is. The caller releases the buffer.
 func (c *Client) readBody(resp *http.Response) (*membuf.Buffer, error) {
 	buffer := c.newBuffer(resp, maxResponseBytes)
 	if err := buffer.ReadAll(resp.Body); err != nil {
