Do not continue a stream with the run of an earlier attempt

A caller could get the first events of one run and the last ones of another in a stream that ended as complete: an engine lost the response to the first attempt of a request but went on with its run, the retry began a stream elsewhere and broke, and the resume asked all engines of the model. The first one has a run with the same request ID, and numbers its events alike. Nothing in the response states the run.

An engine to which an earlier attempt of the request was sent is not asked any more. The engine that began the stream, and others that may hold a copy of it, still are.

Ruled out: the engine with the broken stream answers for another run (404 after a restart, IDs, numbers and JSON of events are checked). Open: with an idempotency key, another router derives the same request ID; a run of its attempt at a third engine cannot be told from a copy until engines state which run their events are of.

TestStreamIsNotContinuedByEarlierAttempt failed before: the caller got "other" behind the third event.

--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -241,17 +241,25 @@
 	return ctx.Err() == nil && !errors.Is(err, errCallerWriteFailed)
 }
 
-// resumeAddresses returns the addresses of the engines that may hold a stream, starting with the given one.
+// resumeAddresses returns the addresses of the engines that may hold a stream, starting with the given one. An engine to
+// which an earlier attempt was sent is none of them: it may hold another run of the request with the same ID, which may
+// produce another response.
 func (x *exchange) resumeAddresses(model, first string) []string {
 	addresses := []string{first}
 	for u := range x.api.Config.Current().Upstreams {
-		if u.Kind == catalogue.KindEngine && u.Address != first && slices.Contains(u.Models, model) {
+		if u.Kind == catalogue.KindEngine && u.Address != first && slices.Contains(u.Models, model) && !x.hadEarlierAttempt(u.Address) {
 			addresses = append(addresses, u.Address)
 		}
 	}
 	return addresses
 }
 
+// hadEarlierAttempt reports whether an attempt before the one in progress may have run at the address.
+func (x *exchange) hadEarlierAttempt(address string) bool {
+	earlier := x.calls[:len(x.calls)-1]
+	return slices.ContainsFunc(earlier, func(c upstream.Call) bool { return c.Address == address })
+}
+
 // finish settles a complete stream and writes its final events.
 func (s *streamWriter) finish() error {
 	x := s.x
--- a/internal/transport/httpapi/truncated_test.go
+++ b/internal/transport/httpapi/truncated_test.go
@@ -240,3 +240,27 @@
 	r = f.call(http.MethodPost, orderPath, "o1", HeaderIdempotencyKey, "k2")
 	is.Equal(r.status, http.StatusNoContent)
 }
+
+// Guards against a stream that is continued with the events of another run of the request: an engine that lost the response
+// to an earlier attempt has a run of its own, which may produce another text.
+func TestStreamIsNotContinuedByEarlierAttempt(t *testing.T) {
+	is := is.New(t)
+	earlier := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method != http.MethodGet {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(chat.HeaderRequestID, req.Header.Get(chat.HeaderRequestID))
+		w.Header().Set(chat.HeaderAttempt, req.Header.Get(chat.HeaderAttempt))
+		_, _ = fmt.Fprintf(w, "id: %s\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":\"other\"},\"finish_reason\":\"stop\"}]}\n\ndata: %s\n\n",
+			req.URL.Query().Get("offset"), req.Header.Get(chat.HeaderRequestID), chat.DoneMark)
+	})
+	engine, handler := newEngine()
+	engine.SetFaults(standin.EngineFaults{Break: 1, BreakAt: 3})
+	f := newFixture(t, earlier, withoutResume(handler))
+	f.retryBudget.remaining = 1
+	r := f.chat(true, "a b c")
+	text, ended := streamText(r.body)
+	is.True(!strings.Contains(text, "other"))
+	is.True(!ended)
+	is.Equal(r.apiError().Code, CodeOutcomeUnknown)
+}
