Do not take the end mark for the end of a stream that lacks its last event

Callers got a stream that ended as complete without its last events when an engine sent the end mark early: as the whole response, behind an event that ends no choice, or as the whole response to a resume. The numbers show a gap between two events, but not one before the mark.

A stream is now whole if, at the mark, each choice that the request asks for has had an event with a finish reason. Else the stream is resumed; if no event came, the attempt has failed and may be retried. An engine that sends no finish reasons cannot serve streams any more; the engine API says so.

--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -9,7 +9,8 @@
 // stream is a sequence of events numbered from 0; each event carries its number in the SSE field "id". An
 // engine keeps a stream after its connection has broken, so that the router can resume at the first event
 // that it has not received. The router reads events without numbers only if no event of the stream has one, and cannot
-// resume such a stream.
+// resume such a stream. The last event of each choice has a finish reason; without it, the end marker does not end the
+// stream.
 //
 //	GET    /v1/streams/{request_id}?offset=n   returns the events from number n on
 //	DELETE /v1/streams/{request_id}            stops the run and returns RunUsage
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -45,7 +45,7 @@
 	}
 	x.subjects = messageSubjects(req.Messages, x.requestHash[:])
 	if req.Stream {
-		x.op = streamOp{model: req.Model}
+		x.op = streamOp{model: req.Model, choices: max(1, req.N)}
 	} else {
 		x.op = completionOp{model: req.Model}
 	}
@@ -109,7 +109,11 @@
 }
 
 // streamOp is a chat completion whose response is streamed.
-type streamOp struct{ model string }
+type streamOp struct {
+	model string
+	// choices is the number of choices that the engine generates.
+	choices int64
+}
 
 func (op streamOp) billTarget() string { return op.model }
 func (op streamOp) cancelable() bool   { return true }
@@ -119,8 +123,12 @@
 func (op streamOp) send(ctx context.Context, x *exchange, call upstream.Call, attemptNumber int) error {
 	ctx, stopTimer := x.attemptContext(ctx)
 	defer stopTimer()
-	s := &streamWriter{x: x, attemptNumber: attemptNumber, stopTimer: stopTimer, firstAddress: call.Address}
-	err := x.api.Engines.Stream(ctx, call, s.writeEvent)
+	s := &streamWriter{x: x, attemptNumber: attemptNumber, stopTimer: stopTimer, firstAddress: call.Address,
+		unfinished: make(map[int]bool)}
+	for i := range op.choices {
+		s.unfinished[int(i)] = true
+	}
+	err := s.checkEnd(x.api.Engines.Stream(ctx, call, s.writeEvent))
 	if err != nil && s.eventsSent == 0 {
 		return x.handleAttemptError(ctx, call, err)
 	}
@@ -144,7 +152,9 @@
 	firstAddress string
 	eventsSent   int
 	usage        *chat.Usage
-	buffer       bytes.Buffer
+	// unfinished has the indices of the choices of which the last event is missing.
+	unfinished map[int]bool
+	buffer     bytes.Buffer
 	// replayBody holds what was written so far, to be stored for the idempotency key.
 	replayBody []byte
 }
@@ -166,10 +176,22 @@
 		return err
 	}
 	s.eventsSent++
+	for _, index := range event.Finished {
+		delete(s.unfinished, index)
+	}
 	s.x.noteEvent()
 	return nil
 }
 
+// checkEnd returns the error of a read of the stream, or an upstream.ErrIncomplete if the read has reached the end marker
+// although the last event of a choice is missing. The numbers of the events do not show that.
+func (s *streamWriter) checkEnd(err error) error {
+	if err == nil && len(s.unfinished) > 0 {
+		return errors.Mark(errors.Newf("stream ended after %d events, before the end of each choice", s.eventsSent), upstream.ErrIncomplete)
+	}
+	return err
+}
+
 // start stops the attempt timer, marks the request as streaming and sets the response headers. It fails if
 // the request no longer accepts a response to this attempt.
 func (s *streamWriter) start() error {
@@ -213,7 +235,7 @@
 		for _, address := range s.x.resumeAddresses(model, call.Address) {
 			eventsBefore := s.eventsSent
 			call.Address = address
-			err = s.x.api.Engines.Resume(ctx, call, s.eventsSent, s.writeEvent)
+			err = s.checkEnd(s.x.api.Engines.Resume(ctx, call, s.eventsSent, s.writeEvent))
 			countResponseError(err)
 			mayBeHeld = mayBeHeld || !errors.Is(err, upstream.ErrNotHeld)
 			if s.eventsSent > eventsBefore {
@@ -263,11 +285,6 @@
 // finish settles a complete stream and writes its final events.
 func (s *streamWriter) finish() error {
 	x := s.x
-	if s.eventsSent == 0 {
-		if err := s.start(); err != nil {
-			return err
-		}
-	}
 	balance, err := x.settle(s.attemptNumber, s.usage, outcomeComplete)
 	if err != nil {
 		return err
--- a/internal/transport/httpapi/truncated_test.go
+++ b/internal/transport/httpapi/truncated_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc/pool"
@@ -264,3 +265,53 @@
 	is.True(!ended)
 	is.Equal(r.apiError().Code, CodeOutcomeUnknown)
 }
+
+// Guards against a stream that ends as complete without its last events, of which the next number says nothing: the end mark
+// follows an event that ends no choice, directly or at a resume.
+func TestEndMarkWithoutLastEventIsNotTheEnd(t *testing.T) {
+	event := func(id string, n int, finish string) string {
+		return fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":\"%d \"}%s}]}\n\n", n, id, n, finish)
+	}
+	const end, last = "data: " + chat.DoneMark + "\n\n", `,"finish_reason":"stop"`
+	for _, c := range []struct {
+		name string
+		// first and resumed return the bodies of the first response and of those to a resume.
+		first, resumed func(id string) string
+		want           string
+		// choices is the number of choices that the request asks for, if not 1.
+		choices int64
+	}{
+		{"end mark only", func(string) string { return end }, func(string) string { return end }, "", 0},
+		{"last event missing", func(id string) string { return event(id, 0, "") + end }, func(string) string { return end }, "0 ", 0},
+		{"last event missing at the resume", func(id string) string { return event(id, 0, "") }, func(string) string { return end }, "0 ", 0},
+		{"last event read by the resume", func(id string) string { return event(id, 0, "") + end },
+			func(id string) string { return event(id, 1, last) + end }, "0 1 ", 0},
+		{"last event of a choice missing", func(id string) string { return event(id, 0, last) + end }, func(string) string { return end }, "0 ", 2},
+		{"end mark read by the resume", func(id string) string { return event(id, 0, last) }, func(string) string { return end }, "0 ", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				id, body := req.Header.Get(chat.HeaderRequestID), c.first
+				if req.Method == http.MethodGet {
+					body = c.resumed
+				}
+				w.Header().Set(chat.HeaderRequestID, id)
+				w.Header().Set(chat.HeaderAttempt, req.Header.Get(chat.HeaderAttempt))
+				_, _ = io.WriteString(w, body(id))
+			}))
+			f.api.Limits.ResumeTimeout = 200 * time.Millisecond
+			chatReq, _ := chatRequest(true, "a b c")
+			chatReq.N = c.choices
+			body, err := json.Marshal(chatReq)
+			is.NoErr(err)
+			r := f.call(http.MethodPost, "/v1/chat/completions", string(body))
+			text, ended := streamText(r.body)
+			is.Equal(text, c.want)
+			is.Equal(ended, strings.HasPrefix(c.name, "last event read") || strings.HasPrefix(c.name, "end mark read"))
+			if !ended {
+				is.Equal(r.apiError().Code, CodeOutcomeUnknown)
+			}
+		})
+	}
+}
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -22,10 +22,22 @@
 type Event struct {
 	Data  []byte
 	Usage *chat.Usage
+	// Finished are the indices of the choices that the event ends.
+	Finished []int
+}
+
+// eventFields are the fields of an event that the router reads.
+type eventFields struct {
+	responseFields
+	Choices []struct {
+		Index        int    `json:"index"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
 }
 
 // Stream sends a streaming chat completion request and calls emit for each event, in order and without gaps.
-// It returns nil only after the end marker of the stream.
+// It returns nil only after the end marker of the stream. The marker does not show that the last events came: the caller
+// checks that all choices have finished.
 func (c *Client) Stream(ctx context.Context, call Call, emit func(Event) error) error {
 	resp, err := c.postChat(ctx, call)
 	if err != nil {
@@ -157,14 +169,20 @@
 }
 
 func emitEvent(data []byte, call Call, emit func(Event) error) error {
-	var fields responseFields
+	var fields eventFields
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return errors.Mark(err, ErrIncomplete)
 	}
 	if fields.ID != call.RequestID {
 		return ErrMismatch
 	}
-	return emit(Event{Data: data, Usage: fields.Usage})
+	event := Event{Data: data, Usage: fields.Usage}
+	for _, choice := range fields.Choices {
+		if choice.FinishReason != "" {
+			event.Finished = append(event.Finished, choice.Index)
+		}
+	}
+	return emit(event)
 }
 
 // Cancel stops the run of an attempt and returns its usage.
