Do not take the refusal of an earlier request for that of the next one

Callers of the own fleet were told "not run" about a request that ran when an upstream wrote the refusal of an earlier request once more on a kept connection: 429 of a plain service, and 503 or 400 of an engine, with the IDs of the other request or with none. A call that may not be repeated could then be sent again by its caller.

Cause: only responses with status 200 were matched by request and attempt. A refusal now has to state both, as the stand-ins' do. One without them counts only on a connection that has served no other request. Any other one is an ErrMismatch: an idempotent request may go to another upstream, the outcome of others is unknown. For engines that refuse without IDs on kept connections, a refusal thus becomes an unknown outcome when no retry is left.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -163,6 +163,7 @@
 	if err != nil {
 		return
 	}
+	echoHeaders(w, httpReq, httpReq.Header.Get(chat.HeaderRequestID))
 	req, err := chat.Parse(body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -193,7 +194,6 @@
 	if e.consumeFault(func(f *EngineFaults) *int { return &f.ResetAfter }) {
 		abortConnection(w)
 	}
-	echoHeaders(w, httpReq, r)
 	if req.Stream {
 		e.writeStream(w, httpReq, r, 0)
 		return
@@ -207,8 +207,8 @@
 	return e.faults
 }
 
-func echoHeaders(w http.ResponseWriter, httpReq *http.Request, r *run) {
-	w.Header().Set(chat.HeaderRequestID, r.id)
+func echoHeaders(w http.ResponseWriter, httpReq *http.Request, requestID string) {
+	w.Header().Set(chat.HeaderRequestID, requestID)
 	w.Header().Set(chat.HeaderAttempt, httpReq.Header.Get(chat.HeaderAttempt))
 }
 
@@ -340,7 +340,7 @@
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
 	}
-	echoHeaders(w, httpReq, r)
+	echoHeaders(w, httpReq, r.id)
 	e.writeStream(w, httpReq, r, offset)
 }
 
--- a/internal/transport/upstream/service.go
+++ b/internal/transport/upstream/service.go
@@ -53,13 +53,13 @@
 		return ServiceResponse{}, err
 	}
 	copyHeader(req.Header, call.Header)
-	resp, err := c.do(req)
+	resp, reused, err := c.do(req)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusTooManyRequests {
-		err := newRefusedError(resp)
+		err := checkRefusal(resp, call.Call, reused)
 		call.reportNotice(resp, err)
 		return ServiceResponse{}, err
 	}
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -228,7 +228,7 @@
 	}
 	// The HTTP transport may retry a request without a body.
 	req.Body, req.ContentLength = http.NoBody, 0
-	resp, err := c.do(req)
+	resp, _, err := c.do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -286,11 +286,11 @@
 
 // sendChecked sends the request and checks the status and that the response belongs to the request.
 func (c *Client) sendChecked(req *http.Request, call Call) (*http.Response, error) {
-	resp, err := c.do(req)
+	resp, reused, err := c.do(req)
 	if err != nil {
 		return nil, err
 	}
-	err = checkResponse(resp, call)
+	err = checkResponse(resp, call, reused)
 	call.reportNotice(resp, err)
 	if err != nil {
 		resp.Body.Close()
@@ -300,31 +300,44 @@
 }
 
 // do sends the request. A failure before a connection was obtained means that nothing was sent; after that,
-// the upstream may have run the request.
-func (c *Client) do(req *http.Request) (*http.Response, error) {
+// the upstream may have run the request. The result reused reports whether the connection had served another request.
+func (c *Client) do(req *http.Request) (resp *http.Response, reused bool, err error) {
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
+	resp, err = c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil && !connected {
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, false, errors.Mark(err, ErrNotSent)
 	}
-	return resp, err
+	return resp, reused, err
 }
 
 // checkResponse accepts status 200. The listed error statuses are those with which an upstream refuses a request
 // before it runs.
-func checkResponse(resp *http.Response, call Call) error {
+func checkResponse(resp *http.Response, call Call, reused bool) error {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return checkResponseIDs(resp, call)
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusRequestEntityTooLarge,
 		http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return newRefusedError(resp)
+		return checkRefusal(resp, call, reused)
 	default:
 		return errors.Newf("upstream responded %s", resp.Status)
 	}
 }
 
+// checkRefusal returns the RefusedError of a refusal, or ErrMismatch if the refusal may belong to an earlier request on the
+// connection: an upstream that writes one twice would else make the router report a request that ran as not run. A
+// refusal without IDs belongs to the request if the connection has served no other.
+func checkRefusal(resp *http.Response, call Call, reused bool) error {
+	stated := resp.Header.Get(chat.HeaderRequestID) != "" || resp.Header.Get(chat.HeaderAttempt) != ""
+	if stated || reused {
+		if err := checkResponseIDs(resp, call); err != nil {
+			return err
+		}
+	}
+	return newRefusedError(resp)
+}
+
 // errorText returns the start of an error response's body.
 func errorText(resp *http.Response) string {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
