--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -37,6 +37,9 @@
 	ErrMismatch = errors.New("response belongs to another request or attempt")
 	// ErrIncomplete reports a truncated, oversized or undecodable response.
 	ErrIncomplete = errors.New("response is incomplete")
+	// ErrUnmarked reports a response whose end is not marked, so that nothing shows whether it is whole. It is an
+	// ErrIncomplete too.
+	ErrUnmarked = errors.New("end of the response is not marked")
 	// ErrNotHeld reports that the engine has no run of the request, or that another attempt holds the run. It
 	// does not prove that the request never ran there.
 	ErrNotHeld = errors.New("engine does not hold the request")
@@ -228,7 +231,8 @@
 	return Completion{Body: body.Bytes(), Usage: fields.Usage, buffer: body}, nil
 }
 
-// readBody reads a complete body. A truncated or oversized body is an ErrIncomplete. The caller releases the buffer.
+// readBody reads a complete body. A truncated or oversized body is an ErrIncomplete. If the end of the body is not marked,
+// the caller checks that the content is whole, as that of a JSON object is. The caller releases the buffer.
 func (c *Client) readBody(resp *http.Response) (*membuf.Buffer, error) {
 	buffer := c.newBuffer(resp, maxResponseBytes)
 	if err := buffer.ReadAll(resp.Body); err != nil {
@@ -238,6 +242,12 @@
 	return buffer, nil
 }
 
+// endIsMarked reports whether the end of a response body is marked by its length or its last chunk. Without a mark, the
+// end cannot be told from the end of the upstream's process.
+func endIsMarked(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // newBuffer returns a buffer for the body of a response.
 func (c *Client) newBuffer(resp *http.Response, max int) *membuf.Buffer {
 	return c.buffers.NewBuffer(resp.Request.URL.Host, max)
@@ -276,11 +286,11 @@
 
 // sendChecked sends the request and checks the status and that the response belongs to the request.
 func (c *Client) sendChecked(req *http.Request, call Call) (*http.Response, error) {
-	resp, err := c.do(req)
+	resp, reused, err := c.do(req)
 	if err != nil {
 		return nil, err
 	}
-	err = checkResponse(resp, call)
+	err = checkResponse(resp, call, reused)
 	call.reportNotice(resp, err)
 	if err != nil {
 		resp.Body.Close()
@@ -290,31 +300,44 @@
 }
 
 // do sends the request. A failure before a connection was obtained means that nothing was sent; after that,
-// the upstream may have run the request.
-func (c *Client) do(req *http.Request) (*http.Response, error) {
+// the upstream may have run the request. The result reused reports whether the connection had served another request.
+func (c *Client) do(req *http.Request) (resp *http.Response, reused bool, err error) {
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
+	resp, err = c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil && !connected {
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, false, errors.Mark(err, ErrNotSent)
 	}
-	return resp, err
+	return resp, reused, err
 }
 
 // checkResponse accepts status 200. The listed error statuses are those with which an upstream refuses a request
 // before it runs.
-func checkResponse(resp *http.Response, call Call) error {
+func checkResponse(resp *http.Response, call Call, reused bool) error {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return checkResponseIDs(resp, call)
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusRequestEntityTooLarge,
 		http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return newRefusedError(resp)
+		return checkRefusal(resp, call, reused)
 	default:
 		return errors.Newf("upstream responded %s", resp.Status)
 	}
 }
 
+// checkRefusal returns the RefusedError of a refusal, or ErrMismatch if the refusal may belong to an earlier request on the
+// connection: an upstream that writes one twice would else make the router report a request that ran as not run. A
+// refusal without IDs belongs to the request if the connection has served no other.
+func checkRefusal(resp *http.Response, call Call, reused bool) error {
+	stated := resp.Header.Get(chat.HeaderRequestID) != "" || resp.Header.Get(chat.HeaderAttempt) != ""
+	if stated || reused {
+		if err := checkResponseIDs(resp, call); err != nil {
+			return err
+		}
+	}
+	return newRefusedError(resp)
+}
+
 // errorText returns the start of an error response's body.
 func errorText(resp *http.Response) string {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
