--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -368,9 +368,6 @@
 	switch {
 	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal, errResumeFailed, errEventOrder):
 		return routing.ResultError
-	case errors.Is(err, errUnprovenEnd):
-		// The stream may be complete, so this says nothing about the upstream.
-		return routing.ResultAbandoned
 	case errors.Is(err, relay.ErrConnectionLimit):
 		return routing.ResultRefused
 	case errors.Is(err, upstream.ErrNotSent):
