--- a/internal/transport/relay/end_test.go
+++ b/internal/transport/relay/end_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,16 +34,16 @@
 				if name == "chunks" {
 					head = whole[:strings.Index(whole, "\r\n\r\n")+len("\r\n\r\n")]
 				}
-				cut := 0
+				var cut atomic.Int64
 				address, _ := startServer(t, func(c net.Conn, _ string) {
-					_, _ = io.WriteString(c, head[:cut])
+					_, _ = io.WriteString(c, head[:cut.Load()])
 					if tcp, ok := c.(*net.TCPConn); ok && reset {
 						_ = tcp.SetLinger(0)
 					}
 					_ = c.Close()
 				})
 				p := newPool(t)
-				for ; cut < len(head); cut++ {
+				for ; cut.Load() < int64(len(head)); cut.Add(1) {
 					body, err := send(p, address, "r")
 					is.True(errors.Is(err, upstream.ErrIncomplete)) // neither a response nor "not sent"
 					is.True(!errors.Is(err, upstream.ErrNotSent))
