Relay: a connection carries a request ID only once

Callers saw a request that may run once run twice, or got 503 for a request that ran. An upstream may write a refusal again later, where the next response on the connection is due. The copy has the ID of the refused request. The pool is keyed by address and returned the connection that was used last, and an attempt excludes upstreams by name. An upstream that has started again under a new name at its address was therefore tried on the very connection on which the copy was due, and the copy was taken for the refusal of the second send. The same holds for a caller that uses an ID again.

Each connection now remembers hashes of the IDs that it has carried, and a request takes an idle connection that has not carried its ID, or a new one. The copy of a refusal then meets a request with another ID and is skipped. At the connection limit the new connection takes the place of an idle one. A connection is closed after 800 requests, which bounds its memory to 18 KiB (measured).

--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -2,16 +2,20 @@
 // the requests that its ForwardHandler serves.
 //
 // Unlike a general HTTP client, it reports for a failed request whether anything was sent, it verifies that a
-// response belongs to the request, and it never sends a request twice.
+// response belongs to the request, and it never sends a request twice. A response is matched by the ID of its request
+// and by its connection, which carries an ID only once: an upstream may write a response again later, and the ID does
+// not tell which of two sends of one request that was the response to.
 package relay
 
 import (
 	"bufio"
 	"bytes"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +45,9 @@
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 	readBufferBytes    = 8 << 10
+	// maxRequestsPerConn is the number of requests after which a connection is closed. It bounds the memory for their IDs
+	// to 18 KiB; above 896 IDs the map doubles.
+	maxRequestsPerConn = 800
 	// maxHeadBytes bounds the status line and header of a response. Without it a header without end would be stored
 	// until the deadline of the request.
 	maxHeadBytes = 256 << 10
@@ -102,6 +109,8 @@
 	// responseID returns the ID of the request that a response belongs to.
 	responseID func(http.Header) string
 	buffers    *membuf.Limiter
+	// seed is that of the hashes of request IDs.
+	seed maphash.Seed
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -113,7 +122,9 @@
 // NewPool returns a pool without connections. responseID extracts from a response's header the ID of the
 // request that the response belongs to. Large headers count towards the limit of buffers, which may be nil.
 func NewPool(responseID func(http.Header) string, buffers *membuf.Limiter) *Pool {
-	return &Pool{responseID: responseID, buffers: buffers, idle: make(map[string][]*conn), openConns: make(map[string]int)}
+	return &Pool{
+		responseID: responseID, buffers: buffers, seed: maphash.MakeSeed(), idle: make(map[string][]*conn), openConns: make(map[string]int),
+	}
 }
 
 // conn is one connection. It serves one exchange, that is a request and its response, at a time.
@@ -126,6 +137,8 @@
 	// idleUntil is the time from which the idle connection must not be reused.
 	idleUntil time.Time
 	reused    bool
+	// sent holds the hashes of the IDs of the requests that the connection has carried.
+	sent map[uint64]struct{}
 	// writeErr is the error of a request that was written in part. It has consumed the error of the socket, so that a read
 	// from a connection that was reset reports its end.
 	writeErr error
@@ -138,7 +151,7 @@
 	if ctx.Err() != nil {
 		return nil, errors.Mark(context.Cause(ctx), upstream.ErrNotSent)
 	}
-	c, err := p.acquire(ctx, t)
+	c, err := p.acquire(ctx, t, req.ID)
 	if err != nil {
 		return nil, errors.Mark(err, upstream.ErrNotSent)
 	}
@@ -213,10 +226,20 @@
 // headSizeHint is the initial buffer size for the request line and headers, in bytes.
 const headSizeHint = 1 << 10
 
-// acquire returns a usable idle connection or opens a new one.
-func (p *Pool) acquire(ctx context.Context, t Target) (*conn, error) {
+// acquire returns a connection for a request with the given ID: a usable idle one that has not carried the ID, or a new one.
+func (p *Pool) acquire(ctx context.Context, t Target, id string) (*conn, error) {
+	hash := maphash.String(p.seed, id)
+	c, err := p.idleOrNew(ctx, t, hash)
+	if err != nil {
+		return nil, err
+	}
+	c.sent[hash] = struct{}{}
+	return c, nil
+}
+
+func (p *Pool) idleOrNew(ctx context.Context, t Target, hash uint64) (*conn, error) {
 	for {
-		c, err := p.takeIdle(t)
+		c, err := p.takeIdle(t, hash)
 		if err != nil {
 			return nil, err
 		}
@@ -247,7 +270,7 @@
 
 func newConn(raw net.Conn, address string, buffers *membuf.Limiter) *conn {
 	head := &headLimiter{r: raw, buffers: buffers, owner: address}
-	return &conn{Conn: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes)}
+	return &conn{Conn: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes), sent: make(map[uint64]struct{})}
 }
 
 // headLimiter bounds what is read while limited is set.
@@ -317,18 +340,32 @@
 	return false
 }
 
-// takeIdle removes and returns the most recently used idle connection. Without one it counts a new connection
-// towards the limit and returns nil.
-func (p *Pool) takeIdle(t Target) (*conn, error) {
+// takeIdle removes and returns the most recently used of the idle connections that have not carried a request ID with the
+// given hash. Without one it counts a new connection towards the limit and returns nil. At the limit the new connection
+// takes the place of the idle one that was not used for longest, which is closed.
+func (p *Pool) takeIdle(t Target, hash uint64) (*conn, error) {
+	var replaced []*conn
+	defer func() {
+		for _, c := range replaced {
+			c.close()
+		}
+	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if list := p.idle[t.Address]; len(list) > 0 {
-		c := list[len(list)-1]
-		p.idle[t.Address] = list[:len(list)-1]
-		return c, nil
+	list := p.idle[t.Address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !c.hasSent(hash) {
+			p.idle[t.Address] = slices.Delete(list, i, i+1)
+			return c, nil
+		}
 	}
-	if t.MaxConnections > 0 && p.openConns[t.Address] >= t.MaxConnections {
-		return nil, errors.Wrapf(ErrConnectionLimit, "%d connections to %s are in use", p.openConns[t.Address], t.Address)
+	if excess := p.openConns[t.Address] + 1 - t.MaxConnections; t.MaxConnections > 0 && excess > 0 {
+		if excess > len(list) {
+			return nil, errors.Wrapf(ErrConnectionLimit, "%d connections to %s are in use", p.openConns[t.Address]-len(list), t.Address)
+		}
+		replaced = slices.Clone(list[:excess])
+		p.idle[t.Address] = slices.Delete(list, 0, excess)
+		p.openConns[t.Address] -= excess
 	}
 	p.openConns[t.Address]++
 	return nil, nil
@@ -343,14 +380,28 @@
 	}
 }
 
-func (p *Pool) discard(c *conn) {
+func (c *conn) hasSent(hash uint64) bool {
+	_, ok := c.sent[hash]
+	return ok
+}
+
+// close closes a connection that is no longer counted.
+func (c *conn) close() {
 	c.head.release()
 	_ = c.Close()
+}
+
+func (p *Pool) discard(c *conn) {
+	c.close()
 	p.decrementOpenConns(c.address)
 }
 
-// release makes a connection available to the next request.
+// release makes a connection available to the next request, unless it has carried as many as it may.
 func (p *Pool) release(c *conn, idleTimeout time.Duration) {
+	if len(c.sent) >= maxRequestsPerConn {
+		p.discard(c)
+		return
+	}
 	c.head.release()
 	c.idleUntil = time.Now().Add(idleTimeout)
 	p.mu.Lock()
