Own fleet: number the attempts of a router process together

A caller whose request was refused repeats it with the same idempotency key. The repeat keeps the ID of the refused request (Table.Begin), and its attempts were numbered from 1 again, so that refusal and repeat had the same X-Request-Id and X-Attempt. If the upstream writes the refusal once more on the kept connection, that copy was taken for the response to the repeat, which ran. The caller was told not_run (REFUSED), and its next repeat of an order ran the order once more (TWICE), since a refused request frees its key. The same holds for an idempotent request whose entry has left the table: its ID is made from the key.

A router process now numbers the attempts of all its requests together.

Now the copy is a mismatch, the outcome is unknown, and the third send does not run.

TestBrokenStreamResumes compares a resumed stream with an unbroken one byte for byte. Its events hold the attempt ID (held_by), which was 1@vm/1 in both. The unbroken stream is now the first one of another router with the same engine, so that both are still compared byte for byte.

--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -16,7 +16,7 @@
 const (
 	// HeaderRequestID identifies the request on every hop.
 	HeaderRequestID = "X-Request-Id"
-	// HeaderAttempt identifies the attempt (see AttemptID); attempts are numbered from 1. An upstream echoes
+	// HeaderAttempt identifies the attempt (see AttemptID) among all attempts of all routers. An upstream echoes
 	// the header and HeaderRequestID, also when it refuses the request, so that a late response to an earlier attempt
 	// can be detected.
 	HeaderAttempt = "X-Attempt"
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -167,6 +167,8 @@
 	Now             func() time.Time
 
 	openRequests atomic.Int64
+	// attempts is the number of the last attempt of any request.
+	attempts atomic.Int64
 	// crashProbes are the probes in progress, by upstream.
 	crashProbes singleflight.Group
 	stop        requestStop
--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -280,15 +280,17 @@
 		engine.SetFaults(standin.EngineFaults{Break: 3, BreakAt: breakAt})
 		resumed := f.chat(true, "a b c", HeaderIdempotencyKey, "k")
 		engine.SetFaults(standin.EngineFaults{})
-		unbroken := f.chat(true, "a b c")
+		other := newFixture(t, handler) // its first attempt has the same ID, which the events hold
+		unbroken := other.chat(true, "a b c")
 		is.Equal(resumed.status, 200)
-		id, other := resumed.header.Get(chat.HeaderRequestID), unbroken.header.Get(chat.HeaderRequestID)
-		is.Equal(strings.ReplaceAll(resumed.body, id, "id"), strings.ReplaceAll(unbroken.body, other, "id"))
+		id, otherID := resumed.header.Get(chat.HeaderRequestID), unbroken.header.Get(chat.HeaderRequestID)
+		is.Equal(strings.ReplaceAll(resumed.body, id, "id"), strings.ReplaceAll(unbroken.body, otherID, "id"))
 		_, ended := streamText(resumed.body)
 		is.True(ended)
 		_, _, charges := f.budget.state()
-		is.Equal(len(charges), 2)
-		is.Equal(charges[0], charges[1])
+		_, _, otherCharges := other.budget.state()
+		is.Equal(len(charges), 1)
+		is.Equal(charges, otherCharges)
 	}
 }
 
--- a/internal/transport/httpapi/stale_refusal_test.go
+++ b/internal/transport/httpapi/stale_refusal_test.go
@@ -9,11 +9,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+	"github.com/dotterelthread/dotterelthread/internal/state/request"
 )
 
 // serveStaleRefusals serves an upstream that refuses the first request on a connection. It runs each later one and counts it,
@@ -94,3 +96,40 @@
 		})
 	}
 }
+
+// Guards against the copy of a refusal that is taken for the response to the caller's repeat, which has the ID of the refused
+// request and ran: the caller is told that the repeat did not run, and its next repeat runs an order once more.
+func TestCopyOfRefusalDoesNotAnswerRepeat(t *testing.T) {
+	for _, c := range []struct {
+		operation, status string
+		retention         time.Duration
+	}{
+		{"service", "429 Too Many Requests", time.Hour},
+		{"completion", "503 Service Unavailable", time.Hour}, {"completion", "400 Bad Request", time.Hour},
+		{"stream", "503 Service Unavailable", time.Hour}, {"completion", "503 Service Unavailable", 0},
+	} {
+		t.Run(fmt.Sprintf("%s/%.3s/retention=%s", c.operation, c.status, c.retention), func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			f := newFixture(t)
+			f.api.Requests = request.NewTable(request.Config{Retention: c.retention, MaxFinished: 100, MaxAnswerBytes: 1 << 20, Now: time.Now})
+			u := catalogue.Upstream{Name: "p", Kind: catalogue.KindEngine, Models: []string{model},
+				Address: serveStaleRefusals(t, c.status, true, &runs)}
+			send := func() callerResponse { return f.chat(c.operation == "stream", "a", HeaderIdempotencyKey, "k") }
+			if c.operation == "service" {
+				u.Kind, u.Service, u.RequestTokens = catalogue.KindService, "orders", 7
+				send = func() callerResponse { return f.call(http.MethodPost, orderPath, "o1", HeaderIdempotencyKey, "k") }
+			}
+			f.api.Routing.(*firstFitRouter).upstreams = []catalogue.Upstream{u}
+			refused := send()
+			is.True(refused.apiError().NotRun)
+			repeat := send()
+			is.Equal(runs.Load(), int64(1)) // the connection was kept
+			is.Equal(repeat.header.Get(chat.HeaderRequestID), refused.header.Get(chat.HeaderRequestID))
+			is.True(!repeat.apiError().NotRun)
+			is.Equal(repeat.apiError().Code, CodeOutcomeUnknown)
+			is.Equal(send().apiError().Code, CodeOutcomeUnknown)
+			is.Equal(runs.Load(), int64(1))
+		})
+	}
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -127,7 +127,7 @@
 type Call struct {
 	Address   string
 	RequestID string
-	// Attempt is the ID of the attempt, unique among all attempts of the request in the fleet.
+	// Attempt is the ID of the attempt, unique among all attempts in the fleet.
 	Attempt string
 	// Priority is the priority passed to the engine; lower runs first.
 	Priority int
