Tests: what proves that a send of the own fleet did not run

TestCopyOfRefusalDoesNotAnswerNextAttempt: two upstreams at one address, the copy of a 429 is due on the connection that the next attempt takes; its attempt ID differs.

--- a/internal/transport/httpapi/stale_refusal_test.go
+++ b/internal/transport/httpapi/stale_refusal_test.go
@@ -133,3 +133,34 @@
 		})
 	}
 }
+
+// Guards against the copy of a refusal that is taken for the response to the next attempt of the same request, at another
+// upstream with the address of the refusing one, such as its successor: the attempt ran, and the caller is told that it did not.
+func TestCopyOfRefusalDoesNotAnswerNextAttempt(t *testing.T) {
+	for _, operation := range []string{"service", "completion", "stream"} {
+		t.Run(operation, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			f := newFixture(t)
+			f.retryBudget.remaining = 1
+			address := serveStaleRefusals(t, "429 Too Many Requests", true, &runs)
+			for _, name := range []string{"p", "q"} {
+				u := catalogue.Upstream{Name: name, Kind: catalogue.KindEngine, Models: []string{model}, Address: address}
+				if operation == "service" {
+					u.Kind, u.Service, u.RequestTokens, u.IdempotentMethods = catalogue.KindService, "orders", 7, []string{http.MethodGet}
+				}
+				router := f.api.Routing.(*firstFitRouter)
+				router.upstreams = append(router.upstreams, u)
+			}
+			var r callerResponse
+			if operation == "service" {
+				r = f.call(http.MethodGet, orderPath, "")
+			} else {
+				r = f.chat(operation == "stream", "a")
+			}
+			is.Equal(runs.Load(), int64(1)) // on the connection of the refusal
+			is.True(!r.apiError().NotRun)
+			is.Equal(r.apiError().Code, CodeOutcomeUnknown)
+		})
+	}
+}
