Own fleet: a copy of "not held" belongs to its own call

The calls about a run (GET and DELETE /v1/streams/{id}) share their connections. A 404 or 409 that an engine writes once more on a kept connection was taken for the response to the next call, about another run: a stream that the engine holds was given up, and its caller got outcome_unknown instead of the rest. Nothing counts as not run because of it, since ErrNotHeld proves nothing.

A response with the ID of another request or attempt is now an ErrMismatch, after which the stream is asked for again. Responses without IDs count as before. The stand-in writes the IDs in these responses too, as docs/design-requests.md asks.

TestCopyOfNotHeldBelongsToItsCall failed before for 404 and 409: "not true: !errors.Is(err, ErrNotHeld)".

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -335,17 +335,18 @@
 		http.Error(w, "offset must be a number from 0", http.StatusBadRequest)
 		return
 	}
+	echoHeaders(w, httpReq, p.ByName("id"))
 	r := e.find(p.ByName("id"))
 	if r == nil || !r.attach(httpReq.Header.Get(chat.HeaderAttempt)) {
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
 	}
-	echoHeaders(w, httpReq, r.id)
 	e.writeStream(w, httpReq, r, offset)
 }
 
 // handleCancel cancels a run, for the attempt that reads it only, and responds with its usage.
 func (e *Engine) handleCancel(w http.ResponseWriter, httpReq *http.Request, p httprouter.Params) {
+	echoHeaders(w, httpReq, p.ByName("id"))
 	r := e.find(p.ByName("id"))
 	switch {
 	case r == nil:
@@ -357,7 +358,8 @@
 	}
 }
 
-func (e *Engine) handleUsage(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+func (e *Engine) handleUsage(w http.ResponseWriter, httpReq *http.Request, p httprouter.Params) {
+	echoHeaders(w, httpReq, p.ByName("id"))
 	r := e.find(p.ByName("id"))
 	if r == nil {
 		http.Error(w, "no such request", http.StatusNotFound)
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -232,10 +232,12 @@
 	if err != nil {
 		return nil, err
 	}
-	switch resp.StatusCode {
-	case http.StatusOK:
+	switch {
+	case resp.StatusCode == http.StatusOK:
 		return resp, nil
-	case http.StatusNotFound, http.StatusConflict:
+	case statesOtherIDs(resp, call):
+		err = errors.Mark(errors.Newf("engine responded %s to another call", resp.Status), ErrMismatch)
+	case resp.StatusCode == http.StatusNotFound, resp.StatusCode == http.StatusConflict:
 		err = errors.Mark(errors.Newf("engine responded %s: %s", resp.Status, errorText(resp)), ErrNotHeld)
 	default:
 		err = errors.Newf("engine responded %s: %s", resp.Status, errorText(resp))
--- a/internal/transport/upstream/unsent_test.go
+++ b/internal/transport/upstream/unsent_test.go
@@ -104,3 +104,42 @@
 	_, err = client.Complete(context.Background(), call)
 	is.True(errors.Is(err, ErrNotSent))
 }
+
+// Guards against the copy of the response "not held" to an earlier call that is taken for the response to the call about another
+// run: the router then gives up a stream that the engine holds.
+func TestCopyOfNotHeldBelongsToItsCall(t *testing.T) {
+	for _, status := range []string{"404 Not Found", "409 Conflict"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				reader, last := bufio.NewReader(c), ""
+				for {
+					req, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if last == "" {
+						last = fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: 8\r\n\r\nnot held", status,
+							chat.HeaderRequestID, req.Header.Get(chat.HeaderRequestID), chat.HeaderAttempt, req.Header.Get(chat.HeaderAttempt))
+					}
+					_, _ = io.WriteString(c, last)
+				}
+			}()
+			client := New(nil)
+			address := "http://" + listener.Addr().String()
+			_, err = client.Usage(context.Background(), Call{Address: address, RequestID: "r1", Attempt: "1@vm/1"})
+			is.True(errors.Is(err, ErrNotHeld)) // a response of its own is one
+			err = client.Resume(context.Background(), Call{Address: address, RequestID: "r2", Attempt: "2@vm/1"}, 1, nil)
+			is.True(!errors.Is(err, ErrNotHeld))
+			is.True(errors.Is(err, ErrMismatch))
+		})
+	}
+}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -352,3 +352,9 @@
 	}
 	return nil
 }
+
+// statesOtherIDs reports whether the response carries the ID of another request or attempt.
+func statesOtherIDs(resp *http.Response, call Call) bool {
+	id, attempt := resp.Header.Get(chat.HeaderRequestID), resp.Header.Get(chat.HeaderAttempt)
+	return id != "" && id != call.RequestID || attempt != "" && attempt != call.Attempt
+}
