Own fleet: continue a stream only at the software version that began it

A stream whose engine is lost was resumed at any engine of the model that holds a copy of the run, also at the same address after a restart. Nothing in the engine API stated the version of an engine's software, so that one answer could hold events of two versions (ORDER) and end like a whole one.

An engine now states its version in X-Software-Version of each stream. The router keeps the version of the stream's first event and takes a resume with another version, or with none, for "not held"; the next engine is asked. The answer itself is what proves the version: a load report may be older than a restart at the address. Engines that state no version count as one version, as before.

--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -25,6 +25,9 @@
 	// HeaderRequestLimit is set on responses of an upstream that limits its load: the number of requests per second
 	// that it accepts from all routers together. The limit holds until a response lacks the header.
 	HeaderRequestLimit = "X-Request-Limit"
+	// HeaderSoftwareVersion is set on the streams of an engine: the version of its software, not of the model. What
+	// engines of two versions generate does not fit together.
+	HeaderSoftwareVersion = "X-Software-Version"
 )
 
 // Message is one message of a conversation.
--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -10,7 +10,8 @@
 // engine keeps a stream after its connection has broken, so that the router can resume at the first event
 // that it has not received. The router reads events without numbers only if no event of the stream has one, and cannot
 // resume such a stream. The last event of each choice has a finish reason; without it, the end marker does not end the
-// stream.
+// stream. Where engines of several software versions serve one model, each states its version in
+// HeaderSoftwareVersion of a stream, and the router resumes the stream only at that version.
 //
 //	GET    /v1/streams/{request_id}?offset=n   returns the events from number n on
 //	DELETE /v1/streams/{request_id}            stops the run and returns RunUsage
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,6 +32,8 @@
 	OnRunStart func(body []byte)
 	// Incarnation identifies the engine process in load reports and cache events.
 	Incarnation string
+	// SoftwareVersion is stated in responses. Unless it is empty, each generated token names it.
+	SoftwareVersion string
 	// Runs counts the runs that were started.
 	Runs atomic.Int64
 	// Tokens counts the input and output tokens of all runs that were started, without imported copies.
@@ -149,6 +151,17 @@
 	return tokens
 }
 
+// responseTokens returns the tokens that this engine generates for a request.
+func (e *Engine) responseTokens(req chat.Request) []string {
+	tokens := ResponseTokens(req)
+	if e.SoftwareVersion != "" {
+		for i, token := range tokens {
+			tokens[i] = strings.TrimSuffix(token, " ") + "/" + e.SoftwareVersion + " "
+		}
+	}
+	return tokens
+}
+
 // InputTokens returns the number of input tokens of a request as the engine counts them.
 func InputTokens(req chat.Request) int64 {
 	var n int64
@@ -215,7 +228,7 @@
 // startOrAttach starts a run, or attaches the attempt to the existing run of the same request. It returns
 // false if the request ID is in use with another body.
 func (e *Engine) startOrAttach(httpReq *http.Request, req chat.Request, body []byte) (*run, bool) {
-	r := newRun(httpReq.Header.Get(chat.HeaderRequestID), req, sha256.Sum256(body))
+	r := e.newRun(httpReq.Header.Get(chat.HeaderRequestID), req, sha256.Sum256(body))
 	existing := e.add(r)
 	if existing != nil && existing.bodyHash != r.bodyHash {
 		return nil, false
@@ -322,7 +335,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	r := newRun(p.ByName("id"), req, sha256.Sum256(body))
+	r := e.newRun(p.ByName("id"), req, sha256.Sum256(body))
 	if e.add(r) == nil {
 		r.advance(len(r.tokens))
 	}
--- a/internal/standin/engine_run.go
+++ b/internal/standin/engine_run.go
@@ -32,9 +32,9 @@
 	changed  chan struct{}
 }
 
-func newRun(id string, req chat.Request, bodyHash [32]byte) *run {
+func (e *Engine) newRun(id string, req chat.Request, bodyHash [32]byte) *run {
 	return &run{
-		id: id, req: req, bodyHash: bodyHash, tokens: ResponseTokens(req),
+		id: id, req: req, bodyHash: bodyHash, tokens: e.responseTokens(req),
 		promptTokens: InputTokens(req), changed: make(chan struct{}),
 	}
 }
@@ -161,6 +161,9 @@
 
 func (e *Engine) writeStream(w http.ResponseWriter, httpReq *http.Request, r *run, offset int) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.SoftwareVersion != "" {
+		w.Header().Set(chat.HeaderSoftwareVersion, e.SoftwareVersion)
+	}
 	controller := http.NewResponseController(w)
 	for n := offset; n <= len(r.tokens); n++ {
 		r.waitForTokens(w, httpReq, n)
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -151,7 +151,9 @@
 	// firstAddress is the address of the engine that started the stream.
 	firstAddress string
 	eventsSent   int
-	usage        *chat.Usage
+	// softwareVersion is that of the engine that started the stream.
+	softwareVersion string
+	usage           *chat.Usage
 	// unfinished has the indices of the choices of which the last event is missing.
 	unfinished map[int]bool
 	buffer     bytes.Buffer
@@ -164,6 +166,7 @@
 		if err := s.start(); err != nil {
 			return err
 		}
+		s.softwareVersion = event.SoftwareVersion
 	}
 	if event.Usage != nil {
 		s.usage = event.Usage
@@ -223,12 +226,13 @@
 }
 
 // resume continues a broken stream after the last event that was sent to the caller, at the same engine or at
-// another one that holds the stream. It fails when every engine responds that it does not hold the stream, or
-// after ResumeTimeout without a new event. The request is not run again from the start, because another run
-// may produce another response.
+// another one that holds the stream and has the same software version. It fails when every engine responds that it
+// does not hold the stream, or after ResumeTimeout without a new event. The request is not run again from the
+// start, because another run may produce another response.
 func (s *streamWriter) resume(ctx context.Context, call upstream.Call, model string, err error) error {
 	limits, now := s.x.api.Limits, s.x.api.Now
 	deadline := now().Add(limits.ResumeTimeout)
+	call.SoftwareVersion = s.softwareVersion
 	countResponseError(err)
 	for mayBeHeld := true; mayBeHeld && s.resumable(ctx, err) && now().Before(deadline); {
 		mayBeHeld = false
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -24,6 +24,8 @@
 	Usage *chat.Usage
 	// Finished are the indices of the choices that the event ends.
 	Finished []int
+	// SoftwareVersion is what the engine states, or empty.
+	SoftwareVersion string
 }
 
 // eventFields are the fields of an event that the router reads.
@@ -47,7 +49,8 @@
 	return c.readEvents(resp, call, 0, emit)
 }
 
-// Resume reads a stream that the engine holds, starting at event number offset.
+// Resume reads a stream that the engine holds, starting at event number offset. An engine of another software version
+// than call.SoftwareVersion, or that states none, is an ErrNotHeld.
 func (c *Client) Resume(ctx context.Context, call Call, offset int, emit func(Event) error) error {
 	resp, err := c.streamRequest(ctx, http.MethodGet, call, "?offset="+strconv.Itoa(offset))
 	if err != nil {
@@ -57,6 +60,10 @@
 	if err := checkResponseIDs(resp, call); err != nil {
 		return err
 	}
+	if version := resp.Header.Get(chat.HeaderSoftwareVersion); version != call.SoftwareVersion {
+		err := errors.Newf("engine has software version %.60q, but the stream began at %.60q", version, call.SoftwareVersion)
+		return errors.Mark(err, ErrNotHeld)
+	}
 	return c.readEvents(resp, call, offset, emit)
 }
 
@@ -69,6 +76,7 @@
 func (c *Client) readEvents(resp *http.Response, call Call, next int, emit func(Event) error) error {
 	lines := lineReader{r: bufio.NewReaderSize(resp.Body, lineBufferBytes), buffer: c.newBuffer(resp, maxEventBytes)}
 	defer lines.buffer.Release()
+	version := resp.Header.Get(chat.HeaderSoftwareVersion)
 	sequence := eventSequence{next: next, started: next > 0, numbered: next > 0 || !endIsMarked(resp), number: noNumber}
 	for lines.read() {
 		switch name, value := cutField(lines.line); {
@@ -86,7 +94,7 @@
 			if err := sequence.accept(); err != nil {
 				return errors.Mark(err, ErrIncomplete)
 			}
-			if err := emitEvent(value, call, emit); err != nil {
+			if err := emitEvent(value, call, version, emit); err != nil {
 				return err
 			}
 		}
@@ -168,7 +176,7 @@
 	return false
 }
 
-func emitEvent(data []byte, call Call, emit func(Event) error) error {
+func emitEvent(data []byte, call Call, version string, emit func(Event) error) error {
 	var fields eventFields
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return errors.Mark(err, ErrIncomplete)
@@ -176,7 +184,7 @@
 	if fields.ID != call.RequestID {
 		return ErrMismatch
 	}
-	event := Event{Data: data, Usage: fields.Usage}
+	event := Event{Data: data, Usage: fields.Usage, SoftwareVersion: version}
 	for _, choice := range fields.Choices {
 		if choice.FinishReason != "" {
 			event.Finished = append(event.Finished, choice.Index)
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -40,8 +40,9 @@
 	// ErrUnmarked reports a response whose end is not marked, so that nothing shows whether it is whole. It is an
 	// ErrIncomplete too.
 	ErrUnmarked = errors.New("end of the response is not marked")
-	// ErrNotHeld reports that the engine has no run of the request, or that another attempt holds the run. It
-	// does not prove that the request never ran there.
+	// ErrNotHeld reports that the engine has no run of the request, that another attempt holds the run, or that the
+	// engine must not continue the stream because of its software version. It does not prove that the request never
+	// ran there.
 	ErrNotHeld = errors.New("engine does not hold the request")
 )
 
@@ -132,6 +133,8 @@
 	// Priority is the priority passed to the engine; lower runs first.
 	Priority int
 	Body     []byte
+	// SoftwareVersion is the version of the engine that began the stream; see Event. Only Resume uses it.
+	SoftwareVersion string
 	// OnNotice, if not nil, is called with what a response says about the upstream itself.
 	OnNotice func(Notice)
 }
