Go on with a stream only at the software version that began it

A stream whose upstream was lost midway went on at any upstream of its service. Nothing read the version of an upstream's record.

The version is now part of an upstream, and once the first event of a stream is written, the request is bound to the version of the upstream that sent it. If no upstream of that version can go on, the answer is broken off, as for any stream that nobody can finish. An entry without a version counts as one of its own; one whose version is no text is malformed, as before.

--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -37,7 +37,9 @@
 	// SharedBlocks is the number of leading hashes that other requests have in common. The upstream that all
 	// routers prefer for them is expected to hold these blocks.
 	SharedBlocks int
-	Class        catalogue.Class
+	// SoftwareVersion restricts the choice to upstreams with that software, unless it is nil.
+	SoftwareVersion *string
+	Class           catalogue.Class
 	// Exclude names upstreams that have been tried already.
 	Exclude     []string
 	Fingerprint Fingerprint
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -226,6 +226,8 @@
 		adapters = s.report.Adapters
 	}
 	switch {
+	case req.SoftwareVersion != nil && *req.SoftwareVersion != s.upstream.SoftwareVersion:
+		return false
 	case req.Service != "":
 		return true
 	case !slices.Contains(models, req.Model):
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -130,7 +130,7 @@
 
 func sameUpstream(a, b catalogue.Upstream) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Service == b.Service && a.Draining == b.Draining &&
-		a.Zone == b.Zone && a.Concurrency == b.Concurrency
+		a.Zone == b.Zone && a.Concurrency == b.Concurrency && a.SoftwareVersion == b.SoftwareVersion
 }
 
 func (g *Gateway) logUpstreamChange(u catalogue.Upstream, listed bool, offset uint64) {
--- a/internal/state/catalogue/catalogue.go
+++ b/internal/state/catalogue/catalogue.go
@@ -85,6 +85,9 @@
 	Instance string `yaml:"-" json:"-"`
 	// MaxConnections bounds the connections of all routers together; 0 means no bound.
 	MaxConnections int `yaml:"-" json:"-"`
+	// SoftwareVersion is the version of the upstream's software, which is not that of a model. Empty is a version too:
+	// that of upstreams that state none.
+	SoftwareVersion string `yaml:"-" json:"-"`
 	// Draining is true for an upstream that has announced that it stops and takes no new work.
 	Draining bool `yaml:"-" json:"-"`
 }
