Take up streams only at the software version that began them

Nothing read Resumes, and nobody knew which version had begun a stream.

Package streamorigin remembers it: in memory, and beside several versions in one record per VM in the store. A version gets streams only after the record names it.

--- /dev/null
+++ b/internal/coordination/streamorigin/record.go
@@ -0,0 +1,112 @@
+package streamorigin
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// record is what a VM writes to the log.
+type record struct {
+	// WrittenMillis is the time of day of the write, in Unix milliseconds.
+	WrittenMillis int64           `cbor:"1,keyasint"`
+	Services      []serviceRecord `cbor:"2,keyasint"`
+	// Process identifies the process that wrote the record, and Sequence numbers its records.
+	Process  uint64 `cbor:"3,keyasint"`
+	Sequence uint64 `cbor:"4,keyasint"`
+}
+
+// serviceRecord is what a VM knows of the streams of one service.
+type serviceRecord struct {
+	Name     string          `cbor:"1,keyasint"`
+	Versions []versionRecord `cbor:"2,keyasint"`
+	// Earlier are the versions at which earlier processes of the VM may have begun streams that are not in the record.
+	Earlier []string `cbor:"3,keyasint,omitempty"`
+}
+
+// versionRecord names a version that upstreams had in the retention time.
+type versionRecord struct {
+	Version string `cbor:"1,keyasint"`
+	// Streams are the hashes of the streams that the version began, with 8 bytes each. They are complete only while
+	// the service has several versions.
+	Streams []byte `cbor:"2,keyasint,omitempty"`
+}
+
+const (
+	hashBytes = 8
+	// recordLifetime is how long a record counts. A running router renews its record within renewInterval; the rest
+	// bounds the differences between the clocks of VMs and the time for which streams are remembered.
+	recordLifetime = renewInterval + retention + time.Minute
+)
+
+func (v *versionRecord) add(h streamHash) {
+	v.Streams = binary.BigEndian.AppendUint64(v.Streams, uint64(h))
+}
+
+func (v versionRecord) has(h streamHash) bool {
+	for rest := v.Streams; len(rest) >= hashBytes; rest = rest[hashBytes:] {
+		if binary.BigEndian.Uint64(rest) == uint64(h) {
+			return true
+		}
+	}
+	return false
+}
+
+func (v versionRecord) hashes() []streamHash {
+	out := make([]streamHash, 0, len(v.Streams)/hashBytes)
+	for rest := v.Streams; len(rest) >= hashBytes; rest = rest[hashBytes:] {
+		out = append(out, streamHash(binary.BigEndian.Uint64(rest)))
+	}
+	return out
+}
+
+func decodeRecord(data []byte) (record, error) {
+	var rec record
+	if err := cbor.Unmarshal(data, &rec); err != nil {
+		return record{}, errors.Wrap(err, "decode stream origins")
+	}
+	return rec, nil
+}
+
+// outdated reports whether the record is too old to say which versions streams of the present may have.
+func (rec record) outdated(now time.Time) bool {
+	return now.Sub(time.UnixMilli(rec.WrittenMillis)) > recordLifetime
+}
+
+// mixed reports whether a service has several versions.
+func (rec record) mixed() bool {
+	return slices.ContainsFunc(rec.Services, func(s serviceRecord) bool { return len(s.Versions) > 1 })
+}
+
+// unlisted adds the versions at which streams may have begun that are not in the record. A complete record has all streams
+// that its process began up to the time in question.
+func (rec record) unlisted(service string, complete bool, versions map[string]struct{}) {
+	for _, s := range rec.Services {
+		if s.Name != service {
+			continue
+		}
+		for _, version := range s.Earlier {
+			versions[version] = struct{}{}
+		}
+		for _, v := range s.Versions {
+			if !complete {
+				versions[v.Version] = struct{}{}
+			}
+		}
+	}
+}
+
+// find returns the origin of a stream.
+func (rec record) find(h streamHash) (Origin, bool) {
+	for _, s := range rec.Services {
+		for _, v := range s.Versions {
+			if v.has(h) {
+				return Origin{Service: s.Name, Version: v.Version}, true
+			}
+		}
+	}
+	return Origin{}, false
+}
--- /dev/null
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -0,0 +1,400 @@
+package streamorigin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+	_ "github.com/dotterelthread/dotterelthread/internal/testseed"
+)
+
+const service = "care-notes"
+
+var (
+	testStream = keyedlog.Stream{Name: "stream-origins"}
+	v1         = Origin{Service: service, Version: "v1"}
+	v2         = Origin{Service: service, Version: "v2"}
+)
+
+func newTestRegistry(log keyedlog.Log, vm string, now func() time.Time) *Registry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return New(Config{Log: log, Stream: testStream, VM: vm, Routers: func() int { return 1 }, Now: now, Logger: logger})
+}
+
+func listed(origins ...Origin) map[Origin]struct{} {
+	out := make(map[Origin]struct{})
+	for _, o := range origins {
+		out[o] = struct{}{}
+	}
+	return out
+}
+
+func resolve(r *Registry, id string) (Origin, Source, error) {
+	return r.Resolve(context.Background(), id, service)
+}
+
+// TestStreamsAreKnownAfterAllRoutersEnded guards against streams that are joined from two software versions after all
+// routers were killed, because nobody knows any more which version began them.
+func TestStreamsAreKnownAfterAllRoutersEnded(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		r := newTestRegistry(log, vm, time.Now)
+		r.SetListed(listed(v1, v2))
+		r.Begin(vm+"-old", v1)
+		r.Begin(vm+"-new", v2)
+		is.NoErr(r.step(context.Background()))
+	}
+	after := newTestRegistry(log, "vm-1", time.Now)
+	after.SetListed(listed(v1, v2))
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		for id, want := range map[string]Origin{vm + "-old": v1, vm + "-new": v2} {
+			o, source, err := resolve(after, id)
+			is.NoErr(err)
+			is.Equal(o, want)
+			is.Equal(source, SourceLog)
+		}
+	}
+}
+
+// TestUnknownStreamIsNotGuessed guards against streams that go on at a version that may not have begun them: beside two
+// versions, and if the version that began them has just left.
+func TestUnknownStreamIsNotGuessed(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	before := newTestRegistry(log, "vm-1", time.Now)
+	before.SetListed(listed(v1, v2))
+	is.NoErr(before.step(context.Background()))
+	before.Begin("unwritten", v1)
+
+	after := newTestRegistry(log, "vm-1", time.Now)
+	after.SetListed(listed(v2))
+	_, _, err := resolve(after, "unwritten")
+	is.True(errors.Is(err, ErrUnknown))
+	_, _, err = resolve(after, "")
+	is.True(errors.Is(err, ErrUnknown))
+}
+
+// TestVersionsOfOneServiceDoNotBindAnother guards against refusals for versions of another service.
+func TestVersionsOfOneServiceDoNotBindAnother(t *testing.T) {
+	is := is.New(t)
+	r := newTestRegistry(keyedlog.NewMemory(), "vm-1", time.Now)
+	r.SetListed(listed(v1, Origin{Service: "counter", Version: "v7"}))
+	o, source, err := resolve(r, "unknown")
+	is.NoErr(err)
+	is.Equal(o, v1)
+	is.Equal(source, SourceOnlyVersion)
+}
+
+// TestOneVersionWritesNoStreams guards against calls to the log for each stream while a service has one version only.
+func TestOneVersionWritesNoStreams(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	appends := 0
+	log.FaultHook = func(call string, _ keyedlog.Stream, done bool) error {
+		if call == "append" && done {
+			appends++
+		}
+		return nil
+	}
+	r := newTestRegistry(log, "vm-1", time.Now)
+	r.SetListed(listed(v1))
+	for i := range 100 {
+		id := fmt.Sprint("s", i)
+		r.Begin(id, v1)
+		is.NoErr(r.step(context.Background()))
+		r.End(id, i%2 == 0)
+	}
+	is.Equal(appends, 1)
+
+	// The streams of the time before are written once a second version appears.
+	r.SetListed(listed(v1, v2))
+	is.NoErr(r.step(context.Background()))
+	is.Equal(appends, 2)
+	other := newTestRegistry(log, "vm-2", time.Now)
+	other.SetListed(listed(v1, v2))
+	o, _, err := resolve(other, "s7")
+	is.NoErr(err)
+	is.Equal(o, v1)
+}
+
+// TestRestartKeepsTheRecordOfTheVM guards against a process that overwrites what the process before it wrote.
+func TestRestartKeepsTheRecordOfTheVM(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	for i := range 3 {
+		r := newTestRegistry(log, "vm-1", time.Now)
+		r.SetListed(listed(v1, v2))
+		is.NoErr(r.step(context.Background()))
+		r.Begin(fmt.Sprint("s", i), v2)
+		is.NoErr(r.step(context.Background()))
+	}
+	other := newTestRegistry(log, "vm-2", time.Now)
+	other.SetListed(listed(v1, v2))
+	for i := range 3 {
+		o, _, err := resolve(other, fmt.Sprint("s", i))
+		is.NoErr(err)
+		is.Equal(o, v2)
+	}
+}
+
+// TestVersionThatAppearsWhileAllRoutersAreDown guards against streams that are refused because a second version came into
+// service between the end of all routers and their start: the streams of the time before have one version.
+func TestVersionThatAppearsWhileAllRoutersAreDown(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		r := newTestRegistry(log, vm, time.Now)
+		r.SetListed(listed(v1))
+		is.NoErr(r.step(context.Background()))
+		r.Begin(vm, v1)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var after []*Registry
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		r := newTestRegistry(log, vm, time.Now)
+		r.SetListed(listed(v1, v2))
+		go r.Run(ctx)
+		after = append(after, r)
+	}
+	for i, vm := range []string{"vm-2", "vm-1"} {
+		o, _, err := resolve(after[i], vm)
+		is.NoErr(err)
+		is.Equal(o, v1)
+	}
+}
+
+// TestRestoredLogGetsTheStreamsAgain guards against streams that are forgotten when the log comes back from an older copy.
+func TestRestoredLogGetsTheStreamsAgain(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	r := newTestRegistry(log, "vm-1", time.Now)
+	r.SetListed(listed(v1, v2))
+	is.NoErr(r.step(context.Background()))
+	older := log.Copy()
+	r.Begin("s", v2)
+	is.NoErr(r.step(context.Background()))
+	log.Restore(older)
+	is.NoErr(r.step(context.Background()))
+	other := newTestRegistry(log, "vm-2", time.Now)
+	other.SetListed(listed(v1, v2))
+	o, _, err := resolve(other, "s")
+	is.NoErr(err)
+	is.Equal(o, v2)
+}
+
+// TestNewVersionWaitsForTheLog guards against streams of a version that nobody knows of when their router ends.
+func TestNewVersionWaitsForTheLog(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	now := time.Unix(1_000_000, 0)
+	r := newTestRegistry(log, "vm-1", func() time.Time { return now })
+	announced := 0
+	r.cfg.OnAnnounced = func() { announced++ }
+	r.SetListed(listed(v1))
+	is.True(!r.MayBegin(v1))
+	is.NoErr(r.step(context.Background()))
+	r.SetListed(listed(v1, v2))
+	is.True(r.MayBegin(v1))
+	is.True(!r.MayBegin(v2))
+	is.NoErr(r.step(context.Background()))
+	is.True(r.MayBegin(v2))
+	is.Equal(announced, 2)
+
+	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
+	v3 := Origin{Service: service, Version: "v3"}
+	r.SetListed(listed(v1, v2, v3))
+	is.True(r.step(context.Background()) != nil)
+	is.True(!r.MayBegin(v3))
+	now = now.Add(announceTimeout)
+	is.True(r.step(context.Background()) != nil)
+	is.True(r.MayBegin(v3)) // a version must not be kept out for a log that is away
+}
+
+// TestVersionCountsUntilItsStreamsAreForgotten guards against a version that is forgotten while a stream that it began
+// goes on.
+func TestVersionCountsUntilItsStreamsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	r := newTestRegistry(keyedlog.NewMemory(), "vm-1", func() time.Time { return now })
+	r.SetListed(listed(v1))
+	r.Begin("long", v1)
+	r.SetListed(listed(v2))
+	now = now.Add(3 * retention)
+	_, _, err := resolve(r, "")
+	is.True(errors.Is(err, ErrUnknown))
+	r.End("long", false)
+	now = now.Add(retention + time.Second)
+	o, source, err := resolve(r, "")
+	is.NoErr(err)
+	is.Equal(o, v2)
+	is.Equal(source, SourceOnlyVersion)
+}
+
+// TestOutdatedRecordDoesNotBind guards against refusals for a version that a VM wrote long ago and that is in service no
+// more.
+func TestOutdatedRecordDoesNotBind(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	now := time.Unix(1_000_000, 0)
+	gone := newTestRegistry(log, "vm-gone", func() time.Time { return now })
+	gone.SetListed(listed(v1))
+	is.NoErr(gone.step(context.Background()))
+	now = now.Add(recordLifetime + time.Second)
+	r := newTestRegistry(log, "vm-1", func() time.Time { return now })
+	r.SetListed(listed(v2))
+	o, _, err := resolve(r, "unknown")
+	is.NoErr(err)
+	is.Equal(o, v2)
+}
+
+// TestRunWritesWhatIsBrokenOff guards against a stream that is taken up at another router before its own has written it.
+func TestRunWritesWhatIsBrokenOff(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	own, other := newTestRegistry(log, "vm-1", time.Now), newTestRegistry(log, "vm-2", time.Now)
+	for _, r := range []*Registry{own, other} {
+		r.SetListed(listed(v1, v2))
+		go r.Run(ctx)
+	}
+	for i := range 20 {
+		id := fmt.Sprint("s", i)
+		own.Begin(id, v2)
+		own.End(id, true)
+		o, source, err := resolve(other, id)
+		is.NoErr(err)
+		is.Equal(o, v2)
+		is.Equal(source, SourceLog)
+	}
+}
+
+// TestMalformedRecordIsSkipped guards against records of another writer that end the process or hide those beside them.
+func TestMalformedRecordIsSkipped(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	log.AppendUnconditionally(testStream,
+		keyedlog.Record{Key: "vm-odd", Value: []byte("\xff\x00 no record")}, keyedlog.Record{Key: "vm-1", Value: []byte{0xa0}})
+	r := newTestRegistry(log, "vm-1", time.Now)
+	r.SetListed(listed(v1, v2))
+	r.Begin("s", v1)
+	is.NoErr(r.step(context.Background()))
+	other := newTestRegistry(log, "vm-2", time.Now)
+	other.SetListed(listed(v1, v2))
+	o, _, err := resolve(other, "s")
+	is.NoErr(err)
+	is.Equal(o, v1)
+}
+
+// originModel plays a fleet with an injected clock: upstreams of versions come and go, routers begin streams, write, lose
+// writes and end without a word. It keeps the true origin of each stream.
+type originModel struct {
+	log     *keyedlog.Memory
+	now     time.Time
+	routers []*Registry
+	listed  map[Origin]struct{}
+	origins map[string]Origin
+	ids     []string
+}
+
+func (m *originModel) restart(i int) {
+	m.routers[i] = newTestRegistry(m.log, fmt.Sprint("vm-", i), func() time.Time { return m.now })
+	m.routers[i].SetListed(m.listed)
+}
+
+// TestStreamsAreNeverJoined guards against a wrong origin, with random orders of events. A stream may be unknown, but never
+// go on at another version.
+func TestStreamsAreNeverJoined(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &originModel{log: keyedlog.NewMemory(), now: time.Unix(1_000_000, 0), origins: make(map[string]Origin), listed: listed(v1)}
+		m.routers = make([]*Registry, 3)
+		for i := range m.routers {
+			m.restart(i)
+		}
+		versions := []Origin{v1, v2, {Service: service, Version: "v3"}}
+		router := rapid.IntRange(0, len(m.routers)-1)
+		rt.Repeat(map[string]func(*rapid.T){
+			"release": func(rt *rapid.T) {
+				m.listed = make(map[Origin]struct{})
+				for _, o := range rapid.SliceOfNDistinct(rapid.SampledFrom(versions), 1, 3, rapid.ID).Draw(rt, "versions") {
+					m.listed[o] = struct{}{}
+				}
+			},
+			"learn": func(rt *rapid.T) { m.routers[router.Draw(rt, "router")].SetListed(m.listed) },
+			"begin": func(rt *rapid.T) {
+				r := m.routers[router.Draw(rt, "router")]
+				for o := range r.listed {
+					if r.MayBegin(o) {
+						id := fmt.Sprint("s", len(m.ids))
+						r.Begin(id, o)
+						m.ids, m.origins[id] = append(m.ids, id), o
+						if rapid.Bool().Draw(rt, "ended") {
+							r.End(id, true)
+						}
+						return
+					}
+				}
+			},
+			"write":   func(rt *rapid.T) { _ = m.routers[router.Draw(rt, "router")].step(context.Background()) },
+			"inherit": func(rt *rapid.T) { _ = m.routers[router.Draw(rt, "router")].inherit(context.Background()) },
+			"kill":    func(rt *rapid.T) { m.restart(router.Draw(rt, "router")) },
+			"kill all": func(*rapid.T) {
+				for i := range m.routers {
+					m.restart(i)
+				}
+			},
+			"time": func(*rapid.T) { m.now = m.now.Add(300 * time.Millisecond) },
+			"take up": func(rt *rapid.T) {
+				if len(m.ids) == 0 {
+					return
+				}
+				id := rapid.SampledFrom(m.ids).Draw(rt, "id")
+				r := m.routers[router.Draw(rt, "router")]
+				r.SetListed(m.listed)
+				first := make(map[string]record)
+				for range rapid.IntRange(1, 4).Draw(rt, "listings") {
+					if o, ok := r.resolveNow(id, first); ok {
+						if o != m.origins[id] {
+							rt.Fatalf("stream %s began at %v and goes on at %v", id, m.origins[id], o)
+						}
+						return
+					}
+					for _, other := range m.routers {
+						if rapid.Bool().Draw(rt, "writes") {
+							_ = other.step(context.Background())
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+// resolveNow is Resolve without its wait, which needs a clock that runs.
+func (r *Registry) resolveNow(id string, first map[string]record) (Origin, bool) {
+	if o, ok := r.local(hashOf(id)); ok {
+		return o, true
+	}
+	l, err := r.list(context.Background())
+	if err != nil {
+		return Origin{}, false
+	}
+	if o, ok := l.find(hashOf(id)); ok {
+		return o, true
+	}
+	if versions := r.candidates(service, l, first); len(versions) == 1 {
+		return Origin{Service: service, Version: versions[0]}, true
+	}
+	return Origin{}, false
+}
--- /dev/null
+++ b/internal/coordination/streamorigin/resolve.go
@@ -0,0 +1,231 @@
+package streamorigin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+)
+
+const (
+	// baseFetchInterval is the time between two starts of listings in a small fleet, and fetchIntervalPerRouter bounds
+	// those of a large one: after all routers have ended, all of them list at once.
+	baseFetchInterval      = 60 * time.Millisecond
+	fetchIntervalPerRouter = 3 * time.Millisecond
+	fetchTimeout           = 1500 * time.Millisecond
+	// minResolveWait is how long a request waits for routers to write a stream, or to show that they have not begun it. In
+	// a large fleet it is the time of resolveWrites writes.
+	minResolveWait = time.Second
+	resolveWrites  = 3
+)
+
+// listing is what all VMs wrote.
+type listing struct {
+	records map[string]record
+}
+
+// fetchState is the listing in progress and the last one. Registry.mu guards it.
+type fetchState struct {
+	current *fetch
+	last    *fetch
+}
+
+type fetch struct {
+	startedAt time.Time
+	done      chan struct{}
+	listing   listing
+	err       error
+}
+
+// Source is what told the origin of a stream.
+type Source string
+
+// The sources of an origin.
+const (
+	// SourceMemory is this router's own memory.
+	SourceMemory Source = "memory"
+	// SourceLog is the record of another router, or of an earlier process of this VM.
+	SourceLog Source = "log"
+	// SourceOnlyVersion is that the service had no other version.
+	SourceOnlyVersion Source = "only version"
+)
+
+// Resolve returns where a stream began that a caller takes up again, and what tells it. attemptID is the ID of the attempt that brought the
+// first event, or empty if the caller does not say. service is the one that the request goes to. It returns ErrUnknown if
+// several versions may have begun the stream.
+func (r *Registry) Resolve(ctx context.Context, attemptID, service string) (Origin, Source, error) {
+	obs.StreamTakeUpsTotal.Add(1)
+	h := hashOf(attemptID)
+	if attemptID != "" {
+		if o, ok := r.local(h); ok {
+			return o, SourceMemory, nil
+		}
+	}
+	deadline := r.cfg.Now().Add(max(minResolveWait, resolveWrites*r.writeInterval()))
+	first := make(map[string]record)
+	for {
+		l, err := r.listSince(ctx, r.cfg.Now())
+		if err != nil {
+			// Only what this router has seen itself is known.
+			return r.onlyVersion(r.seenVersions(service), service, err)
+		}
+		if attemptID != "" {
+			if o, ok := l.find(h); ok {
+				return o, SourceLog, nil
+			}
+		}
+		versions := r.candidates(service, l, first)
+		if len(versions) <= 1 || attemptID == "" || !r.cfg.Now().Before(deadline) {
+			return r.onlyVersion(versions, service, nil)
+		}
+	}
+}
+
+// onlyVersion returns the origin of a stream of which nothing is known but the versions that may have begun it.
+func (r *Registry) onlyVersion(versions []string, service string, cause error) (Origin, Source, error) {
+	if len(versions) == 1 {
+		return Origin{Service: service, Version: versions[0]}, SourceOnlyVersion, nil
+	}
+	obs.StreamOriginsUnknownTotal.Add(1)
+	return Origin{}, "", errors.CombineErrors(errors.Wrapf(ErrUnknown, "one of %q", versions), cause)
+}
+
+func (l listing) find(h streamHash) (Origin, bool) {
+	for _, rec := range l.records {
+		if o, ok := rec.find(h); ok {
+			return o, true
+		}
+	}
+	return Origin{}, false
+}
+
+// candidates returns the versions that may have begun a stream that no record has. A process that is alive has all of its
+// streams in its second record after the one in first, which candidates fills in: that one was built after the request had
+// arrived. Of a process that has ended, or is not known to be alive, all versions count.
+func (r *Registry) candidates(service string, l listing, first map[string]record) []string {
+	versions := make(map[string]struct{})
+	r.mu.Lock()
+	now := r.cfg.Now()
+	inherited := r.writer.inherited
+	for o := range r.earlier {
+		if o.Service == service {
+			versions[o.Version] = struct{}{}
+		}
+	}
+	r.mu.Unlock()
+	for vm, rec := range l.records {
+		// The streams of this process are known, and what an earlier one of the VM wrote is inherited.
+		if rec.outdated(now) || vm == r.cfg.VM && inherited {
+			continue
+		}
+		before, ok := first[vm]
+		if !ok || before.Process != rec.Process {
+			before = rec
+			first[vm] = rec
+		}
+		rec.unlisted(service, rec.Sequence >= before.Sequence+2, versions)
+	}
+	if len(versions) == 0 {
+		// Nobody who may have begun the stream has a record, so that its version is one in service.
+		return r.seenVersions(service)
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
+// seenVersions returns the versions that this router has seen in the retention time.
+func (r *Registry) seenVersions(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(r.cfg.Now())
+	return slices.Sorted(maps.Keys(r.seen[service]))
+}
+
+// listSince returns a listing that was started at or after the given time.
+func (r *Registry) listSince(ctx context.Context, at time.Time) (listing, error) {
+	for {
+		f := r.startFetch(ctx, at)
+		if f == nil {
+			if err := sleep(ctx, r.fetchInterval()/4); err != nil {
+				return listing{}, err
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return listing{}, errors.Wrap(context.Cause(ctx), "list stream origins")
+		case <-f.done:
+		}
+		if !f.startedAt.Before(at) {
+			return f.listing, f.err
+		}
+	}
+}
+
+func (r *Registry) fetchInterval() time.Duration {
+	return max(baseFetchInterval, time.Duration(r.cfg.Routers())*fetchIntervalPerRouter)
+}
+
+// startFetch returns the fetch to wait for, or nil if the next one may not start yet. The fetch continues if the request that
+// started it ends.
+func (r *Registry) startFetch(ctx context.Context, at time.Time) *fetch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	switch last := r.fetches.last; {
+	case r.fetches.current != nil:
+		return r.fetches.current
+	case last != nil && !last.startedAt.Before(at):
+		return last
+	case last != nil && now.Sub(last.startedAt) < r.fetchInterval():
+		return nil
+	}
+	f := &fetch{startedAt: now, done: make(chan struct{})}
+	r.fetches.current, r.fetches.last = f, f
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchTimeout)
+		defer cancel()
+		f.listing, f.err = r.list(ctx)
+		r.mu.Lock()
+		r.fetches.current = nil
+		r.mu.Unlock()
+		close(f.done)
+	}()
+	return f
+}
+
+// list reads the records of all VMs.
+func (r *Registry) list(ctx context.Context) (listing, error) {
+	obs.StreamOriginListingsTotal.Add(1)
+	page, err := r.cfg.Log.Newest(ctx, r.cfg.Stream)
+	if err != nil {
+		return listing{}, errors.Wrap(err, "list stream origins")
+	}
+	l := listing{records: make(map[string]record, len(page.Records))}
+	for _, p := range page.Records {
+		rec, err := decodeRecord(p.Value)
+		if err != nil {
+			obs.EventRecordMalformed.Log(r.cfg.Logger, logrus.Fields{
+				"stream": r.cfg.Stream.Name, "key": p.Key, "offset": p.Offset, "error": err.Error(),
+			})
+			continue
+		}
+		l.records[p.Key] = rec
+	}
+	return l, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.WithStack(context.Cause(ctx))
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/coordination/streamorigin/write.go
@@ -0,0 +1,214 @@
+package streamorigin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
+)
+
+const (
+	// baseWriteInterval is the time between two writes in a small fleet, and writeIntervalPerRouter bounds those of a
+	// large one to 200 a second. Streams that began since the last write are lost with their router.
+	baseWriteInterval      = 250 * time.Millisecond
+	writeIntervalPerRouter = 5 * time.Millisecond
+	// minWriteInterval is the time between two writes when streams break off.
+	minWriteInterval = 40 * time.Millisecond
+	writeRetryDelay  = 200 * time.Millisecond
+	writeTimeout     = 1200 * time.Millisecond
+	// renewInterval is the time between two writes of a record that does not change.
+	renewInterval = time.Minute
+	// maxRecordStreams bounds a record to half of what the log accepts. Streams beyond it are left out.
+	maxRecordStreams = 16_000
+)
+
+// writerState is the state of the record in the log. Registry.mu guards it.
+type writerState struct {
+	// inherited is true once the record of an earlier process of the VM was read. It must not be overwritten before.
+	inherited bool
+	// dirty is true if the log lacks what the record must say.
+	dirty     bool
+	writtenAt time.Time
+	// sequence is that of the last record.
+	sequence uint64
+	// builtAt is when the record of the last write was built.
+	builtAt time.Time
+	// versions are the services and versions in the last record, as text.
+	versions string
+	era      uint64
+	failing  bool
+}
+
+// writeInterval returns the time between two writes, which grows with the fleet.
+func (r *Registry) writeInterval() time.Duration {
+	return max(baseWriteInterval, time.Duration(r.cfg.Routers())*writeIntervalPerRouter)
+}
+
+// step writes the record if it has changed. Its first call reads that of an earlier process of the VM.
+func (r *Registry) step(ctx context.Context) error {
+	if err := r.inherit(ctx); err != nil {
+		r.noteAnnounced(false)
+		return err
+	}
+	value, included := r.nextRecord()
+	if value == nil {
+		r.noteAnnounced(false)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := r.cfg.Log.Append(ctx, r.cfg.Stream, []keyedlog.Record{{Key: r.cfg.VM, Value: value}}, keyedlog.AnyOffset)
+	r.noteWrite(included, err)
+	r.noteAnnounced(err == nil)
+	return err
+}
+
+// noteAnnounced calls OnAnnounced if new streams may begin at further versions now.
+func (r *Registry) noteAnnounced(written bool) {
+	r.mu.Lock()
+	changed := r.announce(written, r.cfg.Now())
+	r.mu.Unlock()
+	if changed && r.cfg.OnAnnounced != nil {
+		r.cfg.OnAnnounced()
+	}
+}
+
+// inherit takes over the streams in the record of an earlier process of the VM.
+func (r *Registry) inherit(ctx context.Context) error {
+	r.mu.Lock()
+	inherited := r.writer.inherited
+	r.mu.Unlock()
+	if inherited {
+		return nil
+	}
+	l, err := r.list(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	r.writer.inherited, r.writer.dirty, r.writer.era = true, true, r.cfg.Log.CurrentEra()
+	for _, s := range l.records[r.cfg.VM].Services {
+		for _, version := range s.Earlier {
+			r.earlier[Origin{Service: s.Name, Version: version}] = now.Add(retention)
+		}
+		for _, v := range s.Versions {
+			o := Origin{Service: s.Name, Version: v.Version}
+			r.noteSeen(o, now)
+			r.earlier[o] = now.Add(retention)
+			for _, h := range v.hashes() {
+				if r.streams[h] == nil && len(r.streams) < maxStreams {
+					r.streams[h] = &stream{Origin: o, endedAt: now}
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// nextRecord returns the record to write and the streams in it, or nil if the log has it already.
+func (r *Registry) nextRecord() (value []byte, included []*stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	r.expire(now)
+	era := r.cfg.Log.CurrentEra()
+	dirty := r.writer.dirty || era != r.writer.era || now.Sub(r.writer.writtenAt) > renewInterval
+	rec := record{WrittenMillis: now.UnixMilli(), Process: r.process, Sequence: r.writer.sequence + 1}
+	for service, versions := range r.seen {
+		s := serviceRecord{Name: service}
+		for o := range r.earlier {
+			if o.Service == service {
+				s.Earlier = append(s.Earlier, o.Version)
+			}
+		}
+		slices.Sort(s.Earlier)
+		for version := range versions {
+			s.Versions = append(s.Versions, versionRecord{Version: version})
+		}
+		slices.SortFunc(s.Versions, func(a, b versionRecord) int { return strings.Compare(a.Version, b.Version) })
+		rec.Services = append(rec.Services, s)
+	}
+	slices.SortFunc(rec.Services, func(a, b serviceRecord) int { return strings.Compare(a.Name, b.Name) })
+	for h, s := range r.streams {
+		v := rec.versionOf(s.Origin)
+		if v == nil || len(included) >= maxRecordStreams {
+			continue
+		}
+		v.add(h)
+		included = append(included, s)
+	}
+	versions := rec.versionNames()
+	// Beside several versions, each new record shows that its process is alive and that the record has all of its streams.
+	dirty = dirty || versions != r.writer.versions || rec.mixed()
+	if !dirty {
+		return nil, nil
+	}
+	value, err := cbor.Marshal(rec)
+	if err != nil {
+		obs.EventStreamOriginsUnwritten.Log(r.cfg.Logger, logrus.Fields{"error": err.Error()})
+		return nil, nil
+	}
+	r.writer.dirty, r.writer.era, r.writer.versions, r.writer.builtAt = true, era, versions, now
+	r.writer.sequence = rec.Sequence
+	return value, included
+}
+
+// versionOf returns the record of a version, or nil if the service has one version only, whose streams need no record.
+func (rec record) versionOf(o Origin) *versionRecord {
+	for _, s := range rec.Services {
+		if s.Name != o.Service || len(s.Versions) < 2 {
+			continue
+		}
+		for i := range s.Versions {
+			if s.Versions[i].Version == o.Version {
+				return &s.Versions[i]
+			}
+		}
+	}
+	return nil
+}
+
+// versionNames returns the services and versions of the record as one text.
+func (rec record) versionNames() string {
+	var b strings.Builder
+	for _, s := range rec.Services {
+		for _, v := range s.Versions {
+			_, _ = fmt.Fprintf(&b, "%q %q\n", s.Name, v.Version)
+		}
+	}
+	return b.String()
+}
+
+// noteWrite records the result of a write.
+func (r *Registry) noteWrite(included []*stream, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		obs.StreamOriginWriteFailuresTotal.Add(1)
+		if !r.writer.failing {
+			r.writer.failing = true
+			obs.EventStreamOriginsUnwritten.Log(r.cfg.Logger, logrus.Fields{"streams": len(included), "error": err.Error()})
+		}
+		return
+	}
+	obs.StreamOriginWritesTotal.Add(1)
+	r.writer.dirty, r.writer.failing, r.writer.writtenAt = false, false, r.cfg.Now()
+	for _, s := range included {
+		s.written = true
+	}
+}
+
+// Flush writes what the log lacks, at the end of the process.
+func (r *Registry) Flush(ctx context.Context) error {
+	return errors.Wrap(r.step(ctx), "write stream origins")
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/replica"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/streamorigin"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
@@ -110,16 +111,19 @@
 	decoded   decodedRecords
 	snapshot  atomic.Pointer[catalogue.Snapshot]
 
-	budget    *prepaid.Manager
-	crashes   *quarantine.Registry
-	routing   *routing.Router
-	admission *admission.Controller
-	pool      *relay.Pool
-	api       *httpapi.API
-	retries   retryBudgets
-	shedder   *overload.Shedder
-	started   time.Time
-	ready     atomic.Bool
+	budget  *prepaid.Manager
+	crashes *quarantine.Registry
+	origins *streamorigin.Registry
+	// versionsAnnounced is true if the snapshot lacks upstreams that may be used since their version was announced.
+	versionsAnnounced atomic.Bool
+	routing           *routing.Router
+	admission         *admission.Controller
+	pool              *relay.Pool
+	api               *httpapi.API
+	retries           retryBudgets
+	shedder           *overload.Shedder
+	started           time.Time
+	ready             atomic.Bool
 	// draining is set at the start of the shutdown, and closing when new requests are refused.
 	draining atomic.Bool
 	closing  atomic.Bool
@@ -165,6 +169,9 @@
 // heartbeatStream holds one record, the latest heartbeat, per router.
 var heartbeatStream = keyedlog.Stream{Name: "routers"}
 
+// streamOriginStream holds one record per router, see package streamorigin.
+var streamOriginStream = keyedlog.Stream{Name: "stream-origins"}
+
 // NewGateway returns a router that has not started.
 func NewGateway(cfg GatewayConfig, deps GatewayDeps, logger logrus.FieldLogger) (*Gateway, error) {
 	id, err := uuid.NewV7()
@@ -201,6 +208,9 @@
 		Now: time.Now, VM: cfg.VM, Members: func() []string { return slices.Collect(maps.Keys(g.heartbeats.Addresses())) },
 		Notify: logQuarantine(logger),
 	})
+	g.origins = streamorigin.New(streamorigin.Config{
+		Log: deps.Log, Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, OnAnnounced: g.useAnnouncedVersions, Now: time.Now, Logger: logger,
+	})
 	g.retries = retryBudgets{cfg: routing.WindowConfig{
 		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Length: cfg.RetryWindow, Routers: g.heartbeats.Routers, Now: time.Now,
 	}, byService: make(map[string]*routing.WindowRetryBudget)}
@@ -244,6 +254,12 @@
 	return streams
 }
 
+// useAnnouncedVersions rebuilds the snapshot with the upstreams whose version may begin streams now.
+func (g *Gateway) useAnnouncedVersions() {
+	g.versionsAnnounced.Store(true)
+	g.rebuild()
+}
+
 // Current returns the active configuration. It implements httpapi.Configuration.
 func (g *Gateway) Current() *catalogue.Snapshot { return g.snapshot.Load() }
 
@@ -322,7 +338,7 @@
 func (g *Gateway) newAPI() *httpapi.API {
 	return &httpapi.API{
 		Config: g, Budget: g.budget, Admission: admissionAdapter{g.admission}, Routing: routingAdapter{g.routing},
-		Quarantine: g.crashes,
+		Quarantine: g.crashes, Origins: g.origins,
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse, Busy: g.shedder.Busy,
@@ -370,6 +386,7 @@
 	loops.Go(func() { g.upstreams.Run(background) })
 	loops.Go(func() { g.heartbeats.Run(background) })
 	loops.Go(func() { g.peers.run(background) })
+	loops.Go(func() { g.origins.Run(background) })
 	loops.Go(func() { exchangeWithPeers(background, g.peers, crashReports(g.crashes)) })
 	loops.Go(func() { exchangeWithPeers(background, g.peers, limitReports(g.routing)) })
 	budgets, stopBudgets := context.WithCancel(background)
@@ -390,6 +407,7 @@
 	defer cancel()
 	err = g.budget.Close(returnCtx)
 	g.heartbeats.Leave(returnCtx)
+	err = errors.CombineErrors(err, g.origins.Flush(returnCtx))
 	stop()
 	left := g.closeServers(servers, callers)
 	g.pool.Close()
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/streamorigin"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
@@ -35,6 +37,7 @@
 	defer g.rebuildMu.Unlock()
 	changed := g.decodeConfig()
 	changed = g.decodeUpstreams() || changed
+	changed = g.versionsAnnounced.Swap(false) || changed
 	if g.decoded.config == nil || !changed {
 		return
 	}
@@ -44,6 +47,8 @@
 			upstreams = append(upstreams, g.withServiceSettings(d.upstream))
 		}
 	}
+	g.origins.SetListed(listedVersions(upstreams))
+	upstreams = slices.DeleteFunc(upstreams, func(u catalogue.Upstream) bool { return !g.origins.MayBegin(originOf(u)) })
 	snapshot := g.decoded.config.WithUpstreams(upstreams)
 	g.snapshot.Store(snapshot)
 	g.routing.Update(snapshot)
@@ -52,6 +57,20 @@
 	}
 }
 
+// listedVersions returns the services of the upstreams with the versions of their software.
+func listedVersions(upstreams []catalogue.Upstream) map[streamorigin.Origin]struct{} {
+	listed := make(map[streamorigin.Origin]struct{})
+	for _, u := range upstreams {
+		listed[originOf(u)] = struct{}{}
+	}
+	return listed
+}
+
+// originOf returns the origin of the streams that an upstream begins.
+func originOf(u catalogue.Upstream) streamorigin.Origin {
+	return streamorigin.Origin{Service: u.Service, Version: u.SoftwareVersion}
+}
+
 // withServiceSettings returns the upstream with the settings of its service in the configuration.
 func (g *Gateway) withServiceSettings(u catalogue.Upstream) catalogue.Upstream {
 	u.Region = g.cfg.Region
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -68,6 +68,24 @@
 		"Other routers confirm how long the earlier process ran after its last heartbeat, at most. The share that it cannot have spent is released.")
 )
 
+// EventStreamOriginsUnwritten reports that the origins of streams cannot be written.
+var EventStreamOriginsUnwritten = register(1830, logrus.WarnLevel, "origins of streams cannot be written",
+	"The log does not respond. While a service has upstreams of several software versions, other routers cannot learn which of "+
+		"them began the streams of this one, and refuse to go on with them (code stream_version_unknown).")
+
+// Counters of the origins of streams, see package streamorigin.
+var (
+	// StreamTakeUpsTotal counts the streams that callers took up again, and StreamOriginsUnknownTotal those of which
+	// the software version that began them could not be learned.
+	StreamTakeUpsTotal        = newMetric("stream_take_ups_total")
+	StreamOriginsUnknownTotal = newMetric("stream_origins_unknown_total")
+	// StreamOriginsDroppedTotal counts the streams that were not remembered because there were too many.
+	StreamOriginsDroppedTotal      = newMetric("stream_origins_dropped_total")
+	StreamOriginWritesTotal        = newMetric("stream_origin_writes_total")
+	StreamOriginWriteFailuresTotal = newMetric("stream_origin_write_failures_total")
+	StreamOriginListingsTotal      = newMetric("stream_origin_listings_total")
+)
+
 // HeartbeatsFailedTotal counts heartbeats that the log did not confirm.
 var HeartbeatsFailedTotal = newMetric("beats_failed_total")
 
--- a/internal/state/catalogue/forwarding.go
+++ b/internal/state/catalogue/forwarding.go
@@ -155,6 +155,11 @@
 	return total
 }
 
+// HasTarget reports whether a service is among the route's targets.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // Pick returns the service at a fraction (0 to 1) of the total weight, so that a random fraction selects the
 // services in proportion to their weights.
 func (r *Route) Pick(fraction float64) string {
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/streamorigin"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
@@ -76,6 +77,13 @@
 	Done(result routing.Result)
 }
 
+// StreamOrigins knows which software version began each stream. Package streamorigin implements it.
+type StreamOrigins interface {
+	Begin(attemptID string, o streamorigin.Origin)
+	End(attemptID string, broken bool)
+	Resolve(ctx context.Context, attemptID, service string) (streamorigin.Origin, streamorigin.Source, error)
+}
+
 // Routing selects upstreams. Pick fails with a routing.NoUpstreamError or a routing.QuarantinedError.
 type Routing interface {
 	Pick(req routing.Request) (Attempt, error)
@@ -155,6 +163,8 @@
 	PeerRequests PeerRequests
 	// Quarantine may be nil.
 	Quarantine Quarantine
+	// Origins may be nil. Then streams go on at upstreams of any software version.
+	Origins StreamOrigins
 	// CheckConfigLease returns an error while the local configuration may be out of date. It may be nil.
 	CheckConfigLease func() error
 	// Forwarding is needed by ForwardHandler only.
--- a/internal/transport/httpapi/errors.go
+++ b/internal/transport/httpapi/errors.go
@@ -36,6 +36,7 @@
 	CodeOverloaded               Code = "overloaded"
 	CodeUpstreamUnavailable      Code = "upstream_unavailable"
 	CodeUpstreamRejected         Code = "upstream_rejected"
+	CodeStreamVersionUnknown     Code = "stream_version_unknown"
 	CodeQuarantined              Code = "request_quarantined"
 	CodeOutcomeUnknown           Code = "outcome_unknown"
 	CodeDeadlineExceeded         Code = "deadline_exceeded"
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -49,6 +49,9 @@
 	Prompt *Prompt
 	// LastEventID is the ID of the last event that the caller has of a stream that it resumes, empty for a new stream.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that it takes up again. It is
+	// empty for a new stream, and if the caller does not say.
+	Resumes string
 }
 
 // Prompt describes the prompt and the token limits of a request.
@@ -146,7 +149,7 @@
 
 // forwardSteps process a forwarded request in order. Each step may end the request with an error.
 var forwardSteps = [...]func(*exchange) *APIError{
-	(*exchange).registerForward, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
+	(*exchange).registerForward, (*exchange).resolveOrigin, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
 }
 
 // ForwardHandler returns the handler that forwards requests by host and path.
@@ -172,6 +175,7 @@
 	defer x.finish()
 	op := &forwardOp{}
 	defer op.keepErrorResponse(nil)
+	defer op.endOrigin(x)
 	x.op = op
 	e := x.beginForward(op)
 	for i := 0; e == nil && i < len(forwardSteps); i++ {
@@ -288,6 +292,8 @@
 	contentType string
 	events      int64
 	lastEventID string
+	// origin is what is known of where the stream began.
+	origin originState
 	// order checks the numbers of the stream's events, and outOfOrder counts those that did not follow.
 	order      eventOrder
 	outOfOrder int
@@ -327,21 +333,13 @@
 // following steps need.
 func (op *forwardOp) prepare(x *exchange) {
 	op.order = eventOrderAfter(op.caller.LastEventID, op.route.Resumable)
-	name := op.route.Pick(rand.Float64())
-	if op.service = x.snapshot.Service(name); op.service == nil {
-		op.service = &catalogue.Service{Name: name}
-	}
 	op.priority = op.route.Priority
 	if x.entry.Priority != nil {
 		op.priority = *x.entry.Priority
 	}
 	x.idempotent = op.route.Idempotent || op.route.Stream && op.route.Resumable
 	x.routingReq = routing.Request{Class: classForPriority(op.priority)}
-	if op.service.Engine {
-		x.routingReq.Model = name
-	} else {
-		x.routingReq.Service = name
-	}
+	op.useService(x, op.route.Pick(rand.Float64()))
 	x.entryWithClass = *x.entry
 	x.entryWithClass.Class = x.routingReq.Class
 	x.entry = &x.entryWithClass
@@ -352,6 +350,19 @@
 	x.subjects = requestSubjects(op.caller.Prompt, x.requestHash[:])
 }
 
+// useService sets the service that the request goes to.
+func (op *forwardOp) useService(x *exchange, name string) {
+	if op.service = x.snapshot.Service(name); op.service == nil {
+		op.service = &catalogue.Service{Name: name}
+	}
+	x.routingReq.Model, x.routingReq.Service = "", ""
+	if op.service.Engine {
+		x.routingReq.Model = name
+	} else {
+		x.routingReq.Service = name
+	}
+}
+
 // classForPriority maps a priority to an admission class.
 func classForPriority(priority int) catalogue.Class {
 	switch priority {
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -43,6 +43,12 @@
 	if op.abortConnection {
 		fields["cut"] = true
 	}
+	if op.origin.takenUp {
+		fields["last_event_id"], fields["resumes"], fields["origin"] = op.caller.LastEventID, op.caller.Resumes, op.origin.source
+	}
+	if op.origin.version != nil {
+		fields["software_version"] = *op.origin.version
+	}
 	if op.outOfOrder > 0 {
 		fields["out_of_order"] = op.outOfOrder
 	}
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -261,9 +261,7 @@
 func (op *forwardOp) commitHeader(x *exchange, response *relay.Response) {
 	op.committed = true
 	op.status, op.contentType = response.Status, response.Header.Get("Content-Type")
-	// What two software versions write does not fit together.
-	version := x.attempt.Upstream().SoftwareVersion
-	x.routingReq.SoftwareVersion = &version
+	op.beginOrigin(x)
 	if op.firstByteAt.IsZero() {
 		op.firstByteAt = x.api.Now()
 	}
