API: attempt IDs do not repeat with an idempotency key

In the product's own fleet a caller got "not run" for a request that ran. A caller may repeat a refused request with its idempotency key. The repeat keeps the request ID, and its attempts were numbered from 1 again, so that two sends had the same request and attempt ID. The copy of the first refusal, written later on the kept connection, was taken for the refusal of the second send.

Attempts are now numbered by router process, so that no two sends of a process have the same ID and the copy is a mismatch.

--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -16,9 +16,8 @@
 const (
 	// HeaderRequestID identifies the request on every hop.
 	HeaderRequestID = "X-Request-Id"
-	// HeaderAttempt identifies the attempt (see AttemptID); attempts are numbered from 1. An upstream echoes
-	// the header and HeaderRequestID, also when it refuses the request, so that a late response to an earlier attempt
-	// can be detected.
+	// HeaderAttempt identifies the attempt (see AttemptID). An upstream echoes the header and HeaderRequestID, also when it
+	// refuses the request, so that a late response to an earlier attempt can be detected.
 	HeaderAttempt = "X-Attempt"
 	// HeaderPriority is the request's priority at the engine; lower values run first.
 	HeaderPriority = "X-Priority"
--- a/internal/protocol/chat/engineapi.go
+++ b/internal/protocol/chat/engineapi.go
@@ -57,9 +57,9 @@
 	Evicted []uint64 `json:"evicted,omitempty"`
 }
 
-// AttemptID returns the ID of attempt number n of a request by the given holder (router process). It is unique
-// among all attempts of the request, including those of another router that retries it.
-func AttemptID(n int, holder string) string { return strconv.Itoa(n) + "@" + holder }
+// AttemptID returns the ID of attempt number n of the given holder (router process). It is unique among all attempts of all
+// requests: the attempts of a request that its caller repeats with an idempotency key may have the same request ID.
+func AttemptID(n int64, holder string) string { return strconv.FormatInt(n, 10) + "@" + holder }
 
 // HeldByOther reports whether the run is held by an attempt of another router process than the given holder.
 // That process bills the run or, if it has terminated, the router that keeps the replica of its reservations.
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -167,6 +167,8 @@
 	Now             func() time.Time
 
 	openRequests atomic.Int64
+	// attempts is the number of attempts so far, of all requests.
+	attempts atomic.Int64
 	// crashProbes are the probes in progress, by upstream.
 	crashProbes singleflight.Group
 	stop        requestStop
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -83,7 +83,7 @@
 	x.attemptCount++
 	x.progress = attemptProgress{sentAt: x.api.Now()}
 	call := upstream.Call{
-		Address: target.Address, RequestID: x.id, Attempt: chat.AttemptID(n, string(x.api.Holder)),
+		Address: target.Address, RequestID: x.id, Attempt: chat.AttemptID(x.api.attempts.Add(1), string(x.api.Holder)),
 		Priority: attempt.Priority(), Body: x.body,
 	}
 	if reporter, ok := attempt.(NoticeReporter); ok {
--- a/internal/transport/httpapi/stale_refusal_test.go
+++ b/internal/transport/httpapi/stale_refusal_test.go
@@ -94,3 +94,31 @@
 		})
 	}
 }
+
+// Guards against a refusal that is written once more and is taken for that of the same request as its caller repeats it with
+// its idempotency key: it ran, and its caller is told that it did not.
+func TestRefusalOfEarlierTryIsNotPassedOn(t *testing.T) {
+	for _, operation := range []string{"service", "idempotent service", "chat"} {
+		t.Run(operation, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			f := newFixture(t)
+			u := catalogue.Upstream{Name: "p", Kind: catalogue.KindService, Service: "orders", RequestTokens: 7,
+				Address: serveStaleRefusals(t, "429 Too Many Requests", true, &runs)}
+			send := func() callerResponse { return f.call(http.MethodPost, orderPath, "o", HeaderIdempotencyKey, "k") }
+			switch operation {
+			case "idempotent service":
+				u.IdempotentMethods = []string{http.MethodPost}
+			case "chat":
+				u.Kind, u.Models = catalogue.KindEngine, []string{model}
+				send = func() callerResponse { return f.chat(false, "o", HeaderIdempotencyKey, "k") }
+			}
+			f.api.Routing.(*firstFitRouter).upstreams = []catalogue.Upstream{u}
+			is.True(send().apiError().NotRun)
+			r := send()
+			is.Equal(runs.Load(), int64(1)) // the connection was kept
+			is.True(!r.apiError().NotRun)
+			is.Equal(r.apiError().Code, CodeOutcomeUnknown)
+		})
+	}
+}
