Tests: show how a process ended that ended before the cleanup

TestPausedRouterKeepsItsShare failed once with "connection refused" after SIGCONT (KNOWN-RED.txt). The client keeps its connections for 90 s and the router for 2 min, so that a new connection means that the paused process had lost the old one; its log has no line about an end. Whether it was killed, by which signal, or exited is not known.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -83,12 +83,26 @@
 		}
 	}()
 	t.Cleanup(func() {
+		ended := hasEnded(cmd.Process.Pid)
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
+		if t.Failed() && ended {
+			t.Logf("%s, process %d, %q, had ended before the cleanup: %s", name, cmd.Process.Pid, args, cmd.ProcessState)
+		}
 	})
 	return p
 }
 
+// hasEnded reports whether a child process that was not waited for has ended.
+func hasEnded(pid int) bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return true
+	}
+	_, state, _ := strings.Cut(string(stat), ") ")
+	return strings.HasPrefix(state, "Z")
+}
+
 func startStandin(t *testing.T, args ...string) string {
 	t.Helper()
 	_, url := startStandinProcess(t, args...)
