--- a/internal/protocol/chat/chat.go
+++ b/internal/protocol/chat/chat.go
@@ -16,7 +16,7 @@
 const (
 	// HeaderRequestID identifies the request on every hop.
 	HeaderRequestID = "X-Request-Id"
-	// HeaderAttempt identifies the attempt (see AttemptID); attempts are numbered from 1. An upstream echoes
+	// HeaderAttempt identifies the attempt (see AttemptID) among all attempts of all routers. An upstream echoes
 	// the header and HeaderRequestID, also when it refuses the request, so that a late response to an earlier attempt
 	// can be detected.
 	HeaderAttempt = "X-Attempt"
@@ -25,6 +25,9 @@
 	// HeaderRequestLimit is set on responses of an upstream that limits its load: the number of requests per second
 	// that it accepts from all routers together. The limit holds until a response lacks the header.
 	HeaderRequestLimit = "X-Request-Limit"
+	// HeaderSoftwareVersion is set on the streams of an engine: the version of its software, not of the model. What
+	// engines of two versions generate does not fit together.
+	HeaderSoftwareVersion = "X-Software-Version"
 )
 
 // Message is one message of a conversation.
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -261,6 +261,7 @@
 func (op *forwardOp) commitHeader(x *exchange, response *relay.Response) {
 	op.committed = true
 	op.status, op.contentType = response.Status, response.Header.Get("Content-Type")
+	op.beginOrigin(x)
 	if op.firstByteAt.IsZero() {
 		op.firstByteAt = x.api.Now()
 	}
