--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -83,6 +83,9 @@
 	// process identifies this process in its records.
 	process uint64
 
+	// writeMu is held during a write, so that records reach the log in order. It is locked before mu.
+	writeMu sync.Mutex
+
 	mu      sync.Mutex
 	streams map[streamHash]*stream
 	// seen holds, by service, the versions that upstreams have had in the retention time.
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -54,6 +54,8 @@
 
 // step writes the record if it has changed. Its first call reads that of an earlier process of the VM.
 func (r *Registry) step(ctx context.Context) error {
+	r.writeMu.Lock()
+	defer r.writeMu.Unlock()
 	if err := r.inherit(ctx); err != nil {
 		r.noteAnnounced(false)
 		return err
