Stream origins: no second version while the log does not name it

A router used a new software version after a second without the log, though the log named only the old one. Streams that it began there were taken for the old version, by other routers and after a kill: what no record has is taken for the only version of the records. So a store that refuses appends, or rejects one router while its peers pass the new servers on to it, joined streams from two versions (ORDER).

A version that the log does not name is used only if the service has no other version that may be used, and then only one such version. The router goes on with the versions that the log names; appends that work again announce the others.

The unit test of the wait expected that the new version is used beside others; it now expects the opposite, and that a service without another version gets exactly one.

Open: a service whose old version leaves while the log takes no appends, and comes back before it does.

--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -8,7 +8,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +29,8 @@
 	// retention is how long a stream is remembered after its last answer, and how long a version counts after its last
 	// upstream was seen. It exceeds the time for which callers try to go on with a stream.
 	retention = 40 * time.Second
-	// announceTimeout is how long a new version waits for the log before it is used all the same.
+	// announceTimeout is how long a service waits for the log before a version that the log does not name is used, if it
+	// has no other.
 	announceTimeout = time.Second
 	// maxStreams bounds the streams that are remembered.
 	maxStreams = 50_000
@@ -72,7 +75,7 @@
 // sighting is when upstreams of a version were seen.
 type sighting struct {
 	first, last time.Time
-	// announced is true once the record in the log names the version, or announceTimeout has passed.
+	// announced is true once the record in the log names the version, or it is used without that.
 	announced bool
 }
 
@@ -146,8 +149,8 @@
 }
 
 // MayBegin reports whether new streams may begin at a version. The log must name it first: else nobody would know of it if
-// this router ended, and its streams could be taken for those of another version. While the log does not respond, the
-// version is used after announceTimeout.
+// this router ended, and its streams could be taken for those of another version. While the log does not respond, a service
+// that has no other version gets one after announceTimeout.
 func (r *Registry) MayBegin(o Origin) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -155,14 +158,30 @@
 	return s == nil || s.announced
 }
 
-// announce marks the versions that the log names, or that have waited for it long enough, and reports whether there are any.
+// announce marks the versions that the log names, and reports whether there are any. While the log does not respond, a service
+// whose listed versions are all unannounced gets the one that has waited longest: what a router began at two versions that
+// the log does not name could be taken for either.
 func (r *Registry) announce(written bool, now time.Time) (changed bool) {
-	for _, versions := range r.seen {
-		for _, s := range versions {
-			if !s.announced && (written && !s.first.After(r.writer.builtAt) || now.Sub(s.first) >= announceTimeout) {
+	for service, versions := range r.seen {
+		var waiting *sighting
+		usable := false
+		for _, version := range slices.Sorted(maps.Keys(versions)) {
+			s := versions[version]
+			if !s.announced && written && !s.first.After(r.writer.builtAt) {
 				s.announced = true
 				changed = true
 			}
+			if _, ok := r.listed[Origin{Service: service, Version: version}]; !ok {
+				continue
+			}
+			usable = usable || s.announced
+			if waiting == nil || s.first.Before(waiting.first) {
+				waiting = s
+			}
+		}
+		if !usable && waiting != nil && now.Sub(waiting.first) >= announceTimeout {
+			waiting.announced = true
+			changed = true
 		}
 	}
 	return changed
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -212,13 +212,15 @@
 	is.Equal(announced, 2)
 
 	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
-	v3 := Origin{Service: service, Version: "v3"}
+	v3, v4 := Origin{Service: service, Version: "v3"}, Origin{Service: service, Version: "v4"}
 	r.SetListed(listed(v1, v2, v3))
-	is.True(r.step(context.Background()) != nil)
-	is.True(!r.MayBegin(v3))
 	now = now.Add(announceTimeout)
 	is.True(r.step(context.Background()) != nil)
-	is.True(r.MayBegin(v3)) // a version must not be kept out for a log that is away
+	is.True(!r.MayBegin(v3)) // the others serve
+	r.SetListed(listed(v3, v4))
+	is.True(r.step(context.Background()) != nil)
+	is.True(r.MayBegin(v3)) // a service must not be kept out for a log that is away
+	is.True(!r.MayBegin(v4))
 }
 
 // TestVersionCountsUntilItsStreamsAreForgotten guards against a version that is forgotten while a stream that it began
