Stream origins: do not rule out the only version of a service

Callers could get a stream joined from two versions. A record has no streams of a service with one version, but it is renewed four times a second while another service has several. Another router took the renewals for the proof that the process had not begun the stream, and bound it to the one version that was left.

TestStreamsOfOneVersionAreNotRuledOut failed before: a stream of v1 went on at v2, the version in the record of a router that had ended.

--- a/internal/coordination/streamorigin/record.go
+++ b/internal/coordination/streamorigin/record.go
@@ -30,8 +30,8 @@
 // versionRecord names a version that upstreams had in the retention time.
 type versionRecord struct {
 	Version string `cbor:"1,keyasint"`
-	// Streams are the hashes of the streams that the version began, with 8 bytes each. They are complete only while
-	// the service has several versions.
+	// Streams are the hashes of the streams that the version began, with 8 bytes each. They are left out while the
+	// service has no other version.
 	Streams []byte `cbor:"2,keyasint,omitempty"`
 }
 
@@ -82,7 +82,7 @@
 }
 
 // unlisted adds the versions at which streams may have begun that are not in the record. A complete record has all streams
-// that its process began up to the time in question.
+// that its process began up to the time in question, except those of services with one version.
 func (rec record) unlisted(service string, complete bool, versions map[string]struct{}) {
 	for _, s := range rec.Services {
 		if s.Name != service {
@@ -92,7 +92,7 @@
 			versions[version] = struct{}{}
 		}
 		for _, v := range s.Versions {
-			if !complete {
+			if !complete || len(s.Versions) == 1 {
 				versions[v.Version] = struct{}{}
 			}
 		}
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -297,6 +297,29 @@
 	is.Equal(o, v1)
 }
 
+// TestStreamsOfOneVersionAreNotRuledOut guards against a stream that is joined from two versions: a record names the streams of a
+// service only while the service has several versions, and it is renewed for another service that has several.
+func TestStreamsOfOneVersionAreNotRuledOut(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	gone := newTestRegistry(log, "vm-3", time.Now)
+	gone.SetListed(listed(v2))
+	is.NoErr(gone.step(ctx))
+	own, other := newTestRegistry(log, "vm-1", time.Now), newTestRegistry(log, "vm-2", time.Now)
+	own.SetListed(listed(v1, Origin{Service: "counter", Version: "v7"}, Origin{Service: "counter", Version: "v8"}))
+	is.NoErr(own.step(ctx))
+	own.Begin("s", v1)
+	go own.Run(ctx)
+	other.SetListed(listed(v2))
+	go other.Run(ctx)
+	o, _, err := resolve(other, "s")
+	if err == nil {
+		is.Equal(o, v1) // or the stream is unknown
+	}
+}
+
 // originModel plays a fleet with an injected clock: upstreams of versions come and go, routers begin streams, write, lose
 // writes and end without a word. It keeps the true origin of each stream.
 type originModel struct {
