Own fleet: close a connection whose responses are out of step

A response with the IDs of another request, such as the late copy of a refusal, leaves the response of the request itself due on the connection. Without a body (Content-Length 0), net/http keeps the connection, and what is due answers the next request, which loses its outcome too: a call that must not run twice is reported as outcome_unknown, and others run once more at another upstream.

The client now closes the connection with such a response.

--- a/internal/transport/upstream/service.go
+++ b/internal/transport/upstream/service.go
@@ -53,26 +53,26 @@
 		return ServiceResponse{}, err
 	}
 	copyHeader(req.Header, call.Header)
-	resp, reused, err := c.do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusTooManyRequests {
-		err := checkRefusal(resp, call.Call, reused)
-		call.reportNotice(resp, err)
+		err := checkRefusal(resp, call.Call)
+		call.reportNotice(resp.Response, err)
 		return ServiceResponse{}, err
 	}
 	err = checkResponseIDs(resp, call.Call)
-	call.reportNotice(resp, err)
+	call.reportNotice(resp.Response, err)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
-	if !endIsMarked(resp) && call.Method != http.MethodHead {
+	if !endIsMarked(resp.Response) && call.Method != http.MethodHead {
 		err := errors.Newf("%s %s: the response has neither length nor chunks", call.Method, call.Path)
 		return ServiceResponse{}, errors.Mark(errors.Mark(err, ErrUnmarked), ErrIncomplete)
 	}
-	body, err := c.readBody(resp)
+	body, err := c.readBody(resp.Response)
 	if err != nil {
 		return ServiceResponse{}, errors.Wrapf(err, "%s %s", call.Method, call.Path)
 	}
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -64,7 +64,7 @@
 		err := errors.Newf("engine has software version %.60q, but the stream began at %.60q", version, call.SoftwareVersion)
 		return errors.Mark(err, ErrNotHeld)
 	}
-	return c.readEvents(resp, call, offset, emit)
+	return c.readEvents(resp.Response, call, offset, emit)
 }
 
 // readEvents reads events starting at number next. Any other number ends the read, because the caller would receive an
@@ -211,7 +211,7 @@
 		return chat.RunUsage{}, err
 	}
 	defer resp.Body.Close()
-	body, err := c.readBody(resp)
+	body, err := c.readBody(resp.Response)
 	if err != nil {
 		return chat.RunUsage{}, err
 	}
@@ -228,28 +228,28 @@
 
 // streamRequest sends a request about a run that an engine holds. The URL calls a run a stream, whether or
 // not its response is streamed. All such requests are idempotent.
-func (c *Client) streamRequest(ctx context.Context, method string, call Call, suffix string) (*http.Response, error) {
+func (c *Client) streamRequest(ctx context.Context, method string, call Call, suffix string) (response, error) {
 	target := fmt.Sprintf("%s/v1/streams/%s%s", strings.TrimRight(call.Address, "/"), url.PathEscape(call.RequestID), suffix)
 	req, err := newRequest(ctx, method, target, call, nil)
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
 	// The HTTP transport may retry a request without a body.
 	req.Body, req.ContentLength = http.NoBody, 0
-	resp, _, err := c.do(req)
+	resp, err := c.do(req)
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return resp, nil
 	case statesOtherIDs(resp, call):
-		err = errors.Mark(errors.Newf("engine responded %s to another call", resp.Status), ErrMismatch)
+		err = errors.Wrapf(resp.mismatch(), "engine responded %s", resp.Status)
 	case resp.StatusCode == http.StatusNotFound, resp.StatusCode == http.StatusConflict:
-		err = errors.Mark(errors.Newf("engine responded %s: %s", resp.Status, errorText(resp)), ErrNotHeld)
+		err = errors.Mark(errors.Newf("engine responded %s: %s", resp.Status, errorText(resp.Response)), ErrNotHeld)
 	default:
-		err = errors.Newf("engine responded %s: %s", resp.Status, errorText(resp))
+		err = errors.Newf("engine responded %s: %s", resp.Status, errorText(resp.Response))
 	}
 	resp.Body.Close()
-	return nil, err
+	return response{}, err
 }
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -289,40 +289,55 @@
 
 // sendChecked sends the request and checks the status and that the response belongs to the request.
 func (c *Client) sendChecked(req *http.Request, call Call) (*http.Response, error) {
-	resp, reused, err := c.do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return nil, err
 	}
-	err = checkResponse(resp, call, reused)
-	call.reportNotice(resp, err)
+	err = checkResponse(resp, call)
+	call.reportNotice(resp.Response, err)
 	if err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
-	return resp, nil
+	return resp.Response, nil
+}
+
+// response is a response with the connection on which it came.
+type response struct {
+	*http.Response
+	conn net.Conn
+	// reused reports whether the connection had served another request.
+	reused bool
+}
+
+// mismatch closes the connection and returns ErrMismatch. The response that is still due would else answer the next request
+// on the connection: the transport has kept it already if this response has no body.
+func (r response) mismatch() error {
+	_ = r.conn.Close()
+	return ErrMismatch
 }
 
 // do sends the request. A failure before a connection was obtained means that nothing was sent; after that,
-// the upstream may have run the request. The result reused reports whether the connection had served another request.
-func (c *Client) do(req *http.Request) (resp *http.Response, reused bool, err error) {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
-	resp, err = c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil && !connected {
-		return nil, false, errors.Mark(err, ErrNotSent)
+// the upstream may have run the request.
+func (c *Client) do(req *http.Request) (response, error) {
+	var got httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { got = info }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil && got.Conn == nil {
+		return response{}, errors.Mark(err, ErrNotSent)
 	}
-	return resp, reused, err
+	return response{resp, got.Conn, got.Reused}, err
 }
 
 // checkResponse accepts status 200. The listed error statuses are those with which an upstream refuses a request
 // before it runs.
-func checkResponse(resp *http.Response, call Call, reused bool) error {
+func checkResponse(resp response, call Call) error {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return checkResponseIDs(resp, call)
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusRequestEntityTooLarge,
 		http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return checkRefusal(resp, call, reused)
+		return checkRefusal(resp, call)
 	default:
 		return errors.Newf("upstream responded %s", resp.Status)
 	}
@@ -331,14 +346,14 @@
 // checkRefusal returns the RefusedError of a refusal, or ErrMismatch if the refusal may belong to an earlier request on the
 // connection: an upstream that writes one twice would else make the router report a request that ran as not run. A
 // refusal without IDs belongs to the request if the connection has served no other.
-func checkRefusal(resp *http.Response, call Call, reused bool) error {
+func checkRefusal(resp response, call Call) error {
 	stated := resp.Header.Get(chat.HeaderRequestID) != "" || resp.Header.Get(chat.HeaderAttempt) != ""
-	if stated || reused {
+	if stated || resp.reused {
 		if err := checkResponseIDs(resp, call); err != nil {
 			return err
 		}
 	}
-	return newRefusedError(resp)
+	return newRefusedError(resp.Response)
 }
 
 // errorText returns the start of an error response's body.
@@ -348,16 +363,16 @@
 }
 
 // checkResponseIDs checks that the response carries the IDs of the request and the attempt.
-func checkResponseIDs(resp *http.Response, call Call) error {
+func checkResponseIDs(resp response, call Call) error {
 	if resp.Header.Get(chat.HeaderRequestID) != call.RequestID ||
 		resp.Header.Get(chat.HeaderAttempt) != call.Attempt {
-		return ErrMismatch
+		return resp.mismatch()
 	}
 	return nil
 }
 
 // statesOtherIDs reports whether the response carries the ID of another request or attempt.
-func statesOtherIDs(resp *http.Response, call Call) bool {
+func statesOtherIDs(resp response, call Call) bool {
 	id, attempt := resp.Header.Get(chat.HeaderRequestID), resp.Header.Get(chat.HeaderAttempt)
 	return id != "" && id != call.RequestID || attempt != "" && attempt != call.Attempt
 }
