--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -7,9 +7,10 @@
 	EventRequestServed = register(1610, logrus.InfoLevel, "request succeeded",
 		"The upstream's response was delivered. The field \"first_ms\" is the time to its first byte. "+
 			"\"out_of_order\" counts events of a stream that did not follow the one before; \"unproven_end\" says that a stream "+
-			"ended with the upstream's connection and had neither a length nor chunks.")
+			"ended with the upstream's connection and had neither a length nor chunks. \"resumed_after\" is the last event that a "+
+			"caller has of the stream that it takes up again.")
 	EventRequestFailed = register(1611, logrus.WarnLevel, "request failed",
-		"The fields \"code\" and \"cause\" say why; docs/OPERATIONS.md explains their values.")
+		"The fields \"code\" and \"cause\" say why; docs/OPERATIONS.md explains their values. \"resumed_after\" is as in 1610.")
 	EventAttemptFailed = register(1612, logrus.InfoLevel, "attempt failed",
 		"One upstream failed or sent an error. The request may have been sent to another upstream.")
 	EventLoadSheddingChanged = register(1614, logrus.WarnLevel, "load shedding started or stopped",
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -40,6 +40,9 @@
 	if x.maxCost > 0 {
 		fields["bound"], fields["events"], fields["charged"] = x.maxCost, op.events, op.charged
 	}
+	if after := op.caller.LastEventID; after != "" {
+		fields["resumed_after"] = after
+	}
 	if op.abortConnection {
 		fields["cut"] = true
 	}
