--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -47,7 +47,7 @@
 		fields["cut"] = true
 	}
 	if op.origin.takenUp {
-		fields["last_event_id"], fields["resumes"], fields["origin"] = op.caller.LastEventID, op.caller.Resumes, op.origin.source
+		fields["resumes"], fields["origin"] = op.caller.Resumes, op.origin.source
 	}
 	if op.origin.version != nil {
 		fields["software_version"] = *op.origin.version
