Stream origins: ask the other routers while the log does not respond

While the store was down for more than 2 s, a stream that a caller took up at another router was refused with 503, also if its service had one software version only and the router that began it was there: since an old list of upstreams does not tell the only version. The routers that began the streams know them.

--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -50,6 +50,9 @@
 	Routers func() int
 	// ListedAge returns how long ago the log confirmed the upstreams of SetListed.
 	ListedAge func() time.Duration
+	// QueryPeers asks other routers for the origin of a stream by its hash, see Known, and returns the answers of those that
+	// know it. It may be nil.
+	QueryPeers func(ctx context.Context, hash uint64) []Origin
 	// OnAnnounced is called when the result of MayBegin has changed for a version.
 	OnAnnounced func()
 	Now         func() time.Time
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -18,6 +18,8 @@
 	baseFetchInterval      = 60 * time.Millisecond
 	fetchIntervalPerRouter = 3 * time.Millisecond
 	fetchTimeout           = 1500 * time.Millisecond
+	// peerTimeout limits the question to the other routers.
+	peerTimeout = 300 * time.Millisecond
 	// minResolveWait is how long a request waits for routers to write a stream, or to show that they have not begun it. In
 	// a large fleet it is the time of resolveWrites writes.
 	minResolveWait = time.Second
@@ -51,6 +53,8 @@
 	SourceMemory Source = "memory"
 	// SourceLog is the record of another router, or of an earlier process of this VM.
 	SourceLog Source = "log"
+	// SourcePeer is the memory of another router, which is asked if the log does not respond.
+	SourcePeer Source = "peer"
 	// SourceOnlyVersion is that the service had no other version.
 	SourceOnlyVersion Source = "only version"
 )
@@ -71,6 +75,9 @@
 	for {
 		l, err := r.listSince(ctx, r.cfg.Now())
 		if err != nil {
+			if o, ok := r.askPeers(ctx, h); attemptID != "" && ok {
+				return o, SourcePeer, nil
+			}
 			if r.cfg.ListedAge() > maxListedAge {
 				// Others may have begun streams at a version that this router has not seen.
 				return r.onlyVersion(nil, service, err)
@@ -89,6 +96,22 @@
 	}
 }
 
+// Known returns what this router itself knows of the stream with a given hash. Other routers ask for it.
+func (r *Registry) Known(hash uint64) (Origin, bool) { return r.local(streamHash(hash)) }
+
+// askPeers asks the other routers for the origin of a stream.
+func (r *Registry) askPeers(ctx context.Context, h streamHash) (Origin, bool) {
+	if r.cfg.QueryPeers == nil {
+		return Origin{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for _, o := range r.cfg.QueryPeers(ctx, uint64(h)) {
+		return o, true
+	}
+	return Origin{}, false
+}
+
 // onlyVersion returns the origin of a stream of which nothing is known but the versions that may have begun it.
 func (r *Registry) onlyVersion(versions []string, service string, cause error) (Origin, Source, error) {
 	if len(versions) == 1 {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -210,6 +210,7 @@
 	})
 	g.origins = streamorigin.New(streamorigin.Config{
 		Log: deps.Log, Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, ListedAge: func() time.Duration { return g.upstreams.Staleness(g.started) },
+		QueryPeers:  func(ctx context.Context, hash uint64) []streamorigin.Origin { return g.peers.queryOrigins(ctx, hash) },
 		OnAnnounced: g.useAnnouncedVersions, Now: time.Now, Logger: logger,
 	})
 	g.retries = retryBudgets{cfg: routing.WindowConfig{
@@ -227,6 +228,7 @@
 		SlowStart: gatewaySlowStart, Notify: routing.LogChanges(logger),
 	})
 	g.peers.registerHandlers(g.budget, g.crashes, g.routing)
+	g.peers.registerOriginHandler(g.origins)
 	g.admission = admission.New(admission.Config{Now: time.Now, Capacity: g.capacity, MaxWait: gatewayMaxWait})
 	g.api = g.newAPI()
 	return g, nil
