Stream origins: an old list of upstreams does not tell the only version

A router without contact to the log and its peers had seen one software version and took it for the only one, while others began streams at a second one.

The versions that a router has seen tell only while the log has confirmed the list of upstreams in the last 2 s; else a stream that the router does not know itself is refused. The cost: while the log is away for longer, streams of other routers are refused beside one version, too, because a router cannot tell an outage from being cut off.

--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -32,6 +32,9 @@
 	// announceTimeout is how long a service waits for the log before a version that the log does not name is used, if it
 	// has no other.
 	announceTimeout = time.Second
+	// maxListedAge is how old the list of upstreams may be to tell, without the records of the other routers, that a service
+	// has one version. It exceeds the time for which a read of the upstreams waits at the log.
+	maxListedAge = 2 * time.Second
 	// maxStreams bounds the streams that are remembered.
 	maxStreams = 50_000
 )
@@ -45,6 +48,8 @@
 	VM string
 	// Routers returns the number of live routers.
 	Routers func() int
+	// ListedAge returns how long ago the log confirmed the upstreams of SetListed.
+	ListedAge func() time.Duration
 	// OnAnnounced is called when the result of MayBegin has changed for a version.
 	OnAnnounced func()
 	Now         func() time.Time
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -27,7 +27,8 @@
 func newTestRegistry(log keyedlog.Log, vm string, now func() time.Time) *Registry {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	return New(Config{Log: log, Stream: testStream, VM: vm, Routers: func() int { return 1 }, Now: now, Logger: logger})
+	return New(Config{Log: log, Stream: testStream, VM: vm, Routers: func() int { return 1 }, Now: now, Logger: logger,
+		ListedAge: func() time.Duration { return 0 }})
 }
 
 func listed(origins ...Origin) map[Origin]struct{} {
@@ -223,6 +224,28 @@
 	is.True(!r.MayBegin(v4))
 }
 
+// TestOnlyVersionOfAnOldListIsNotTrusted guards against a router without the log that takes the only version that it has seen for
+// the only one, while others have begun streams at a newer one. A single failure of the log must not refuse a stream.
+func TestOnlyVersionOfAnOldListIsNotTrusted(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	r := newTestRegistry(log, "vm-1", time.Now)
+	var age time.Duration
+	r.cfg.ListedAge = func() time.Duration { return age }
+	r.SetListed(listed(v1))
+	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
+	o, _, err := resolve(r, "of another router")
+	is.NoErr(err)
+	is.Equal(o, v1)
+	r.Begin("own", v1)
+	age = maxListedAge + 1
+	_, _, err = resolve(r, "of another router")
+	is.True(errors.Is(err, ErrUnknown))
+	o, _, err = resolve(r, "own")
+	is.NoErr(err)
+	is.Equal(o, v1)
+}
+
 // TestVersionCountsUntilItsStreamsAreForgotten guards against a version that is forgotten while a stream that it began
 // goes on.
 func TestVersionCountsUntilItsStreamsAreForgotten(t *testing.T) {
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -71,7 +71,10 @@
 	for {
 		l, err := r.listSince(ctx, r.cfg.Now())
 		if err != nil {
-			// Only what this router has seen itself is known.
+			if r.cfg.ListedAge() > maxListedAge {
+				// Others may have begun streams at a version that this router has not seen.
+				return r.onlyVersion(nil, service, err)
+			}
 			return r.onlyVersion(r.seenVersions(service), service, err)
 		}
 		if attemptID != "" {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -209,7 +209,8 @@
 		Notify: logQuarantine(logger),
 	})
 	g.origins = streamorigin.New(streamorigin.Config{
-		Log: deps.Log, Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, OnAnnounced: g.useAnnouncedVersions, Now: time.Now, Logger: logger,
+		Log: deps.Log, Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, ListedAge: func() time.Duration { return g.upstreams.Staleness(g.started) },
+		OnAnnounced: g.useAnnouncedVersions, Now: time.Now, Logger: logger,
 	})
 	g.retries = retryBudgets{cfg: routing.WindowConfig{
 		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Length: cfg.RetryWindow, Routers: g.heartbeats.Routers, Now: time.Now,
