Stream origins: records of a VM take effect in the order in which they are built

Callers could get a stream joined from two versions in three ways: - Appends without a response may be executed seconds later, but their sequence numbers counted. Two records of a process that were built before a stream began, and executed after a caller took it up, passed for the proof that the process had not begun it. - The late record of a process that has ended replaced that of its successor, and hid its versions and streams. - Flush ran beside the write in progress, whose older record could follow the last one.

Appends now carry a producer's epoch, as those of package prepaid do. It ends with the first append that fails, so that the next one fences it, and records of two epochs are not compared. A new process fences the earlier ones before it reads their record. One write is in progress at a time.

--- a/internal/coordination/streamorigin/record.go
+++ b/internal/coordination/streamorigin/record.go
@@ -14,8 +14,9 @@
 	// WrittenMillis is the time of day of the write, in Unix milliseconds.
 	WrittenMillis int64           `cbor:"1,keyasint"`
 	Services      []serviceRecord `cbor:"2,keyasint"`
-	// Process identifies the process that wrote the record, and Sequence numbers its records.
-	Process  uint64 `cbor:"3,keyasint"`
+	// Epoch and Sequence are those of the append. Processes of a VM have different epochs. Within an epoch each record was
+	// built after the log had acknowledged the one before.
+	Epoch    uint64 `cbor:"3,keyasint"`
 	Sequence uint64 `cbor:"4,keyasint"`
 }
 
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -80,8 +79,8 @@
 type Registry struct {
 	cfg Config
 
-	// process identifies this process in its records.
-	process uint64
+	// stepping holds one element while a step is in progress.
+	stepping chan struct{}
 
 	mu      sync.Mutex
 	streams map[streamHash]*stream
@@ -102,8 +101,9 @@
 // New returns a Registry that has not started.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, process: rand.Uint64(), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream), seen: make(map[string]map[string]*sighting),
-		listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
+		cfg: cfg, stepping: make(chan struct{}, 1), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
+		seen: make(map[string]map[string]*sighting), listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
+		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
 	}
 }
 
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -105,8 +105,9 @@
 }
 
 // candidates returns the versions that may have begun a stream that no record has. A process that is alive has all of its
-// streams in its second record after the one in first, which candidates fills in: that one was built after the request had
-// arrived. Of a process that has ended, or is not known to be alive, all versions count.
+// streams in its second record of an epoch after the one in first, which candidates fills in: the one between was acknowledged,
+// and the second one built, after the request had arrived. Of a process that has ended, or is not known to be alive, all
+// versions count.
 func (r *Registry) candidates(service string, l listing, first map[string]record) []string {
 	versions := make(map[string]struct{})
 	r.mu.Lock()
@@ -124,7 +125,7 @@
 			continue
 		}
 		before, ok := first[vm]
-		if !ok || before.Process != rec.Process {
+		if !ok || before.Epoch != rec.Epoch {
 			before = rec
 			first[vm] = rec
 		}
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -26,6 +26,11 @@
 	writeTimeout     = 1200 * time.Millisecond
 	// renewInterval is the time between two writes of a record that does not change.
 	renewInterval = time.Minute
+	// epochStep, in microseconds, is added to an epoch that is too low because the time of day was set back. It is
+	// multiplied by epochGrowth after each attempt, so that maxEpochAttempts cover years.
+	epochStep        = 1_000_000
+	epochGrowth      = 16
+	maxEpochAttempts = 10
 	// maxRecordStreams bounds a record to half of what the log accepts. Streams beyond it are left out.
 	maxRecordStreams = 16_000
 )
@@ -37,8 +42,9 @@
 	// dirty is true if the log lacks what the record must say.
 	dirty     bool
 	writtenAt time.Time
-	// sequence is that of the last record.
-	sequence uint64
+	// producer numbers the appends. An epoch ends with the first append that fails, which may still be executed: the next
+	// epoch fences it.
+	producer keyedlog.Producer
 	// builtAt is when the record of the last write was built.
 	builtAt time.Time
 	// versions are the services and versions in the last record, as text.
@@ -47,13 +53,22 @@
 	failing  bool
 }
 
+func (w *writerState) startEpoch() { w.producer.Epoch, w.producer.Sequence = w.producer.Epoch+1, 0 }
+
 // writeInterval returns the time between two writes, which grows with the fleet.
 func (r *Registry) writeInterval() time.Duration {
 	return max(baseWriteInterval, time.Duration(r.cfg.Routers())*writeIntervalPerRouter)
 }
 
-// step writes the record if it has changed. Its first call reads that of an earlier process of the VM.
+// step writes the record if it has changed. Its first call reads that of an earlier process of the VM. The records take effect
+// in the order in which they are built.
 func (r *Registry) step(ctx context.Context) error {
+	select {
+	case r.stepping <- struct{}{}:
+		defer func() { <-r.stepping }()
+	case <-ctx.Done():
+		return errors.WithStack(context.Cause(ctx))
+	}
 	if err := r.inherit(ctx); err != nil {
 		r.noteAnnounced(false)
 		return err
@@ -65,7 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := r.cfg.Log.Append(ctx, r.cfg.Stream, []keyedlog.Record{{Key: r.cfg.VM, Value: value}}, keyedlog.AnyOffset)
+	_, err := r.cfg.Log.AppendAs(ctx, r.cfg.Stream, []keyedlog.Record{{Key: r.cfg.VM, Value: value}}, r.writer.producer)
 	r.noteWrite(included, err)
 	r.noteAnnounced(err == nil)
 	return err
@@ -89,6 +104,9 @@
 	if inherited {
 		return nil
 	}
+	if err := r.fenceEarlier(ctx); err != nil {
+		return err
+	}
 	l, err := r.list(ctx)
 	if err != nil {
 		return err
@@ -115,6 +133,24 @@
 	return nil
 }
 
+// fenceEarlier fences the records of earlier processes of the VM. They could otherwise be executed after those of this one.
+func (r *Registry) fenceEarlier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	step := uint64(epochStep)
+	for range maxEpochAttempts {
+		_, err := r.cfg.Log.AppendAs(ctx, r.cfg.Stream, nil, r.writer.producer)
+		if !errors.Is(err, keyedlog.ErrFenced) {
+			return err
+		}
+		r.mu.Lock()
+		r.writer.producer.Epoch += step
+		r.mu.Unlock()
+		step *= epochGrowth
+	}
+	return errors.Newf("no accepted epoch for producer %s", r.cfg.VM)
+}
+
 // nextRecord returns the record to write and the streams in it, or nil if the log has it already.
 func (r *Registry) nextRecord() (value []byte, included []*stream) {
 	r.mu.Lock()
@@ -122,8 +158,12 @@
 	now := r.cfg.Now()
 	r.expire(now)
 	era := r.cfg.Log.CurrentEra()
+	if era != r.writer.era {
+		// The copy may lack the last append.
+		r.writer.startEpoch()
+	}
 	dirty := r.writer.dirty || era != r.writer.era || now.Sub(r.writer.writtenAt) > renewInterval
-	rec := record{WrittenMillis: now.UnixMilli(), Process: r.process, Sequence: r.writer.sequence + 1}
+	rec := record{WrittenMillis: now.UnixMilli(), Epoch: r.writer.producer.Epoch, Sequence: r.writer.producer.Sequence + 1}
 	for service, versions := range r.seen {
 		s := serviceRecord{Name: service}
 		for o := range r.earlier {
@@ -159,7 +199,7 @@
 		return nil, nil
 	}
 	r.writer.dirty, r.writer.era, r.writer.versions, r.writer.builtAt = true, era, versions, now
-	r.writer.sequence = rec.Sequence
+	r.writer.producer.Sequence = rec.Sequence
 	return value, included
 }
 
@@ -194,6 +234,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
+		r.writer.startEpoch()
 		obs.StreamOriginWriteFailuresTotal.Add(1)
 		if !r.writer.failing {
 			r.writer.failing = true
