--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -91,11 +90,8 @@
 type Registry struct {
 	cfg Config
 
-	// process identifies this process in its records.
-	process uint64
-
-	// writeMu is held during a write, so that records reach the log in order. It is locked before mu.
-	writeMu sync.Mutex
+	// stepping holds one element while a step is in progress.
+	stepping chan struct{}
 
 	mu      sync.Mutex
 	streams map[streamHash]*stream
@@ -116,8 +112,9 @@
 // New returns a Registry that has not started.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, process: rand.Uint64(), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream), seen: make(map[string]map[string]*sighting),
-		listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
+		cfg: cfg, stepping: make(chan struct{}, 1), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
+		seen: make(map[string]map[string]*sighting), listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
+		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
 	}
 }
 
