--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +49,9 @@
 	Routers func() int
 	// ListedAge returns how long ago the log confirmed the upstreams of SetListed.
 	ListedAge func() time.Duration
+	// QueryPeers asks other routers for the origin of a stream by its hash, see Known, and returns the answers of those that
+	// know it. It may be nil.
+	QueryPeers func(ctx context.Context, hash uint64) []Origin
 	// OnAnnounced is called when the result of MayBegin has changed for a version.
 	OnAnnounced func()
 	Now         func() time.Time
@@ -88,11 +90,8 @@
 type Registry struct {
 	cfg Config
 
-	// process identifies this process in its records.
-	process uint64
-
-	// writeMu is held during a write, so that records reach the log in order. It is locked before mu.
-	writeMu sync.Mutex
+	// stepping holds one element while a step is in progress.
+	stepping chan struct{}
 
 	mu      sync.Mutex
 	streams map[streamHash]*stream
@@ -113,8 +112,9 @@
 // New returns a Registry that has not started.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, process: rand.Uint64(), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream), seen: make(map[string]map[string]*sighting),
-		listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
+		cfg: cfg, stepping: make(chan struct{}, 1), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
+		seen: make(map[string]map[string]*sighting), listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
+		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
 	}
 }
 
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -40,11 +40,14 @@
 	if x.maxCost > 0 {
 		fields["bound"], fields["events"], fields["charged"] = x.maxCost, op.events, op.charged
 	}
+	if after := op.caller.LastEventID; after != "" {
+		fields["resumed_after"] = after
+	}
 	if op.abortConnection {
 		fields["cut"] = true
 	}
 	if op.origin.takenUp {
-		fields["last_event_id"], fields["resumes"], fields["origin"] = op.caller.LastEventID, op.caller.Resumes, op.origin.source
+		fields["resumes"], fields["origin"] = op.caller.Resumes, op.origin.source
 	}
 	if op.origin.version != nil {
 		fields["software_version"] = *op.origin.version
