Stream origins: say at which versions streams were left out

Callers could get a stream joined from two versions: a router that began more than 16,000 streams in 40 s beside several versions left some out of its record, and more than 50,000 out of its memory, but its next records still passed for the proof that it had not begun them.

The record now names the versions of such streams, as it does for those of earlier processes. TestStreamsBeyondTheBoundsAreUnknown failed before with the one candidate v2 for a stream of v1.

--- a/internal/coordination/streamorigin/record.go
+++ b/internal/coordination/streamorigin/record.go
@@ -24,8 +24,9 @@
 type serviceRecord struct {
 	Name     string          `cbor:"1,keyasint"`
 	Versions []versionRecord `cbor:"2,keyasint"`
-	// Earlier are the versions at which earlier processes of the VM may have begun streams that are not in the record.
-	Earlier []string `cbor:"3,keyasint,omitempty"`
+	// Unrecorded are the versions at which earlier processes of the VM may have begun streams that are not in the record, or
+	// this one more streams than it remembers or the record holds.
+	Unrecorded []string `cbor:"3,keyasint,omitempty"`
 }
 
 // versionRecord names a version that upstreams had in the retention time.
@@ -89,7 +90,7 @@
 		if s.Name != service {
 			continue
 		}
-		for _, version := range s.Earlier {
+		for _, version := range s.Unrecorded {
 			versions[version] = struct{}{}
 		}
 		for _, v := range s.Versions {
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -26,6 +26,9 @@
 	// retention is how long a stream is remembered after its last answer, and how long a version counts after its last
 	// upstream was seen. It exceeds the time for which callers try to go on with a stream.
 	retention = 40 * time.Second
+	// unrecordedRetention is how long a version counts at which more streams began than are remembered. Their answers may
+	// still go on.
+	unrecordedRetention = 2 * retention
 	// announceTimeout is how long a new version waits for the log before it is used all the same.
 	announceTimeout = time.Second
 	// maxStreams bounds the streams that are remembered.
@@ -86,9 +89,9 @@
 	streams map[streamHash]*stream
 	// seen holds, by service, the versions that upstreams have had in the retention time.
 	seen map[string]map[string]*sighting
-	// earlier holds the versions at which earlier processes of the VM may have begun streams that are not known, and until
+	// unrecorded holds the versions at which this process or earlier ones of the VM may have begun streams that are not known, and until
 	// when they count.
-	earlier map[Origin]time.Time
+	unrecorded map[Origin]time.Time
 	// listed holds the versions that upstreams have at present.
 	listed map[Origin]struct{}
 	writer writerState
@@ -101,7 +104,7 @@
 // New returns a Registry that has not started.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, stepping: make(chan struct{}, 1), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
+		cfg: cfg, stepping: make(chan struct{}, 1), unrecorded: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
 		seen: make(map[string]map[string]*sighting), listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
 		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
 	}
@@ -176,6 +179,7 @@
 	if s == nil {
 		if len(r.streams) >= maxStreams {
 			obs.StreamOriginsDroppedTotal.Add(1)
+			r.unrecorded[o] = r.cfg.Now().Add(unrecordedRetention)
 			return
 		}
 		s = &stream{Origin: o}
@@ -222,9 +226,9 @@
 	for o := range r.listed {
 		r.noteSeen(o, now)
 	}
-	for o, until := range r.earlier {
+	for o, until := range r.unrecorded {
 		if now.After(until) {
-			delete(r.earlier, o)
+			delete(r.unrecorded, o)
 		}
 	}
 	for service, versions := range r.seen {
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -402,3 +402,30 @@
 	is.True(ok)
 	is.Equal(o, v2)
 }
+
+// TestStreamsBeyondTheBoundsAreUnknown guards against a stream that is joined from two versions because its router began more
+// streams than it remembers, or than its record holds.
+func TestStreamsBeyondTheBoundsAreUnknown(t *testing.T) {
+	for _, n := range []int{maxRecordStreams + 2000, maxStreams + 2000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			log, ctx := keyedlog.NewMemory(), context.Background()
+			gone := newTestRegistry(log, "vm-3", time.Now)
+			gone.SetListed(listed(v2))
+			is.NoErr(gone.step(ctx))
+			own, other := newTestRegistry(log, "vm-1", time.Now), newTestRegistry(log, "vm-2", time.Now)
+			own.SetListed(listed(v1, v2))
+			for i := range n {
+				own.Begin(fmt.Sprint("s", i), v1)
+			}
+			is.NoErr(own.step(ctx))
+			first := make(map[string]record)
+			_, _ = other.resolveNow("unknown", service, first)
+			is.NoErr(own.step(ctx))
+			is.NoErr(own.step(ctx))
+			l, err := other.list(ctx)
+			is.NoErr(err)
+			is.Equal(other.candidates(service, l, first), []string{"v1", "v2"})
+		})
+	}
+}
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -113,7 +113,7 @@
 	r.mu.Lock()
 	now := r.cfg.Now()
 	inherited := r.writer.inherited
-	for o := range r.earlier {
+	for o := range r.unrecorded {
 		if o.Service == service {
 			versions[o.Version] = struct{}{}
 		}
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -31,7 +32,8 @@
 	epochStep        = 1_000_000
 	epochGrowth      = 16
 	maxEpochAttempts = 10
-	// maxRecordStreams bounds a record to half of what the log accepts. Streams beyond it are left out.
+	// maxRecordStreams bounds a record to half of what the log accepts. Streams beyond it are left out, and their versions
+	// are among the unrecorded ones.
 	maxRecordStreams = 16_000
 )
 
@@ -116,13 +118,13 @@
 	now := r.cfg.Now()
 	r.writer.inherited, r.writer.dirty, r.writer.era = true, true, r.cfg.Log.CurrentEra()
 	for _, s := range l.records[r.cfg.VM].Services {
-		for _, version := range s.Earlier {
-			r.earlier[Origin{Service: s.Name, Version: version}] = now.Add(retention)
+		for _, version := range s.Unrecorded {
+			r.unrecorded[Origin{Service: s.Name, Version: version}] = now.Add(retention)
 		}
 		for _, v := range s.Versions {
 			o := Origin{Service: s.Name, Version: v.Version}
 			r.noteSeen(o, now)
-			r.earlier[o] = now.Add(retention)
+			r.unrecorded[o] = now.Add(retention)
 			for _, h := range v.hashes() {
 				if r.streams[h] == nil && len(r.streams) < maxStreams {
 					r.streams[h] = &stream{Origin: o, endedAt: now}
@@ -166,12 +168,6 @@
 	rec := record{WrittenMillis: now.UnixMilli(), Epoch: r.writer.producer.Epoch, Sequence: r.writer.producer.Sequence + 1}
 	for service, versions := range r.seen {
 		s := serviceRecord{Name: service}
-		for o := range r.earlier {
-			if o.Service == service {
-				s.Earlier = append(s.Earlier, o.Version)
-			}
-		}
-		slices.Sort(s.Earlier)
 		for version := range versions {
 			s.Versions = append(s.Versions, versionRecord{Version: version})
 		}
@@ -179,14 +175,19 @@
 		rec.Services = append(rec.Services, s)
 	}
 	slices.SortFunc(rec.Services, func(a, b serviceRecord) int { return strings.Compare(a.Name, b.Name) })
+	unrecorded := maps.Clone(r.unrecorded)
 	for h, s := range r.streams {
 		v := rec.versionOf(s.Origin)
-		if v == nil || len(included) >= maxRecordStreams {
-			continue
+		switch {
+		case v == nil:
+		case len(included) >= maxRecordStreams:
+			unrecorded[s.Origin] = time.Time{}
+		default:
+			v.add(h)
+			included = append(included, s)
 		}
-		v.add(h)
-		included = append(included, s)
 	}
+	rec.setUnrecorded(unrecorded)
 	versions := rec.versionNames()
 	// Beside several versions, each new record shows that its process is alive and that the record has all of its streams.
 	dirty = dirty || versions != r.writer.versions || rec.mixed()
@@ -218,6 +219,18 @@
 	return nil
 }
 
+func (rec record) setUnrecorded(versions map[Origin]time.Time) {
+	for i := range rec.Services {
+		s := &rec.Services[i]
+		for o := range versions {
+			if o.Service == s.Name {
+				s.Unrecorded = append(s.Unrecorded, o.Version)
+			}
+		}
+		slices.Sort(s.Unrecorded)
+	}
+}
+
 // versionNames returns the services and versions of the record as one text.
 func (rec record) versionNames() string {
 	var b strings.Builder
