Stream origins: a log that does not answer does not withhold upstreams

Routers kept upstreams of a new version, and at their start all upstreams, out of use for longer than the second that is the bound: the time was checked between calls to the log only, a call may take 1.2 s, and the listing at the start had no limit but that of the store's client. A ticker of its own checks it now.

TestHangingLogDoesNotWithholdVersions failed before: withheld for more than 1.15 s at the start.

--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
@@ -255,6 +256,27 @@
 
 // Run keeps the record in the log up to date until the context ends.
 func (r *Registry) Run(ctx context.Context) {
+	var loops conc.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { r.runWrites(ctx) })
+	loops.Go(func() { r.runAnnounceTimeouts(ctx) })
+}
+
+// runAnnounceTimeouts announces versions that have waited for the log long enough, also during calls that it does not answer.
+func (r *Registry) runAnnounceTimeouts(ctx context.Context) {
+	ticker := time.NewTicker(announceTimeout / 10)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.noteAnnounced(false)
+		}
+	}
+}
+
+func (r *Registry) runWrites(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := r.writeInterval()
 		if err := r.step(ctx); err != nil {
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -429,3 +429,45 @@
 		})
 	}
 }
+
+// TestHangingLogDoesNotWithholdVersions guards against upstreams that get no streams for longer than announceTimeout: at the start,
+// and when a version appears during a call that the log does not answer.
+func TestHangingLogDoesNotWithholdVersions(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := &hangingLog{Memory: keyedlog.NewMemory()}
+	r := newTestRegistry(log, "vm-1", time.Now)
+	announced := make(chan time.Time, 10)
+	r.cfg.OnAnnounced = func() { announced <- time.Now() }
+	const slack = 150 * time.Millisecond
+	await := func(o Origin) {
+		t.Helper()
+		from := time.Now()
+		select {
+		case at := <-announced:
+			is.True(at.Sub(from) < announceTimeout+slack)
+		case <-time.After(announceTimeout + 3*time.Second):
+			t.Fatal("the version is withheld")
+		}
+		is.True(r.MayBegin(o))
+	}
+	r.SetListed(listed(v1))
+	go r.Run(ctx)
+	await(v1)
+	r.SetListed(listed(v1, v2))
+	await(v2)
+}
+
+// hangingLog answers no call.
+type hangingLog struct{ *keyedlog.Memory }
+
+func (l *hangingLog) AppendAs(ctx context.Context, _ keyedlog.Stream, _ []keyedlog.Record, _ keyedlog.Producer) (end uint64, err error) {
+	<-ctx.Done()
+	return 0, keyedlog.ErrOutcomeUnknown
+}
+
+func (l *hangingLog) Newest(ctx context.Context, _ keyedlog.Stream) (keyedlog.Page, error) {
+	<-ctx.Done()
+	return keyedlog.Page{}, keyedlog.ErrUnavailable
+}
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -72,12 +72,10 @@
 		return errors.WithStack(context.Cause(ctx))
 	}
 	if err := r.inherit(ctx); err != nil {
-		r.noteAnnounced(false)
 		return err
 	}
 	value, included := r.nextRecord()
 	if value == nil {
-		r.noteAnnounced(false)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -109,6 +107,8 @@
 	if err := r.fenceEarlier(ctx); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
 	l, err := r.list(ctx)
 	if err != nil {
 		return err
