Stream origins: do not inherit a record that is outdated

Callers who took a stream up again were refused for 40 s after a VM had been down for long, if the service had another version then: its new process inherited the versions of its old record, whatever its age, and counted them.

TestOutdatedRecordIsNotInherited failed before: the origin was v1, of which no upstream was left.

--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -471,3 +471,27 @@
 	<-ctx.Done()
 	return keyedlog.Page{}, keyedlog.ErrUnavailable
 }
+
+// TestOutdatedRecordIsNotInherited guards against refusals after a VM was down for long, for a version that it served before.
+func TestOutdatedRecordIsNotInherited(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	now := time.Unix(1_000_000, 0)
+	before := newTestRegistry(log, "vm-1", func() time.Time { return now })
+	before.SetListed(listed(v1))
+	is.NoErr(before.step(context.Background()))
+	now = now.Add(recordLifetime + time.Second)
+	after := newTestRegistry(log, "vm-1", func() time.Time { return now })
+	after.SetListed(listed(v2))
+	is.NoErr(after.step(context.Background()))
+	for _, vm := range []string{"vm-1", "vm-2"} {
+		r := after
+		if vm != "vm-1" {
+			r = newTestRegistry(log, vm, func() time.Time { return now })
+			r.SetListed(listed(v2))
+		}
+		o, _, err := resolve(r, "")
+		is.NoErr(err)
+		is.Equal(o, v2)
+	}
+}
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -117,7 +117,11 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	r.writer.inherited, r.writer.dirty, r.writer.era = true, true, r.cfg.Log.CurrentEra()
-	for _, s := range l.records[r.cfg.VM].Services {
+	rec := l.records[r.cfg.VM]
+	if rec.outdated(now) {
+		return nil
+	}
+	for _, s := range rec.Services {
 		for _, version := range s.Unrecorded {
 			r.unrecorded[Origin{Service: s.Name, Version: version}] = now.Add(retention)
 		}
