Take up a stream of a moved route where it went on

Callers could get a stream joined from two versions of one service after their route had moved to it: the service ran the rest of the stream anew, at one version, but the next router found the origin in the service before, which is no target of the route any more, and sent the stream to any version. The router that had begun the stream kept the first origin for good.

Resolve prefers an origin at a target of the route, and Begin replaces that of another service. TestStreamOfMovedRouteKeepsItsVersion failed before with the origin in the other service.

--- a/internal/coordination/streamorigin/bench_test.go
+++ b/internal/coordination/streamorigin/bench_test.go
@@ -55,7 +55,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, ok := l.find(hashOf("unknown")); ok {
+		if _, ok := l.find(hashOf("unknown"), func(string) bool { return true }); ok {
 			b.Fatal(errors.New("an unknown stream was found"))
 		}
 	}
--- a/internal/coordination/streamorigin/model_test.go
+++ b/internal/coordination/streamorigin/model_test.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		return Origin{}, false
 	}
-	if o, ok := l.find(hashOf(id)); ok {
+	if o, ok := l.find(hashOf(id), func(name string) bool { return name == service }); ok {
 		return o, true
 	}
 	if versions := r.candidates(service, l, first); len(versions) == 1 {
--- a/internal/coordination/streamorigin/record.go
+++ b/internal/coordination/streamorigin/record.go
@@ -101,14 +101,14 @@
 	}
 }
 
-// find returns the origin of a stream.
-func (rec record) find(h streamHash) (Origin, bool) {
+// find returns the origins of a stream. A stream whose route has moved has one in each service that it went on at.
+func (rec record) find(h streamHash) (origins []Origin) {
 	for _, s := range rec.Services {
 		for _, v := range s.Versions {
 			if v.has(h) {
-				return Origin{Service: s.Name, Version: v.Version}, true
+				origins = append(origins, Origin{Service: s.Name, Version: v.Version})
 			}
 		}
 	}
-	return Origin{}, false
+	return origins
 }
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -186,6 +186,10 @@
 		s = &stream{Origin: o}
 		r.streams[h] = s
 	}
+	if s.Service != o.Service {
+		// The route has moved.
+		s.Origin, s.written = o, false
+	}
 	s.answers++
 }
 
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -38,7 +38,7 @@
 }
 
 func resolve(r *Registry, id string) (Origin, Source, error) {
-	return r.Resolve(context.Background(), id, service)
+	return r.Resolve(context.Background(), id, service, func(name string) bool { return name == service })
 }
 
 // TestStreamsAreKnownAfterAllRoutersEnded guards against streams that are joined from two software versions after all
@@ -495,3 +495,48 @@
 		is.Equal(o, v2)
 	}
 }
+
+// TestStreamOfMovedRouteKeepsItsVersion guards against a stream that is joined from two versions of the service that its route has
+// moved to: the service runs the rest of it anew, and what tells where it began hides where it went on.
+func TestStreamOfMovedRouteKeepsItsVersion(t *testing.T) {
+	is := is.New(t)
+	log, ctx := keyedlog.NewMemory(), context.Background()
+	all := listed(v1, v2, Origin{Service: "counter", Version: "v7"}, Origin{Service: "counter", Version: "v8"})
+	var routers []*Registry
+	for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+		r := newTestRegistry(log, vm, time.Now)
+		r.SetListed(all)
+		is.NoErr(r.step(ctx))
+		routers = append(routers, r)
+	}
+	write := func() {
+		for _, r := range routers {
+			is.NoErr(r.step(ctx))
+		}
+	}
+	first, second := Origin{Service: "counter", Version: "v7"}, v2
+	routers[0].Begin("s", first)
+	routers[0].End("s", true)
+	write()
+	for _, r := range routers {
+		o, _, err := resolve(r, "s")
+		is.NoErr(err)
+		is.Equal(o, first) // the route has no such target, so the stream is not bound
+	}
+	routers[1].Begin("s", second)
+	routers[1].End("s", true)
+	write()
+	for range 20 { // the order of the records is random
+		for _, r := range routers {
+			o, _, err := resolve(r, "s")
+			is.NoErr(err)
+			is.Equal(o, second)
+		}
+	}
+	routers[0].Begin("s", second)
+	is.NoErr(routers[0].step(ctx))
+	o, source, err := resolve(routers[0], "s")
+	is.NoErr(err)
+	is.Equal(o, second)
+	is.Equal(source, SourceMemory)
+}
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -55,16 +55,17 @@
 	SourceOnlyVersion Source = "only version"
 )
 
-// Resolve returns where a stream began that a caller takes up again, and what tells it. attemptID is the ID of the attempt that brought the
-// first event, or empty if the caller does not say. service is the one that the request goes to. It returns ErrUnknown if
-// several versions may have begun the stream.
-func (r *Registry) Resolve(ctx context.Context, attemptID, service string) (Origin, Source, error) {
+// Resolve returns where a stream began that a caller takes up again, and what tells it. attemptID is the ID of the attempt that
+// brought the first event, or empty if the caller does not say. service is the one that the request goes to, unless the stream
+// began at another one of its targets. A stream whose route has moved may have an origin in a service that is no target; if a
+// target has run the rest of it since, that is its origin. Resolve returns ErrUnknown if several versions may have begun the
+// stream.
+func (r *Registry) Resolve(ctx context.Context, attemptID, service string, isTarget func(service string) bool) (Origin, Source, error) {
 	obs.StreamTakeUpsTotal.Add(1)
 	h := hashOf(attemptID)
-	if attemptID != "" {
-		if o, ok := r.local(h); ok {
-			return o, SourceMemory, nil
-		}
+	local, known := r.local(h)
+	if attemptID != "" && known && isTarget(local.Service) {
+		return local, SourceMemory, nil
 	}
 	deadline := r.cfg.Now().Add(max(minResolveWait, resolveWrites*r.writeInterval()))
 	first := make(map[string]record)
@@ -75,9 +76,12 @@
 			return r.onlyVersion(r.seenVersions(service), service, err)
 		}
 		if attemptID != "" {
-			if o, ok := l.find(h); ok {
+			if o, ok := l.find(h, isTarget); ok {
 				return o, SourceLog, nil
 			}
+			if known {
+				return local, SourceMemory, nil
+			}
 		}
 		versions := r.candidates(service, l, first)
 		if len(versions) <= 1 || attemptID == "" || !r.cfg.Now().Before(deadline) {
@@ -95,13 +99,17 @@
 	return Origin{}, "", errors.CombineErrors(errors.Wrapf(ErrUnknown, "one of %q", versions), cause)
 }
 
-func (l listing) find(h streamHash) (Origin, bool) {
+// find returns an origin of a stream in the records, one at a target if there is any.
+func (l listing) find(h streamHash, isTarget func(service string) bool) (found Origin, ok bool) {
 	for _, rec := range l.records {
-		if o, ok := rec.find(h); ok {
-			return o, true
+		for _, o := range rec.find(h) {
+			if isTarget(o.Service) {
+				return o, true
+			}
+			found, ok = o, true
 		}
 	}
-	return Origin{}, false
+	return found, ok
 }
 
 // candidates returns the versions that may have begun a stream that no record has. A process that is alive has all of its
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -81,7 +81,9 @@
 type StreamOrigins interface {
 	Begin(attemptID string, o streamorigin.Origin)
 	End(attemptID string, broken bool)
-	Resolve(ctx context.Context, attemptID, service string) (streamorigin.Origin, streamorigin.Source, error)
+	Resolve(
+		ctx context.Context, attemptID, service string, isTarget func(service string) bool,
+	) (streamorigin.Origin, streamorigin.Source, error)
 }
 
 // Routing selects upstreams. Pick fails with a routing.NoUpstreamError or a routing.QuarantinedError.
--- a/internal/transport/httpapi/forward_origin.go
+++ b/internal/transport/httpapi/forward_origin.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	op.origin.takenUp = true
-	origin, source, err := x.api.Origins.Resolve(x.ctx, op.caller.Resumes, op.service.Name)
+	origin, source, err := x.api.Origins.Resolve(x.ctx, op.caller.Resumes, op.service.Name, op.route.HasTarget)
 	if err != nil {
 		op.cause = err
 		return x.contextErrorOr(refusal(http.StatusServiceUnavailable, CodeStreamVersionUnknown,
