Stream origins: a new process does not guess without the log

Callers whose streams had broken off when all routers were killed could get them joined from two versions: if the listing of the records failed, as it may when all routers start at once, a new process bound the stream to the only version in service, though that of the stream had left since. What a router has seen tells only of the time since its start.

TestNewProcessDoesNotGuessWithoutTheLog failed before: a stream of v1 was bound to v2.

--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -83,6 +83,7 @@
 type Registry struct {
 	cfg Config
 
+	startedAt time.Time
 	// stepping holds one element while a step is in progress.
 	stepping chan struct{}
 
@@ -105,7 +106,7 @@
 // New returns a Registry that has not started.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, stepping: make(chan struct{}, 1), unrecorded: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
+		cfg: cfg, startedAt: cfg.Now(), stepping: make(chan struct{}, 1), unrecorded: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
 		seen: make(map[string]map[string]*sighting), listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
 		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
 	}
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -540,3 +540,27 @@
 	is.Equal(o, second)
 	is.Equal(source, SourceMemory)
 }
+
+// TestNewProcessDoesNotGuessWithoutTheLog guards against streams that go on at the only version in service after all routers were
+// killed, while the log does not answer: another version may have begun them and left. A process that has seen all versions of the
+// retention time knows.
+func TestNewProcessDoesNotGuessWithoutTheLog(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	now := time.Unix(1_000_000, 0)
+	before := newTestRegistry(log, "vm-1", func() time.Time { return now })
+	before.SetListed(listed(v1))
+	is.NoErr(before.step(context.Background()))
+	before.Begin("s", v1)
+
+	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
+	after := newTestRegistry(log, "vm-1", func() time.Time { return now })
+	after.SetListed(listed(v2))
+	_, _, err := resolve(after, "s")
+	is.True(errors.Is(err, ErrUnknown))
+	now = now.Add(retention + time.Second)
+	o, source, err := resolve(after, "later")
+	is.NoErr(err)
+	is.Equal(o, v2)
+	is.Equal(source, SourceOnlyVersion)
+}
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -72,8 +72,7 @@
 	for {
 		l, err := r.listSince(ctx, r.cfg.Now())
 		if err != nil {
-			// Only what this router has seen itself is known.
-			return r.onlyVersion(r.seenVersions(service), service, err)
+			return r.resolveWithoutLog(service, err)
 		}
 		if attemptID != "" {
 			if o, ok := l.find(h, isTarget); ok {
@@ -90,6 +89,15 @@
 	}
 }
 
+// resolveWithoutLog returns the only version that this router has seen. That tells nothing of the time before its start.
+func (r *Registry) resolveWithoutLog(service string, cause error) (Origin, Source, error) {
+	var versions []string
+	if r.cfg.Now().Sub(r.startedAt) > retention {
+		versions = r.seenVersions(service)
+	}
+	return r.onlyVersion(versions, service, cause)
+}
+
 // onlyVersion returns the origin of a stream of which nothing is known but the versions that may have begun it.
 func (r *Registry) onlyVersion(versions []string, service string, cause error) (Origin, Source, error) {
 	if len(versions) == 1 {
