Stream origins: count lost records of a restored log

Callers could get a stream joined from two versions after all routers were killed and the log came back from a copy that is older than the second version: its records named the first version only, and streams of the second one went on there.

Records carry the era of the log. Beside one of an earlier era all versions in service count, also for the process that inherits it. TestRestoredLogLacksVersions failed before: the stream of v2 was taken for one of v1.

--- a/internal/coordination/streamorigin/record.go
+++ b/internal/coordination/streamorigin/record.go
@@ -18,6 +18,8 @@
 	// built after the log had acknowledged the one before.
 	Epoch    uint64 `cbor:"3,keyasint"`
 	Sequence uint64 `cbor:"4,keyasint"`
+	// Era is that of the log when the record was built. If the log was restored since, later records of the VM may be lost.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // serviceRecord is what a VM knows of the streams of one service.
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -564,3 +564,33 @@
 	is.Equal(o, v2)
 	is.Equal(source, SourceOnlyVersion)
 }
+
+// TestRestoredLogLacksVersions guards against streams that are joined from two versions after all routers were killed and the log
+// came back from a copy that is older than the second version.
+func TestRestoredLogLacksVersions(t *testing.T) {
+	is := is.New(t)
+	log, ctx := keyedlog.NewMemory(), context.Background()
+	before := newTestRegistry(log, "vm-1", time.Now)
+	before.SetListed(listed(v1))
+	is.NoErr(before.step(ctx))
+	older := log.Copy()
+	before.SetListed(listed(v1, v2))
+	is.NoErr(before.step(ctx))
+	before.Begin("s", v2)
+	is.NoErr(before.step(ctx))
+	log.Restore(older)
+
+	own, other := newTestRegistry(log, "vm-1", time.Now), newTestRegistry(log, "vm-2", time.Now)
+	own.SetListed(listed(v1, v2))
+	other.SetListed(listed(v1, v2))
+	resolveUnknown := func(r *Registry) {
+		t.Helper()
+		_, ok := r.resolveNow("s", service, make(map[string]record))
+		is.True(!ok)
+	}
+	resolveUnknown(other)
+	resolveUnknown(own)
+	is.NoErr(own.step(ctx))
+	resolveUnknown(other)
+	resolveUnknown(own)
+}
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -135,6 +135,7 @@
 		}
 	}
 	r.mu.Unlock()
+	era, restored := r.cfg.Log.CurrentEra(), false
 	for vm, rec := range l.records {
 		// The streams of this process are known, and what an earlier one of the VM wrote is inherited.
 		if rec.outdated(now) || vm == r.cfg.VM && inherited {
@@ -146,6 +147,13 @@
 			first[vm] = rec
 		}
 		rec.unlisted(service, rec.Sequence >= before.Sequence+2, versions)
+		restored = restored || rec.Era != era
+	}
+	if restored {
+		// The lost records may have named any version.
+		for _, version := range r.seenVersions(service) {
+			versions[version] = struct{}{}
+		}
 	}
 	if len(versions) == 0 {
 		// Nobody who may have begun the stream has a record, so that its version is one in service.
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -136,6 +136,14 @@
 			}
 		}
 	}
+	if rec.Era != r.writer.era {
+		// The lost records may have named any version.
+		for service, versions := range r.seen {
+			for version := range versions {
+				r.unrecorded[Origin{Service: service, Version: version}] = now.Add(retention)
+			}
+		}
+	}
 	return nil
 }
 
@@ -169,7 +177,7 @@
 		r.writer.startEpoch()
 	}
 	dirty := r.writer.dirty || era != r.writer.era || now.Sub(r.writer.writtenAt) > renewInterval
-	rec := record{WrittenMillis: now.UnixMilli(), Epoch: r.writer.producer.Epoch, Sequence: r.writer.producer.Sequence + 1}
+	rec := record{WrittenMillis: now.UnixMilli(), Epoch: r.writer.producer.Epoch, Sequence: r.writer.producer.Sequence + 1, Era: era}
 	for service, versions := range r.seen {
 		s := serviceRecord{Name: service}
 		for version := range versions {
