--- a/internal/coordination/streamorigin/record.go
+++ b/internal/coordination/streamorigin/record.go
@@ -18,14 +18,17 @@
 	// built after the log had acknowledged the one before.
 	Epoch    uint64 `cbor:"3,keyasint"`
 	Sequence uint64 `cbor:"4,keyasint"`
+	// Era is that of the log when the record was built. If the log was restored since, later records of the VM may be lost.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // serviceRecord is what a VM knows of the streams of one service.
 type serviceRecord struct {
 	Name     string          `cbor:"1,keyasint"`
 	Versions []versionRecord `cbor:"2,keyasint"`
-	// Earlier are the versions at which earlier processes of the VM may have begun streams that are not in the record.
-	Earlier []string `cbor:"3,keyasint,omitempty"`
+	// Unrecorded are the versions at which earlier processes of the VM may have begun streams that are not in the record, or
+	// this one more streams than it remembers or the record holds.
+	Unrecorded []string `cbor:"3,keyasint,omitempty"`
 }
 
 // versionRecord names a version that upstreams had in the retention time.
@@ -89,7 +92,7 @@
 		if s.Name != service {
 			continue
 		}
-		for _, version := range s.Earlier {
+		for _, version := range s.Unrecorded {
 			versions[version] = struct{}{}
 		}
 		for _, v := range s.Versions {
@@ -100,14 +103,14 @@
 	}
 }
 
-// find returns the origin of a stream.
-func (rec record) find(h streamHash) (Origin, bool) {
+// find returns the origins of a stream. A stream whose route has moved has one in each service that it went on at.
+func (rec record) find(h streamHash) (origins []Origin) {
 	for _, s := range rec.Services {
 		for _, v := range s.Versions {
 			if v.has(h) {
-				return Origin{Service: s.Name, Version: v.Version}, true
+				origins = append(origins, Origin{Service: s.Name, Version: v.Version})
 			}
 		}
 	}
-	return Origin{}, false
+	return origins
 }
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,12 +27,10 @@
 	writeTimeout     = 1200 * time.Millisecond
 	// renewInterval is the time between two writes of a record that does not change.
 	renewInterval = time.Minute
-	// epochStep, in microseconds, is added to an epoch that is too low because the time of day was set back. It is
-	// multiplied by epochGrowth after each attempt, so that maxEpochAttempts cover years.
-	epochStep        = 1_000_000
-	epochGrowth      = 16
-	maxEpochAttempts = 10
-	// maxRecordStreams bounds a record to half of what the log accepts. Streams beyond it are left out.
+	// epochStep, in microseconds, exceeds the number of epochs that a process starts after its last record.
+	epochStep = 1_000_000
+	// maxRecordStreams bounds a record to half of what the log accepts. Streams beyond it are left out, and their versions
+	// are among the unrecorded ones.
 	maxRecordStreams = 16_000
 )
 
@@ -70,12 +69,10 @@
 		return errors.WithStack(context.Cause(ctx))
 	}
 	if err := r.inherit(ctx); err != nil {
-		r.noteAnnounced(false)
 		return err
 	}
 	value, included := r.nextRecord()
 	if value == nil {
-		r.noteAnnounced(false)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -104,9 +101,8 @@
 	if inherited {
 		return nil
 	}
-	if err := r.fenceEarlier(ctx); err != nil {
-		return err
-	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
 	l, err := r.list(ctx)
 	if err != nil {
 		return err
@@ -115,14 +111,20 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	r.writer.inherited, r.writer.dirty, r.writer.era = true, true, r.cfg.Log.CurrentEra()
-	for _, s := range l.records[r.cfg.VM].Services {
-		for _, version := range s.Earlier {
-			r.earlier[Origin{Service: s.Name, Version: version}] = now.Add(retention)
+	rec := l.records[r.cfg.VM]
+	// The time of day may have been set back.
+	r.writer.producer.Epoch = max(r.writer.producer.Epoch, rec.Epoch+epochStep)
+	if rec.outdated(now) {
+		return nil
+	}
+	for _, s := range rec.Services {
+		for _, version := range s.Unrecorded {
+			r.unrecorded[Origin{Service: s.Name, Version: version}] = now.Add(retention)
 		}
 		for _, v := range s.Versions {
 			o := Origin{Service: s.Name, Version: v.Version}
 			r.noteSeen(o, now)
-			r.earlier[o] = now.Add(retention)
+			r.unrecorded[o] = now.Add(retention)
 			for _, h := range v.hashes() {
 				if r.streams[h] == nil && len(r.streams) < maxStreams {
 					r.streams[h] = &stream{Origin: o, endedAt: now}
@@ -130,25 +132,15 @@
 			}
 		}
 	}
-	return nil
-}
-
-// fenceEarlier fences the records of earlier processes of the VM. They could otherwise be executed after those of this one.
-func (r *Registry) fenceEarlier(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	step := uint64(epochStep)
-	for range maxEpochAttempts {
-		_, err := r.cfg.Log.AppendAs(ctx, r.cfg.Stream, nil, r.writer.producer)
-		if !errors.Is(err, keyedlog.ErrFenced) {
-			return err
+	if rec.Era != r.writer.era {
+		// The lost records may have named any version.
+		for service, versions := range r.seen {
+			for version := range versions {
+				r.unrecorded[Origin{Service: service, Version: version}] = now.Add(retention)
+			}
 		}
-		r.mu.Lock()
-		r.writer.producer.Epoch += step
-		r.mu.Unlock()
-		step *= epochGrowth
 	}
-	return errors.Newf("no accepted epoch for producer %s", r.cfg.VM)
+	return nil
 }
 
 // nextRecord returns the record to write and the streams in it, or nil if the log has it already.
@@ -163,15 +155,9 @@
 		r.writer.startEpoch()
 	}
 	dirty := r.writer.dirty || era != r.writer.era || now.Sub(r.writer.writtenAt) > renewInterval
-	rec := record{WrittenMillis: now.UnixMilli(), Epoch: r.writer.producer.Epoch, Sequence: r.writer.producer.Sequence + 1}
+	rec := record{WrittenMillis: now.UnixMilli(), Epoch: r.writer.producer.Epoch, Sequence: r.writer.producer.Sequence + 1, Era: era}
 	for service, versions := range r.seen {
 		s := serviceRecord{Name: service}
-		for o := range r.earlier {
-			if o.Service == service {
-				s.Earlier = append(s.Earlier, o.Version)
-			}
-		}
-		slices.Sort(s.Earlier)
 		for version := range versions {
 			s.Versions = append(s.Versions, versionRecord{Version: version})
 		}
@@ -179,14 +165,19 @@
 		rec.Services = append(rec.Services, s)
 	}
 	slices.SortFunc(rec.Services, func(a, b serviceRecord) int { return strings.Compare(a.Name, b.Name) })
+	unrecorded := maps.Clone(r.unrecorded)
 	for h, s := range r.streams {
 		v := rec.versionOf(s.Origin)
-		if v == nil || len(included) >= maxRecordStreams {
-			continue
+		switch {
+		case v == nil:
+		case len(included) >= maxRecordStreams:
+			unrecorded[s.Origin] = time.Time{}
+		default:
+			v.add(h)
+			included = append(included, s)
 		}
-		v.add(h)
-		included = append(included, s)
 	}
+	rec.setUnrecorded(unrecorded)
 	versions := rec.versionNames()
 	// Beside several versions, each new record shows that its process is alive and that the record has all of its streams.
 	dirty = dirty || versions != r.writer.versions || rec.mixed()
@@ -218,6 +209,18 @@
 	return nil
 }
 
+func (rec record) setUnrecorded(versions map[Origin]time.Time) {
+	for i := range rec.Services {
+		s := &rec.Services[i]
+		for o := range versions {
+			if o.Service == s.Name {
+				s.Unrecorded = append(s.Unrecorded, o.Version)
+			}
+		}
+		slices.Sort(s.Unrecorded)
+	}
+}
+
 // versionNames returns the services and versions of the record as one text.
 func (rec record) versionNames() string {
 	var b strings.Builder
@@ -235,6 +238,9 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		r.writer.startEpoch()
+		if errors.Is(err, keyedlog.ErrFenced) {
+			r.writer.producer.Epoch += epochStep
+		}
 		obs.StreamOriginWriteFailuresTotal.Add(1)
 		if !r.writer.failing {
 			r.writer.failing = true
