Stream origins: fence earlier processes with the first record

The append that only set the epoch is not needed: a record that an earlier process had appended without a response changes nothing if it is executed before the first record of the new one, and is fenced after it. When all routers start at once, the extra append of each one delayed the first records, and with them the use of upstreams.

The epoch follows that of the earlier record if the time of day was set back. TestProcessWritesAfterItsClockWasSetBack shows that, and TestOneVersionWritesNoStreams is as it was.

--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -98,8 +98,6 @@
 func TestOneVersionWritesNoStreams(t *testing.T) {
 	is := is.New(t)
 	log := keyedlog.NewMemory()
-	r := newTestRegistry(log, "vm-1", time.Now)
-	is.NoErr(r.inherit(context.Background()))
 	appends := 0
 	log.FaultHook = func(call string, _ keyedlog.Stream, done bool) error {
 		if call == "append" && done {
@@ -107,6 +105,7 @@
 		}
 		return nil
 	}
+	r := newTestRegistry(log, "vm-1", time.Now)
 	r.SetListed(listed(v1))
 	for i := range 100 {
 		id := fmt.Sprint("s", i)
@@ -373,6 +372,31 @@
 	is.Equal(o, v2)
 }
 
+// TestProcessWritesAfterItsClockWasSetBack guards against a process whose records are all fenced by those of the one before.
+func TestProcessWritesAfterItsClockWasSetBack(t *testing.T) {
+	is := is.New(t)
+	log, ctx := newFaultyLog(), context.Background()
+	before := newTestRegistry(log, "vm-1", time.Now)
+	before.SetListed(listed(v1, v2))
+	is.NoErr(before.step(ctx))
+	log.next = fateLate
+	is.True(before.step(ctx) != nil)
+	is.True(before.step(ctx) != nil)
+
+	log.next = fateDone
+	after := newTestRegistry(log, "vm-1", func() time.Time { return time.Now().Add(-time.Minute) })
+	after.SetListed(listed(v1, v2))
+	is.NoErr(after.step(ctx))
+	for _, do := range log.late {
+		do()
+	}
+	after.Begin("s", v1)
+	is.NoErr(after.step(ctx))
+	o, ok := newTestRegistry(log, "vm-2", time.Now).resolveNow("s", service, make(map[string]record))
+	is.True(ok)
+	is.Equal(o, v1)
+}
+
 // TestFlushWaitsForTheWriteInProgress guards against the last record of a process that is overwritten by the one before, whose
 // append was under way when the process flushed.
 func TestFlushWaitsForTheWriteInProgress(t *testing.T) {
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -27,11 +27,8 @@
 	writeTimeout     = 1200 * time.Millisecond
 	// renewInterval is the time between two writes of a record that does not change.
 	renewInterval = time.Minute
-	// epochStep, in microseconds, is added to an epoch that is too low because the time of day was set back. It is
-	// multiplied by epochGrowth after each attempt, so that maxEpochAttempts cover years.
-	epochStep        = 1_000_000
-	epochGrowth      = 16
-	maxEpochAttempts = 10
+	// epochStep, in microseconds, exceeds the number of epochs that a process starts after its last record.
+	epochStep = 1_000_000
 	// maxRecordStreams bounds a record to half of what the log accepts. Streams beyond it are left out, and their versions
 	// are among the unrecorded ones.
 	maxRecordStreams = 16_000
@@ -104,9 +101,6 @@
 	if inherited {
 		return nil
 	}
-	if err := r.fenceEarlier(ctx); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	l, err := r.list(ctx)
@@ -118,6 +112,8 @@
 	now := r.cfg.Now()
 	r.writer.inherited, r.writer.dirty, r.writer.era = true, true, r.cfg.Log.CurrentEra()
 	rec := l.records[r.cfg.VM]
+	// The time of day may have been set back.
+	r.writer.producer.Epoch = max(r.writer.producer.Epoch, rec.Epoch+epochStep)
 	if rec.outdated(now) {
 		return nil
 	}
@@ -147,24 +143,6 @@
 	return nil
 }
 
-// fenceEarlier fences the records of earlier processes of the VM. They could otherwise be executed after those of this one.
-func (r *Registry) fenceEarlier(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	step := uint64(epochStep)
-	for range maxEpochAttempts {
-		_, err := r.cfg.Log.AppendAs(ctx, r.cfg.Stream, nil, r.writer.producer)
-		if !errors.Is(err, keyedlog.ErrFenced) {
-			return err
-		}
-		r.mu.Lock()
-		r.writer.producer.Epoch += step
-		r.mu.Unlock()
-		step *= epochGrowth
-	}
-	return errors.Newf("no accepted epoch for producer %s", r.cfg.VM)
-}
-
 // nextRecord returns the record to write and the streams in it, or nil if the log has it already.
 func (r *Registry) nextRecord() (value []byte, included []*stream) {
 	r.mu.Lock()
@@ -260,6 +238,9 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		r.writer.startEpoch()
+		if errors.Is(err, keyedlog.ErrFenced) {
+			r.writer.producer.Epoch += epochStep
+		}
 		obs.StreamOriginWriteFailuresTotal.Add(1)
 		if !r.writer.failing {
 			r.writer.failing = true
