--- a/internal/coordination/streamorigin/model_test.go
+++ b/internal/coordination/streamorigin/model_test.go
@@ -40,7 +40,9 @@
 	return l.play(func() (uint64, error) { return l.Memory.Append(ctx, s, records, at) })
 }
 
-func (l *faultyLog) AppendAs(ctx context.Context, s keyedlog.Stream, records []keyedlog.Record, p keyedlog.Producer) (end uint64, err error) {
+func (l *faultyLog) AppendAs(
+	ctx context.Context, s keyedlog.Stream, records []keyedlog.Record, p keyedlog.Producer,
+) (end uint64, err error) {
 	return l.play(func() (uint64, error) { return l.Memory.AppendAs(ctx, s, records, p) })
 }
 
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -91,8 +91,8 @@
 	streams map[streamHash]*stream
 	// seen holds, by service, the versions that upstreams have had in the retention time.
 	seen map[string]map[string]*sighting
-	// unrecorded holds the versions at which this process or earlier ones of the VM may have begun streams that are not known, and until
-	// when they count.
+	// unrecorded holds the versions at which this process or earlier ones of the VM may have begun streams that are not
+	// known, and until when they count.
 	unrecorded map[Origin]time.Time
 	// listed holds the versions that upstreams have at present.
 	listed map[Origin]struct{}
@@ -103,11 +103,13 @@
 	wake chan struct{}
 }
 
-// New returns a Registry that has not started.
+// New returns a Registry that has not started. The time of day is the first epoch, so that it follows those of earlier
+// processes.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, startedAt: cfg.Now(), stepping: make(chan struct{}, 1), unrecorded: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
-		seen: make(map[string]map[string]*sighting), listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
+		cfg: cfg, startedAt: cfg.Now(), stepping: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		streams: make(map[streamHash]*stream), seen: make(map[string]map[string]*sighting),
+		unrecorded: make(map[Origin]time.Time), listed: make(map[Origin]struct{}),
 		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
 	}
 }
