Stream origins: bound the calls to the log while all routers start

After all routers were killed, each one counts itself alone until it has read the heartbeats of the others, which takes up to N/50 s. In that time each could list 16 times and write 4 times a second, whatever the size of the fleet, while callers took up the streams that had broken off.

The records that count tell the size too. TestCallsAreBoundedWhenAllRoutersStart failed before: 60 ms between listings with 200 records in place of 600 ms.

--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,6 +85,8 @@
 	cfg Config
 
 	startedAt time.Time
+	// writers is the number of VMs that had a record in the last listing.
+	writers atomic.Int64
 	// stepping holds one element while a step is in progress.
 	stepping chan struct{}
 
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -618,3 +618,21 @@
 	resolveUnknown(other)
 	resolveUnknown(own)
 }
+
+// TestCallsAreBoundedWhenAllRoutersStart guards against calls at the rate of a small fleet by all routers of a large one, while
+// none has read the heartbeats of the others yet.
+func TestCallsAreBoundedWhenAllRoutersStart(t *testing.T) {
+	is := is.New(t)
+	const vms = 200
+	log, ctx := keyedlog.NewMemory(), context.Background()
+	var r *Registry
+	for i := range vms {
+		r = newTestRegistry(log, fmt.Sprint("vm-", i), time.Now)
+		r.SetListed(listed(v1, v2))
+		is.NoErr(r.step(ctx))
+	}
+	r = newTestRegistry(log, "vm-0", time.Now)
+	is.NoErr(r.step(ctx))
+	is.Equal(r.fetchInterval(), vms*fetchIntervalPerRouter)
+	is.Equal(r.writeInterval(), vms*writeIntervalPerRouter)
+}
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -107,6 +107,16 @@
 	return Origin{}, "", errors.CombineErrors(errors.Wrapf(ErrUnknown, "one of %q", versions), cause)
 }
 
+// writers returns the number of VMs with a record that counts.
+func (l listing) writers(now time.Time) (n int64) {
+	for _, rec := range l.records {
+		if !rec.outdated(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // find returns an origin of a stream in the records, one at a target if there is any.
 func (l listing) find(h streamHash, isTarget func(service string) bool) (found Origin, ok bool) {
 	for _, rec := range l.records {
@@ -192,7 +202,7 @@
 }
 
 func (r *Registry) fetchInterval() time.Duration {
-	return max(baseFetchInterval, time.Duration(r.cfg.Routers())*fetchIntervalPerRouter)
+	return max(baseFetchInterval, time.Duration(r.routers())*fetchIntervalPerRouter)
 }
 
 // startFetch returns the fetch to wait for, or nil if the next one may not start yet. The fetch continues if the request that
@@ -241,6 +251,7 @@
 		}
 		l.records[p.Key] = rec
 	}
+	r.writers.Store(l.writers(r.cfg.Now()))
 	return l, nil
 }
 
--- a/internal/coordination/streamorigin/write.go
+++ b/internal/coordination/streamorigin/write.go
@@ -54,9 +54,13 @@
 
 func (w *writerState) startEpoch() { w.producer.Epoch, w.producer.Sequence = w.producer.Epoch+1, 0 }
 
+// routers returns the size of the fleet. When all routers have just started, none knows that the others live, but their records
+// count.
+func (r *Registry) routers() int { return max(r.cfg.Routers(), int(r.writers.Load())) }
+
 // writeInterval returns the time between two writes, which grows with the fleet.
 func (r *Registry) writeInterval() time.Duration {
-	return max(baseWriteInterval, time.Duration(r.cfg.Routers())*writeIntervalPerRouter)
+	return max(baseWriteInterval, time.Duration(r.routers())*writeIntervalPerRouter)
 }
 
 // step writes the record if it has changed. Its first call reads that of an earlier process of the VM. The records take effect
