--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -18,6 +18,8 @@
 	baseFetchInterval      = 60 * time.Millisecond
 	fetchIntervalPerRouter = 3 * time.Millisecond
 	fetchTimeout           = 1500 * time.Millisecond
+	// peerTimeout limits the question to the other routers.
+	peerTimeout = 300 * time.Millisecond
 	// minResolveWait is how long a request waits for routers to write a stream, or to show that they have not begun it. In
 	// a large fleet it is the time of resolveWrites writes.
 	minResolveWait = time.Second
@@ -51,6 +53,8 @@
 	SourceMemory Source = "memory"
 	// SourceLog is the record of another router, or of an earlier process of this VM.
 	SourceLog Source = "log"
+	// SourcePeer is the memory of another router, which is asked if the log does not respond.
+	SourcePeer Source = "peer"
 	// SourceOnlyVersion is that the service had no other version.
 	SourceOnlyVersion Source = "only version"
 )
@@ -72,6 +76,12 @@
 	for {
 		l, err := r.listSince(ctx, r.cfg.Now())
 		if err != nil {
+			switch o, ok := r.askPeers(ctx, h, isTarget); {
+			case attemptID != "" && ok:
+				return o, SourcePeer, nil
+			case attemptID != "" && known:
+				return local, SourceMemory, nil
+			}
 			return r.resolveWithoutLog(service, err)
 		}
 		if attemptID != "" {
@@ -89,10 +99,30 @@
 	}
 }
 
-// resolveWithoutLog returns the only version that this router has seen. That tells nothing of the time before its start.
+// Known returns what this router itself knows of the stream with a given hash. Other routers ask for it.
+func (r *Registry) Known(hash uint64) (Origin, bool) { return r.local(streamHash(hash)) }
+
+// askPeers asks the other routers for the origin of a stream, and prefers one at a target.
+func (r *Registry) askPeers(ctx context.Context, h streamHash, isTarget func(service string) bool) (found Origin, ok bool) {
+	if r.cfg.QueryPeers == nil {
+		return Origin{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	for _, o := range r.cfg.QueryPeers(ctx, uint64(h)) {
+		if isTarget(o.Service) {
+			return o, true
+		}
+		found, ok = o, true
+	}
+	return found, ok
+}
+
+// resolveWithoutLog returns the only version that this router has seen, if its list of upstreams is up to date. That tells
+// nothing of the time before its start, nor of versions at which others have begun streams since the log was read.
 func (r *Registry) resolveWithoutLog(service string, cause error) (Origin, Source, error) {
 	var versions []string
-	if r.cfg.Now().Sub(r.startedAt) > retention {
+	if r.cfg.Now().Sub(r.startedAt) > retention && r.cfg.ListedAge() <= maxListedAge {
 		versions = r.seenVersions(service)
 	}
 	return r.onlyVersion(versions, service, cause)
