Versions of services without resumable streams wait for no record

Since a version that the log does not name is not used beside another one. That held for every service, though only streams that may be resumed need it: while the store took no appends, new servers of another service got no requests, also after its old ones had crashed and were still listed.

Only upstreams of services that a resumable route names wait for the record. The records name the versions of all services as before, so that a configuration that makes a service resumable need not wait.

--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -48,7 +48,10 @@
 		}
 	}
 	g.origins.SetListed(listedVersions(upstreams))
-	upstreams = slices.DeleteFunc(upstreams, func(u catalogue.Upstream) bool { return !g.origins.MayBegin(originOf(u)) })
+	resumable := g.decoded.config.ResumableServices()
+	upstreams = slices.DeleteFunc(upstreams, func(u catalogue.Upstream) bool {
+		return resumable[u.Service] && !g.origins.MayBegin(originOf(u))
+	})
 	snapshot := g.decoded.config.WithUpstreams(upstreams)
 	g.snapshot.Store(snapshot)
 	g.routing.Update(snapshot)
--- a/internal/state/catalogue/forwarding.go
+++ b/internal/state/catalogue/forwarding.go
@@ -125,6 +125,22 @@
 	return nil
 }
 
+// ResumableServices returns the services whose streams may be resumed.
+func (s *Snapshot) ResumableServices() map[string]bool {
+	services := make(map[string]bool)
+	if s.forwarding == nil {
+		return services
+	}
+	for _, routes := range s.forwarding.byHost {
+		for _, r := range routes {
+			for _, t := range r.Targets {
+				services[t.Service] = services[t.Service] || r.Stream && r.Resumable
+			}
+		}
+	}
+	return services
+}
+
 // Service returns the service with a name, or nil.
 func (s *Snapshot) Service(name string) *Service {
 	if s.forwarding == nil {
