--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
@@ -28,6 +29,9 @@
 	// retention is how long a stream is remembered after its last answer, and how long a version counts after its last
 	// upstream was seen. It exceeds the time for which callers try to go on with a stream.
 	retention = 40 * time.Second
+	// unrecordedRetention is how long a version counts at which more streams began than are remembered. Their answers may
+	// still go on.
+	unrecordedRetention = 2 * retention
 	// announceTimeout is how long a service waits for the log before a version that the log does not name is used, if it
 	// has no other.
 	announceTimeout = time.Second
@@ -90,6 +94,7 @@
 type Registry struct {
 	cfg Config
 
+	startedAt time.Time
 	// stepping holds one element while a step is in progress.
 	stepping chan struct{}
 
@@ -97,9 +102,9 @@
 	streams map[streamHash]*stream
 	// seen holds, by service, the versions that upstreams have had in the retention time.
 	seen map[string]map[string]*sighting
-	// earlier holds the versions at which earlier processes of the VM may have begun streams that are not known, and until
+	// unrecorded holds the versions at which this process or earlier ones of the VM may have begun streams that are not known, and until
 	// when they count.
-	earlier map[Origin]time.Time
+	unrecorded map[Origin]time.Time
 	// listed holds the versions that upstreams have at present.
 	listed map[Origin]struct{}
 	writer writerState
@@ -112,7 +117,7 @@
 // New returns a Registry that has not started.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, stepping: make(chan struct{}, 1), earlier: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
+		cfg: cfg, startedAt: cfg.Now(), stepping: make(chan struct{}, 1), unrecorded: make(map[Origin]time.Time), streams: make(map[streamHash]*stream),
 		seen: make(map[string]map[string]*sighting), listed: make(map[Origin]struct{}), wake: make(chan struct{}, 1),
 		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
 	}
@@ -203,11 +208,16 @@
 	if s == nil {
 		if len(r.streams) >= maxStreams {
 			obs.StreamOriginsDroppedTotal.Add(1)
+			r.unrecorded[o] = r.cfg.Now().Add(unrecordedRetention)
 			return
 		}
 		s = &stream{Origin: o}
 		r.streams[h] = s
 	}
+	if s.Service != o.Service {
+		// The route has moved.
+		s.Origin, s.written = o, false
+	}
 	s.answers++
 }
 
@@ -249,9 +259,9 @@
 	for o := range r.listed {
 		r.noteSeen(o, now)
 	}
-	for o, until := range r.earlier {
+	for o, until := range r.unrecorded {
 		if now.After(until) {
-			delete(r.earlier, o)
+			delete(r.unrecorded, o)
 		}
 	}
 	for service, versions := range r.seen {
@@ -278,6 +288,27 @@
 
 // Run keeps the record in the log up to date until the context ends.
 func (r *Registry) Run(ctx context.Context) {
+	var loops conc.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { r.runWrites(ctx) })
+	loops.Go(func() { r.runAnnounceTimeouts(ctx) })
+}
+
+// runAnnounceTimeouts announces versions that have waited for the log long enough, also during calls that it does not answer.
+func (r *Registry) runAnnounceTimeouts(ctx context.Context) {
+	ticker := time.NewTicker(announceTimeout / 10)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.noteAnnounced(false)
+		}
+	}
+}
+
+func (r *Registry) runWrites(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := r.writeInterval()
 		if err := r.step(ctx); err != nil {
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -59,35 +59,38 @@
 	SourceOnlyVersion Source = "only version"
 )
 
-// Resolve returns where a stream began that a caller takes up again, and what tells it. attemptID is the ID of the attempt that brought the
-// first event, or empty if the caller does not say. service is the one that the request goes to. It returns ErrUnknown if
-// several versions may have begun the stream.
-func (r *Registry) Resolve(ctx context.Context, attemptID, service string) (Origin, Source, error) {
+// Resolve returns where a stream began that a caller takes up again, and what tells it. attemptID is the ID of the attempt that
+// brought the first event, or empty if the caller does not say. service is the one that the request goes to, unless the stream
+// began at another one of its targets. A stream whose route has moved may have an origin in a service that is no target; if a
+// target has run the rest of it since, that is its origin. Resolve returns ErrUnknown if several versions may have begun the
+// stream.
+func (r *Registry) Resolve(ctx context.Context, attemptID, service string, isTarget func(service string) bool) (Origin, Source, error) {
 	obs.StreamTakeUpsTotal.Add(1)
 	h := hashOf(attemptID)
-	if attemptID != "" {
-		if o, ok := r.local(h); ok {
-			return o, SourceMemory, nil
-		}
+	local, known := r.local(h)
+	if attemptID != "" && known && isTarget(local.Service) {
+		return local, SourceMemory, nil
 	}
 	deadline := r.cfg.Now().Add(max(minResolveWait, resolveWrites*r.writeInterval()))
 	first := make(map[string]record)
 	for {
 		l, err := r.listSince(ctx, r.cfg.Now())
 		if err != nil {
-			if o, ok := r.askPeers(ctx, h); attemptID != "" && ok {
+			switch o, ok := r.askPeers(ctx, h, isTarget); {
+			case attemptID != "" && ok:
 				return o, SourcePeer, nil
+			case attemptID != "" && known:
+				return local, SourceMemory, nil
 			}
-			if r.cfg.ListedAge() > maxListedAge {
-				// Others may have begun streams at a version that this router has not seen.
-				return r.onlyVersion(nil, service, err)
-			}
-			return r.onlyVersion(r.seenVersions(service), service, err)
+			return r.resolveWithoutLog(service, err)
 		}
 		if attemptID != "" {
-			if o, ok := l.find(h); ok {
+			if o, ok := l.find(h, isTarget); ok {
 				return o, SourceLog, nil
 			}
+			if known {
+				return local, SourceMemory, nil
+			}
 		}
 		versions := r.candidates(service, l, first)
 		if len(versions) <= 1 || attemptID == "" || !r.cfg.Now().Before(deadline) {
@@ -99,17 +102,30 @@
 // Known returns what this router itself knows of the stream with a given hash. Other routers ask for it.
 func (r *Registry) Known(hash uint64) (Origin, bool) { return r.local(streamHash(hash)) }
 
-// askPeers asks the other routers for the origin of a stream.
-func (r *Registry) askPeers(ctx context.Context, h streamHash) (Origin, bool) {
+// askPeers asks the other routers for the origin of a stream, and prefers one at a target.
+func (r *Registry) askPeers(ctx context.Context, h streamHash, isTarget func(service string) bool) (found Origin, ok bool) {
 	if r.cfg.QueryPeers == nil {
 		return Origin{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	for _, o := range r.cfg.QueryPeers(ctx, uint64(h)) {
-		return o, true
+		if isTarget(o.Service) {
+			return o, true
+		}
+		found, ok = o, true
+	}
+	return found, ok
+}
+
+// resolveWithoutLog returns the only version that this router has seen, if its list of upstreams is up to date. That tells
+// nothing of the time before its start, nor of versions at which others have begun streams since the log was read.
+func (r *Registry) resolveWithoutLog(service string, cause error) (Origin, Source, error) {
+	var versions []string
+	if r.cfg.Now().Sub(r.startedAt) > retention && r.cfg.ListedAge() <= maxListedAge {
+		versions = r.seenVersions(service)
 	}
-	return Origin{}, false
+	return r.onlyVersion(versions, service, cause)
 }
 
 // onlyVersion returns the origin of a stream of which nothing is known but the versions that may have begun it.
@@ -121,13 +137,17 @@
 	return Origin{}, "", errors.CombineErrors(errors.Wrapf(ErrUnknown, "one of %q", versions), cause)
 }
 
-func (l listing) find(h streamHash) (Origin, bool) {
+// find returns an origin of a stream in the records, one at a target if there is any.
+func (l listing) find(h streamHash, isTarget func(service string) bool) (found Origin, ok bool) {
 	for _, rec := range l.records {
-		if o, ok := rec.find(h); ok {
-			return o, true
+		for _, o := range rec.find(h) {
+			if isTarget(o.Service) {
+				return o, true
+			}
+			found, ok = o, true
 		}
 	}
-	return Origin{}, false
+	return found, ok
 }
 
 // candidates returns the versions that may have begun a stream that no record has. A process that is alive has all of its
@@ -139,12 +159,13 @@
 	r.mu.Lock()
 	now := r.cfg.Now()
 	inherited := r.writer.inherited
-	for o := range r.earlier {
+	for o := range r.unrecorded {
 		if o.Service == service {
 			versions[o.Version] = struct{}{}
 		}
 	}
 	r.mu.Unlock()
+	era, restored := r.cfg.Log.CurrentEra(), false
 	for vm, rec := range l.records {
 		// The streams of this process are known, and what an earlier one of the VM wrote is inherited.
 		if rec.outdated(now) || vm == r.cfg.VM && inherited {
@@ -156,6 +177,13 @@
 			first[vm] = rec
 		}
 		rec.unlisted(service, rec.Sequence >= before.Sequence+2, versions)
+		restored = restored || rec.Era != era
+	}
+	if restored {
+		// The lost records may have named any version.
+		for _, version := range r.seenVersions(service) {
+			versions[version] = struct{}{}
+		}
 	}
 	if len(versions) == 0 {
 		// Nobody who may have begun the stream has a record, so that its version is one in service.
