Stream origins: ask no router about a stream that the caller does not name

While the log did not respond, a take-up without Resumes asked up to 64 routers for the hash of an empty ID. No caller saw it. The search in the listing or at the other routers is a function of its own.

--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -67,38 +67,45 @@
 func (r *Registry) Resolve(ctx context.Context, attemptID, service string, isTarget func(service string) bool) (Origin, Source, error) {
 	obs.StreamTakeUpsTotal.Add(1)
 	h := hashOf(attemptID)
+	named := attemptID != ""
 	local, known := r.local(h)
-	if attemptID != "" && known && isTarget(local.Service) {
+	if named && known && isTarget(local.Service) {
 		return local, SourceMemory, nil
 	}
 	deadline := r.cfg.Now().Add(max(minResolveWait, resolveWrites*r.writeInterval()))
 	first := make(map[string]record)
 	for {
 		l, err := r.listSince(ctx, r.cfg.Now())
-		if err != nil {
-			switch o, ok := r.askPeers(ctx, h, isTarget); {
-			case attemptID != "" && ok:
-				return o, SourcePeer, nil
-			case attemptID != "" && known:
-				return local, SourceMemory, nil
-			}
-			return r.resolveWithoutLog(service, err)
-		}
-		if attemptID != "" {
-			if o, ok := l.find(h, isTarget); ok {
-				return o, SourceLog, nil
+		if named {
+			if o, source, ok := r.findElsewhere(ctx, h, l, err, isTarget); ok {
+				return o, source, nil
 			}
 			if known {
 				return local, SourceMemory, nil
 			}
 		}
+		if err != nil {
+			return r.resolveWithoutLog(service, err)
+		}
 		versions := r.candidates(service, l, first)
-		if len(versions) <= 1 || attemptID == "" || !r.cfg.Now().Before(deadline) {
+		if len(versions) <= 1 || !named || !r.cfg.Now().Before(deadline) {
 			return r.onlyVersion(versions, service, nil)
 		}
 	}
 }
 
+// findElsewhere finds the origin of a stream in the listing or, if that has failed, at the other routers.
+func (r *Registry) findElsewhere(
+	ctx context.Context, h streamHash, l listing, listErr error, isTarget func(service string) bool,
+) (Origin, Source, bool) {
+	if listErr != nil {
+		o, ok := r.askPeers(ctx, h, isTarget)
+		return o, SourcePeer, ok
+	}
+	o, ok := l.find(h, isTarget)
+	return o, SourceLog, ok
+}
+
 // Known returns what this router itself knows of the stream with a given hash. Other routers ask for it.
 func (r *Registry) Known(hash uint64) (Origin, bool) { return r.local(streamHash(hash)) }
 
