--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,19 +46,31 @@
 			upstreams = append(upstreams, g.withServiceSettings(d.upstream))
 		}
 	}
-	g.origins.SetListed(listedVersions(upstreams))
-	resumable := g.decoded.config.ResumableServices()
-	upstreams = slices.DeleteFunc(upstreams, func(u catalogue.Upstream) bool {
-		return resumable[u.Service] && !g.origins.MayBegin(originOf(u))
-	})
+	upstreams, complete := g.withoutUnannounced(upstreams)
 	snapshot := g.decoded.config.WithUpstreams(upstreams)
 	g.snapshot.Store(snapshot)
 	g.routing.Update(snapshot)
-	if len(upstreams) > 0 && !g.ready.Swap(true) {
+	if len(upstreams) > 0 && complete && !g.ready.Swap(true) {
 		obs.EventReady.Log(g.logger, logrus.Fields{"config_version": snapshot.Version, "upstreams": len(upstreams)})
 	}
 }
 
+// withoutUnannounced returns the upstreams without those of versions that must not begin streams yet. complete is false if a
+// service has no other upstreams.
+func (g *Gateway) withoutUnannounced(upstreams []catalogue.Upstream) (usable []catalogue.Upstream, complete bool) {
+	g.origins.SetListed(listedVersions(upstreams))
+	resumable := g.decoded.config.ResumableServices()
+	listed, served := make(map[string]struct{}), make(map[string]struct{})
+	for _, u := range upstreams {
+		listed[u.Service] = struct{}{}
+		if !resumable[u.Service] || g.origins.MayBegin(originOf(u)) {
+			served[u.Service] = struct{}{}
+			usable = append(usable, u)
+		}
+	}
+	return usable, len(served) == len(listed)
+}
+
 // listedVersions returns the services of the upstreams with the versions of their software.
 func listedVersions(upstreams []catalogue.Upstream) map[streamorigin.Origin]struct{} {
 	listed := make(map[streamorigin.Origin]struct{})
