Set no user timeout on callers' connections

Callers lost responses that were ready: a caller that did not read for 2.5 s with a full window, or that no packet reached for as long with a response in flight, got a reset, although its host acknowledged every probe or came back.

The listeners of netopt set TCP_USER_TIMEOUT (2.5 s) on accepted connections. The option detects an upstream that cannot be reached, so that the request is tried elsewhere. Towards a caller there is no elsewhere, and the option also ends connections whose peer has no room in its window. It stays on connections that Dial opens (upstreams, store), where three seconds of detection are relied on.

A caller that reads nothing is given up by the write timeout of the router (10 s), one that vanished after its response was written by the idle timeout (30 s). The servers for readiness and metrics had neither; they get both.

With a user timeout, the number of probes has no effect: the first unanswered probe after the timeout ends the connection. The constants say so, and the count is gone from dialed connections.

Ruled out: a longer user timeout, which ends the same connections later; a check of the window with TCP_INFO, which not every platform has.

--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -40,8 +40,8 @@
 		server  *http.Server
 	}{
 		{g.cfg.Listen, callers},
-		{g.cfg.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: gatewayHeaderTimeout}},
-		{g.cfg.MetricsListen, &http.Server{Handler: metrics, ReadHeaderTimeout: gatewayHeaderTimeout}},
+		{g.cfg.ReadyListen, newInternalServer(ready)},
+		{g.cfg.MetricsListen, newInternalServer(metrics)},
 	} {
 		listener, err := listenTCP(s.address)
 		if err != nil {
@@ -56,6 +56,13 @@
 	return servers, limited, nil
 }
 
+// newInternalServer returns a server for requests whose responses are ready at once.
+func newInternalServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: gatewayHeaderTimeout, WriteTimeout: gatewayWriteTimeout, IdleTimeout: gatewayIdleTimeout,
+	}
+}
+
 func listenTCP(address string) (net.Listener, error) {
 	listener, err := netopt.Listen(address)
 	return listener, errors.Wrapf(err, "listen on %s", address)
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -1,6 +1,6 @@
-// Package netopt opens TCP connections and listeners with socket options that detect an unresponsive peer
-// within seconds, and counts their traffic. The listeners of daemon.Gateway, package relay and the store
-// client in package platform use it.
+// Package netopt opens TCP connections and listeners with socket options that detect an unreachable peer, and
+// counts their traffic. The listeners of daemon.Gateway, package relay and the store client in package platform
+// use it.
 package netopt
 
 import (
@@ -14,25 +14,40 @@
 	"golang.org/x/sys/unix"
 )
 
+// Options of connections that Dial opens. A connection that is idle or waits for a response fails about three seconds
+// after its peer has become unreachable: as userTimeout is set, it is the first unanswered probe at least that long after
+// the last received packet that ends the connection, whatever the number of probes.
 const (
-	// With keepAliveIdle, keepAliveInterval and keepAliveCount, a connection that is idle or waits for a
-	// response fails about three seconds after its peer has become unreachable.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-	// userTimeout is how long sent data may stay unacknowledged. It leaves time for a packet that is lost
-	// twice to be retransmitted.
+	dialProbeIdle     = time.Second
+	dialProbeInterval = time.Second
+	// userTimeout is how long sent data may stay unacknowledged. It leaves time for a packet that is lost twice to be
+	// retransmitted. It is also how long the peer may have no room in its window while data waits to be sent, although it
+	// acknowledges each probe, so a peer that stands still for a second or two keeps its connection.
 	userTimeout = 2500 * time.Millisecond
 )
 
-// KeepAlive is the TCP keep-alive configuration of all connections.
-var KeepAlive = net.KeepAliveConfig{
-	Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+// Options of connections that a listener of Listen accepts. They have no user timeout: it would end the connection of a
+// caller that reads slowly or pauses, and the response with it. Probes are not sent while data is unacknowledged, so a
+// server must bound its writes and the idle time of its connections.
+const (
+	acceptProbeIdle     = time.Second
+	acceptProbeInterval = time.Second
+	// acceptProbeCount is the number of unanswered probes after which the connection fails.
+	acceptProbeCount = 2
+)
+
+var dialer = net.Dialer{
+	// A negative count leaves the kernel's, which has no effect.
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: dialProbeIdle, Interval: dialProbeInterval, Count: -1},
+	Control:         setUserTimeout,
 }
 
-// Control sets the socket options for which package net has no field. It is the Control function of
-// net.Dialer and net.ListenConfig.
-func Control(_, _ string, raw syscall.RawConn) error {
+var listenConfig = net.ListenConfig{
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: acceptProbeIdle, Interval: acceptProbeInterval, Count: acceptProbeCount},
+}
+
+// setUserTimeout sets the socket option for which package net has no field.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
 		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
@@ -43,8 +58,6 @@
 	return optErr
 }
 
-var dialer = net.Dialer{KeepAliveConfig: KeepAlive, Control: Control}
-
 // Traffic counts the bytes received and sent on all connections of this package, except the bytes that
 // io.Copy moves through a connection's ReadFrom and WriteTo.
 var Traffic struct{ In, Out atomic.Int64 }
@@ -88,8 +101,7 @@
 
 // Listen listens on an IPv4 address and port.
 func Listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive, Control: Control}
-	l, err := config.Listen(context.Background(), "tcp4", address)
+	l, err := listenConfig.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
