Keep callers' connections that cannot be reached for some seconds

A caller whose host or link stood still for three seconds while it waited for a response lost its connection, and the response with it.

The listeners of netopt probed an idle connection after 1 s and ended it after two unanswered probes a second apart. That is right for an upstream, whose request can be tried elsewhere, and not for a caller. Callers' connections now fail after 15 s without a sign of the caller.

--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -28,11 +28,12 @@
 
 // Options of connections that a listener of Listen accepts. They have no user timeout: it would end the connection of a
 // caller that reads slowly or pauses, and the response with it. Probes are not sent while data is unacknowledged, so a
-// server must bound its writes and the idle time of its connections.
+// server must bound its writes and the idle time of its connections. A caller that waits for a response fails 15 seconds
+// after it has become unreachable: one whose host or link stands still for some seconds has no other way to its response.
 const (
-	acceptProbeIdle     = time.Second
-	acceptProbeInterval = time.Second
-	// acceptProbeCount is the number of unanswered probes after which the connection fails.
+	acceptProbeIdle     = 5 * time.Second
+	acceptProbeInterval = 5 * time.Second
+	// acceptProbeCount is the number of unanswered probes, an interval apart, after which the connection fails.
 	acceptProbeCount = 2
 )
 
--- a/internal/transport/netopt/pause_test.go
+++ b/internal/transport/netopt/pause_test.go
@@ -140,24 +140,30 @@
 	is.NoErr(optErr)
 }
 
-// Guards against a caller whose host or link stands still for seconds while a response is in flight, and whose connection
-// ends in that time.
+// Guards against a caller whose host or link stands still for seconds, and whose connection ends in that time: while a
+// response is in flight, or while the caller waits for one.
 func TestCallerThatIsUnreachableForSecondsGetsResponse(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
 	const response = "response"
-	accepted, peer := acceptedPair(t)
-	partition(t, peer)
-	_, err := accepted.Write([]byte(response))
-	is.NoErr(err)
-	time.Sleep(longPause)
-	heal(t, peer)
-	// The kernel may wait for as long again until it retransmits.
-	is.NoErr(peer.SetReadDeadline(time.Now().Add(3 * longPause)))
-	got := make([]byte, len(response))
-	_, err = io.ReadFull(peer, got)
-	is.NoErr(err)
-	is.Equal(string(got), response)
+	for name, sendAfter := range map[string]time.Duration{"in flight": 0, "sent later": longPause} {
+		accepted, peer := acceptedPair(t)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			partition(t, peer)
+			time.Sleep(sendAfter)
+			_, err := accepted.Write([]byte(response))
+			is.NoErr(err)
+			time.Sleep(longPause - sendAfter)
+			heal(t, peer)
+			// The kernel may wait for as long again until it retransmits.
+			is.NoErr(peer.SetReadDeadline(time.Now().Add(3 * longPause)))
+			got := make([]byte, len(response))
+			_, err = io.ReadFull(peer, got)
+			is.NoErr(err)
+			is.Equal(string(got), response)
+		})
+	}
 }
 
 // timeToFail returns how long a read of a connection takes to fail, and its error.
