Limit writes to callers by their progress

A caller that read a large response slowly, and all the time, lost the rest of it when the router had written for ten seconds.

The write deadline covers a write as a whole, and a buffered response of up to 4 MiB is one write. It detects a caller that has stopped reading; a slow one is cut off too. Writes on accepted connections of netopt now fail once the caller has acknowledged nothing for the write timeout, or at the deadline of the request, but not before the timeout has passed since the response was ready. Bytes in the send buffer count as read once they are acknowledged (TIOCOUTQ), as the kernel accepts more only when a third of a full buffer is free. Where the platform does not tell, the bytes that it accepts count.

Ruled out: smaller writes, each with a deadline of its own, which the size of the send buffer hides (about 2.5 MB here); no end at all while the caller reads, because a few callers that read a byte now and then would hold the memory for responses.

--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -129,7 +129,8 @@
 	MaxBodyBytes int64
 	// BodyTimeout bounds the time to read the request body.
 	BodyTimeout time.Duration
-	// WriteTimeout bounds each write to a caller that does not read its response.
+	// WriteTimeout is how long a caller may read nothing of its response. On connections that do not come from package
+	// netopt it bounds each write as a whole.
 	WriteTimeout time.Duration
 	// RequestTimeout is the timeout of a request. HeaderTimeout can only shorten it. For a forwarded request
 	// it applies only if neither the route nor the caller sets a timeout.
--- a/internal/transport/httpapi/caller_conn.go
+++ b/internal/transport/httpapi/caller_conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +19,18 @@
 	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
+// limitCallerWrites bounds writes to the caller by its progress, as the connections of package netopt can be. It returns false if the caller's
+// connection does not support that.
+func limitCallerWrites(ctx context.Context, stall time.Duration, until time.Time) bool {
+	c, ok := ctx.Value(callerConnKey{}).(interface {
+		LimitWrites(time.Duration, time.Time)
+	})
+	if ok {
+		c.LimitWrites(stall, until)
+	}
+	return ok
+}
+
 // errCallerLeft reports a request whose caller closed its connection before the request was sent.
 var errCallerLeft = errors.New("the caller has closed its connection")
 
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -323,8 +323,23 @@
 	}
 }
 
+// setWriteDeadline bounds the next writes to the caller. A caller that reads slowly gets its response until the deadline of
+// its request.
 func (x *exchange) setWriteDeadline() {
-	_ = x.control.SetWriteDeadline(time.Now().Add(x.api.Limits.WriteTimeout))
+	timeout := x.api.Limits.WriteTimeout
+	until := time.Now().Add(timeout)
+	if limitCallerWrites(x.httpReq.Context(), timeout, latest(x.ctx, until)) {
+		return
+	}
+	_ = x.control.SetWriteDeadline(until)
+}
+
+// latest returns the deadline of a context if it is after the given time, else that time.
+func latest(ctx context.Context, t time.Time) time.Time {
+	if deadline, ok := ctx.Deadline(); ok && deadline.After(t) {
+		return deadline
+	}
+	return t
 }
 
 // finish releases what the request holds. After a panic, the outcome of a request that may have run is
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -88,16 +88,16 @@
 	return c
 }
 
-// countingListener wraps accepted connections in countingConn.
+// countingListener wraps accepted connections in acceptedConn.
 type countingListener struct{ *net.TCPListener }
 
 // Accept implements net.Listener.
 func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
+	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
-	return withByteCount(c), nil
+	return &acceptedConn{countingConn: countingConn{c}}, nil
 }
 
 // Listen listens on an IPv4 address and port.
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	release := sync.OnceFunc(func() { <-l.slots })
-	if tcp, ok := c.(countingConn); ok {
+	if tcp, ok := c.(*acceptedConn); ok {
 		return limitedTCPConn{tcp, release}, nil
 	}
 	return limitedConn{c, release}, nil
@@ -183,14 +183,14 @@
 }
 
 type limitedTCPConn struct {
-	countingConn
+	*acceptedConn
 	release func()
 }
 
 // Close implements net.Conn.
 func (c limitedTCPConn) Close() error {
 	defer c.release()
-	return c.countingConn.Close()
+	return c.acceptedConn.Close()
 }
 
 // Dial connects to an IPv4 address and port.
