Write the end of a stream that was silent before it

A caller of a stream whose last event and end were more than ten seconds apart got every event and then an unexpected end, and took the stream for broken.

The write deadline was set for each event and not for the end, which net/http writes after the handler has returned. By then the deadline of the last event had passed.

Before the write limits of callers' connections, the new test failed (one run: unexpected EOF after the event), and passed with this change alone (one run). Those limits apply to each write from its start, so the test also passes with them; this change covers connections that do not support them.

--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -317,6 +317,7 @@
 	}
 	op.settle(x, outcomeComplete)
 	x.noteAnswer()
+	x.setWriteDeadline() // that of the last event may have passed
 	if op.endsByClose(x) {
 		op.finishUnframed(x, nil)
 	}
