Limit writes to the own fleet's callers by their progress

A caller of the own fleet that read a large response slowly, and all the time, lost the rest of it after the write timeout (30 s by default). The response of a service is at most 32 MiB and one write, so a caller with less than about 1 MB/s was cut off.

The cause is the one of the platform's callers: a write deadline covers a write as a whole. The public listener now has the connections of package netopt, whose writes are limited by progress and by the deadline of the request. They replace netutil.LimitListener, which hides the methods of the connections.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
@@ -28,6 +27,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
 	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -101,7 +101,7 @@
 func (d *Daemon) newServers() (public, admin *http.Server) {
 	public = &http.Server{
 		Handler: d.api.Handler(), ReadHeaderTimeout: d.cfg.ReadTimeout,
-		IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes,
+		IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
 	}
 	admin = &http.Server{Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: d.cfg.ReadTimeout}
 	return public, admin
@@ -182,7 +182,9 @@
 	}
 	var resolver conc.WaitGroup
 	resolver.Go(func() { d.api.UnknownOutcomes.Run(background) })
-	loops.Go(func() { _ = d.server.Serve(netutil.LimitListener(public, d.cfg.MaxConnections)) })
+	loops.Go(func() {
+		_ = d.server.Serve(netopt.LimitConnections(netopt.WithWriteLimits(public), d.cfg.MaxConnections))
+	})
 	loops.Go(func() { _ = d.admin.Serve(admin) })
 	d.ready.Store(true)
 	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
--- a/internal/transport/httpapi/caller_conn.go
+++ b/internal/transport/httpapi/caller_conn.go
@@ -13,7 +13,7 @@
 // callerConnKey is the key of the caller's connection in the context of a request.
 type callerConnKey struct{}
 
-// WithCallerConn is the ConnContext of a server whose requests ForwardHandler serves. It lets the handler look at the
+// WithCallerConn is the ConnContext of a server whose requests Handler or ForwardHandler serves. It lets the handler use the
 // caller's connection itself.
 func WithCallerConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, callerConnKey{}, c)
--- a/internal/transport/netopt/write_limits.go
+++ b/internal/transport/netopt/write_limits.go
@@ -1,6 +1,7 @@
 package netopt
 
 import (
+	"net"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +15,15 @@
 // timed, because a process that got no processor for a while must not take that for a stall.
 const progressChecks = 10
 
+// WithWriteLimits returns a listener whose connections have the method LimitWrites. It returns the given one unless that
+// listens on TCP.
+func WithWriteLimits(l net.Listener) net.Listener {
+	if tcp, ok := l.(*net.TCPListener); ok {
+		return countingListener{tcp}
+	}
+	return l
+}
+
 // acceptedConn is a connection whose writes can be limited by the progress of its peer.
 type acceptedConn struct {
 	countingConn
