Close only callers' connections that wait for a request

Callers on busy kept connections saw them reset or closed 2.6 s after SIGTERM, with a request sent whole.

Cause: SetKeepAlivesEnabled(false) closes connections whose state is idle, and net/http changes the state only after it has parsed the head of the next request: requests in the socket's buffer, in the read buffer, or already with their handler went without an answer. On a process that gets little processor time, a request may be in the socket's buffer for longer than callers must expect at a close.

KeptConns closes an idle connection by moving its read deadline, so that the goroutine that reads it decides: data that has arrived is read and answered. Responses of a closing router announce the close themselves. A connection is closed once it has waited for a request for 200 ms.

Ruled out: none of these requests had been passed on, since the router refuses requests before it closes connections.

TestCloseIdleSparesPipelinedRequest fails if the handler does not mark its connection as busy.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -127,6 +127,8 @@
 	// draining is set at the start of the shutdown, and closing when new requests are refused.
 	draining atomic.Bool
 	closing  atomic.Bool
+	// callers are the connections of callers.
+	callers httpapi.KeptConns
 }
 
 const (
@@ -403,7 +405,7 @@
 		"address": g.cfg.Listen, "vm": g.cfg.VM, "zone": g.cfg.Zone, "process": string(g.holder),
 	})
 	<-ctx.Done()
-	g.drain(servers)
+	g.drain()
 	stopBudgets()
 	budgetLoops.Wait()
 	returnCtx, cancel := context.WithTimeout(context.Background(), shareReturnTimeout)
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -49,7 +49,8 @@
 		}
 		if s.server == callers {
 			limited = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
-			listener = limited
+			g.callers.Attach(callers)
+			listener = g.callers.Listener(limited)
 		}
 		servers = append(servers, gatewayServer{server: s.server, listener: listener})
 	}
@@ -84,6 +85,9 @@
 	closeTimeout = 300 * time.Millisecond
 	// closePollInterval is the time between two checks for open connections in closeTimeout.
 	closePollInterval = 5 * time.Millisecond
+	// closeIdleAfter is how long a connection of a stopping process has waited for a request when it is closed. A caller
+	// sends its next request at once, or is likely to see the close before it sends one.
+	closeIdleAfter = 200 * time.Millisecond
 )
 
 // callersLeft are the connections of callers that ended with the process and not with a response.
@@ -96,19 +100,17 @@
 }
 
 // closeServers ends the requests in progress and closes the servers. The one for callers first completes its responses.
-// It does not use Shutdown, after whose start net/http closes connections of which it reads a request, without a response.
 func (g *Gateway) closeServers(servers []gatewayServer, callers *netopt.LimitedListener) callersLeft {
 	g.api.EndRequests()
 	left := callersLeft{queued: callers.Queued()}
 	_ = callers.Close()
-	// Closes connections that have become idle since drain did so. The others are closed after their responses.
-	servers[0].server.SetKeepAlivesEnabled(false)
 	// Counts pauses instead of comparing times: after a time in which the process got no processor, the goroutines of the
 	// requests still get theirs.
 	for range closeTimeout / closePollInterval {
 		if callers.Open() == 0 {
 			break
 		}
+		g.callers.CloseIdle(closeIdleAfter)
 		time.Sleep(closePollInterval)
 	}
 	left.closed = callers.Open()
@@ -120,16 +122,16 @@
 
 // drain stops accepting requests and waits until the open ones have finished or the grace period is nearly
 // over.
-func (g *Gateway) drain(servers []gatewayServer) {
+func (g *Gateway) drain() {
 	start := time.Now()
 	obs.EventStopping.Log(g.logger, nil)
 	g.draining.Store(true)
 	time.Sleep(refuseDelay)
 	g.closing.Store(true)
-	// The first server is the one for callers.
-	for _, s := range servers[:1] {
-		s.server.SetKeepAlivesEnabled(false)
-	}
+	g.callers.AnnounceClose()
+	closeIdle, stopClosing := context.WithCancel(context.Background())
+	defer stopClosing()
+	go every(closeIdle, closePollInterval, func() { g.callers.CloseIdle(closeIdleAfter) })
 	time.Sleep(keepAliveGrace)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.cfg.GracePeriod-shutdownMargin))
 	defer cancel()
--- a/internal/transport/httpapi/forward_end.go
+++ b/internal/transport/httpapi/forward_end.go
@@ -107,6 +107,7 @@
 	header := x.w.Header()
 	x.api.Forwarding.Headers.SetRefusal(header, x.id, time.Duration(e.RetryAfterMS)*time.Millisecond)
 	header.Set("Content-Type", contentTypeJSON)
+	x.announceClose()
 	x.setWriteDeadline()
 	if e.NotRun {
 		obs.RefusalsTotal.Add(1)
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -152,6 +152,7 @@
 	for name, values := range response.header {
 		header[name] = values
 	}
+	x.announceClose()
 	switch {
 	case !response.framed:
 		// Nothing proves that the body is complete, so no length is stated either.
@@ -272,6 +273,7 @@
 	for name, values := range endToEndHeaders(response.Header) {
 		header[name] = values
 	}
+	x.announceClose()
 	if op.endsByClose(x) {
 		resetCallerConn(x.httpReq.Context())
 	}
--- /dev/null
+++ b/internal/transport/httpapi/kept_conns.go
@@ -0,0 +1,194 @@
+package httpapi
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
+)
+
+// KeptConns are the connections of an http.Server. It closes those that wait for a request, for which net/http has no
+// safe way: SetKeepAlivesEnabled and Shutdown also close a connection whose next request has arrived, or has been read,
+// until its head is parsed. Its zero value is ready to use.
+type KeptConns struct {
+	closing atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*keptConn]struct{}
+}
+
+// keptConnKey is the key of a keptConn in the context of its requests.
+type keptConnKey struct{}
+
+// Attach sets the handler and the hooks of a server that accepts its connections from a Listener of k. The server's own
+// handler and ConnContext are called by them.
+func (k *KeptConns) Attach(s *http.Server) {
+	handler, connContext := s.Handler, s.ConnContext
+	s.ConnState = setIdle
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, keptConnKey{}, c)
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A request that the server has read together with the one before does not pass through keptConn.Read.
+		if c, ok := r.Context().Value(keptConnKey{}).(*keptConn); ok {
+			c.setBusy()
+		}
+		if k.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// AnnounceClose makes the responses to requests that are handled from now on the last ones of their connections.
+func (k *KeptConns) AnnounceClose() { k.closing.Store(true) }
+
+// Listener returns a listener whose connections belong to k.
+func (k *KeptConns) Listener(l net.Listener) net.Listener { return keptListener{l, k} }
+
+type keptListener struct {
+	net.Listener
+	conns *KeptConns
+}
+
+// Accept implements net.Listener.
+func (l keptListener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &keptConn{Conn: inner, conns: l.conns, idle: true, idleSince: time.Now()}
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	if l.conns.conns == nil {
+		l.conns.conns = make(map[*keptConn]struct{})
+	}
+	l.conns.conns[c] = struct{}{}
+	return c, nil
+}
+
+// setIdle is the ConnState of the server.
+func setIdle(c net.Conn, state http.ConnState) {
+	if kept, ok := c.(*keptConn); ok && state == http.StateIdle {
+		kept.mu.Lock()
+		defer kept.mu.Unlock()
+		kept.idle, kept.idleSince = true, time.Now()
+	}
+}
+
+// Open returns the number of open connections.
+func (k *KeptConns) Open() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.conns)
+}
+
+// CloseIdle lets the server close the connections that have waited for a request for the given time. A connection whose
+// request arrives first continues. It does not reach a connection that the server has just begun to wait for, so it is
+// called repeatedly.
+func (k *KeptConns) CloseIdle(after time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		c.endIfIdle(after)
+	}
+}
+
+// keptConn is a connection of KeptConns.
+type keptConn struct {
+	net.Conn
+	conns *KeptConns
+
+	mu sync.Mutex
+	// idle is true from the end of a response until data arrives, and idleSince its begin.
+	idle      bool
+	idleSince time.Time
+	// ending is true if the read deadline has been moved, so that the server stops waiting for a request.
+	ending bool
+}
+
+// endIfIdle only moves the read deadline: the goroutine that reads the connection decides whether it ends.
+func (c *keptConn) endIfIdle(after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && time.Since(c.idleSince) >= after && !netopt.HasUnread(c.Conn) {
+		c.ending = true
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+	}
+}
+
+func (c *keptConn) setBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+}
+
+// Read implements net.Conn.
+func (c *keptConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.continues(n, err) {
+			return n, err
+		}
+	}
+}
+
+// continues takes the result of a read, and reports whether the connection must be read again because data has arrived
+// since CloseIdle moved the deadline.
+func (c *keptConn) continues(n int, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.idle = false
+	}
+	expired := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+	if !c.ending || n == 0 && !expired || expired && !netopt.HasUnread(c.Conn) {
+		return false
+	}
+	c.ending, c.idle = false, false
+	_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed, which the next read reports
+	return expired
+}
+
+// Close implements net.Conn.
+func (c *keptConn) Close() error {
+	c.conns.mu.Lock()
+	delete(c.conns.conns, c)
+	c.conns.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the write side. The server calls it before it closes a connection with unread data.
+func (c *keptConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets how a close treats data that is not sent yet, as net.TCPConn does.
+func (c *keptConn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *keptConn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.New("the connection has no file descriptor")
+}
--- /dev/null
+++ b/internal/transport/httpapi/kept_conns_test.go
@@ -0,0 +1,169 @@
+package httpapi
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
+)
+
+// startKept starts a server with KeptConns and returns its address.
+func startKept(t *testing.T, k *KeptConns, handler http.HandlerFunc) string {
+	t.Helper()
+	l, err := netopt.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ConnContext: WithCallerConn, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
+	k.Attach(server)
+	go func() { _ = server.Serve(k.Listener(netopt.LimitConnections(l, 1000))) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// exchangeOne sends a request on a connection and reads the response.
+func exchangeOne(c net.Conn, reader *bufio.Reader) (*http.Response, error) {
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
+}
+
+// Guards against a request that has reached its handler and gets no response because its connection is closed as idle.
+func TestCloseIdleSparesRequestsBeingRead(t *testing.T) {
+	var k KeptConns
+	var handled, answered atomic.Int64
+	address := startKept(t, &k, func(w http.ResponseWriter, _ *http.Request) {
+		handled.Add(1)
+		_, _ = io.WriteString(w, "ok")
+	})
+	stop := make(chan struct{})
+	var work sync.WaitGroup
+	work.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				k.CloseIdle(0)
+			}
+		}
+	})
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for end := time.Now().Add(time.Second); time.Now().Before(end); {
+				c, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				for reader := bufio.NewReader(c); ; answered.Add(1) {
+					if _, err := exchangeOne(c, reader); err != nil {
+						break
+					}
+				}
+				_ = c.Close()
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	work.Wait()
+	t.Logf("%d requests handled", handled.Load())
+	if handled.Load() != answered.Load() || handled.Load() == 0 {
+		t.Errorf("%d requests reached the handler, %d got a response", handled.Load(), answered.Load())
+	}
+}
+
+// Guards against connections that stay open though their callers send nothing, and against a caller that is not told that
+// its connection ends.
+func TestCloseIdle(t *testing.T) {
+	is := is.New(t)
+	var k KeptConns
+	address := startKept(t, &k, func(http.ResponseWriter, *http.Request) {})
+	fresh, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer fresh.Close()
+	used, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer used.Close()
+	reader := bufio.NewReader(used)
+	resp, err := exchangeOne(used, reader)
+	is.NoErr(err)
+	is.True(!resp.Close)
+	partial, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer partial.Close()
+	_, err = io.WriteString(partial, "GET / HTTP/1.1\r\nHo")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(k.Open(), 3)
+	k.AnnounceClose()
+	k.CloseIdle(time.Minute)
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(k.Open(), 3)
+	for range 10 {
+		k.CloseIdle(50 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(k.Open(), 1) // the one whose request is not complete
+	for _, c := range []net.Conn{fresh, used} {
+		_, err := c.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+	}
+	_, err = io.WriteString(partial, "st: a\r\n\r\n")
+	is.NoErr(err)
+	resp, err = http.ReadResponse(bufio.NewReader(partial), nil)
+	is.NoErr(err)
+	is.True(resp.Close)
+}
+
+// Guards against a request that is canceled as its connection counts as idle, because the server has read it together with
+// the one before.
+func TestCloseIdleSparesPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	var k KeptConns
+	var canceled atomic.Bool
+	address := startKept(t, &k, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(200 * time.Millisecond)
+			canceled.Store(r.Context().Err() != nil)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, strings.Join([]string{"GET /fast HTTP/1.1", "Host: a", "", "GET /slow HTTP/1.1", "Host: a", "", ""}, "\r\n"))
+	is.NoErr(err)
+	go func() {
+		for range 50 {
+			k.CloseIdle(10 * time.Millisecond)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	reader := bufio.NewReader(c)
+	for _, path := range []string{"/fast", "/slow"} {
+		resp, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), path)
+	}
+	is.True(!canceled.Load())
+}
--- a/internal/transport/httpapi/stop.go
+++ b/internal/transport/httpapi/stop.go
@@ -48,3 +48,10 @@
 func stoppingRefusal() *APIError {
 	return refusal(http.StatusServiceUnavailable, CodeOverloaded, errStopping.Error()).withRetryAfter(otherRouterRetryAfter)
 }
+
+// announceClose tells the caller of a request that began before the router was closing not to use its connection again.
+func (x *exchange) announceClose() {
+	if x.api.Forwarding.Closing() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -123,10 +124,14 @@
 		return nil, err
 	}
 	release := sync.OnceFunc(func() { <-l.slots })
-	if tcp, ok := c.(countingConn); ok {
-		return limitedTCPConn{tcp, release}, nil
+	switch c := c.(type) {
+	case countingConn:
+		return limitedTCPConn{c, release}, nil
+	case *net.TCPConn:
+		return limitedTCPConn{countingConn{c}, release}, nil
+	default:
+		return limitedConn{c, release}, nil
 	}
-	return limitedConn{c, release}, nil
 }
 
 // Close implements net.Listener. It does not close the accepted connections.
@@ -214,20 +219,36 @@
 // PeerHasClosed reports whether the peer has closed a connection on which no data is unread. It may be called while
 // another goroutine reads from the connection. It returns false for a connection without a file descriptor.
 func PeerHasClosed(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR && !errors.Is(err, errNoPeek)
+}
+
+// HasUnread reports whether data has arrived on a connection that is not read yet. It may be called while another
+// goroutine reads from the connection. It returns false for a connection without a file descriptor.
+func HasUnread(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// errNoPeek reports a connection without a file descriptor.
+var errNoPeek = errors.New("the connection has no file descriptor")
+
+// peek returns the length of the unread data of a connection, 1 at most.
+func peek(c net.Conn) (n int, err error) {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNoPeek
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return false
+		return 0, errNoPeek
 	}
-	closed := false
 	var buf [1]byte
 	// Unlike Read, Control does not wait for the other reader.
-	err = raw.Control(func(fd uintptr) {
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR
-	})
-	return err == nil && closed
+	if controlErr := raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); controlErr != nil {
+		return 0, errNoPeek
+	}
+	return n, err
 }
