Stop the own fleet's routers without cutting kept connections

Callers of the own fleet saw kept connections reset or closed while their next completion was sent, when a router stopped.

Cause: http.Server.Shutdown and SetKeepAlivesEnabled close connections whose state is idle, which net/http ends only after it has parsed the head of the next request.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
@@ -28,6 +27,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
 	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -51,7 +51,9 @@
 	admission    *admission.Controller
 	server       *http.Server
 	admin        *http.Server
-	holder       record.HolderID
+	// callers are the connections of server.
+	callers httpapi.KeptConns
+	holder  record.HolderID
 	// started is when New was called.
 	started        time.Time
 	ready          atomic.Bool
@@ -103,6 +105,7 @@
 		Handler: d.api.Handler(), ReadHeaderTimeout: d.cfg.ReadTimeout,
 		IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes,
 	}
+	d.callers.Attach(public)
 	admin = &http.Server{Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: d.cfg.ReadTimeout}
 	return public, admin
 }
@@ -182,7 +185,8 @@
 	}
 	var resolver conc.WaitGroup
 	resolver.Go(func() { d.api.UnknownOutcomes.Run(background) })
-	loops.Go(func() { _ = d.server.Serve(netutil.LimitListener(public, d.cfg.MaxConnections)) })
+	limited := netopt.LimitConnections(public, d.cfg.MaxConnections)
+	loops.Go(func() { _ = d.server.Serve(d.callers.Listener(limited)) })
 	loops.Go(func() { _ = d.admin.Serve(admin) })
 	d.ready.Store(true)
 	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
@@ -190,7 +194,7 @@
 	case <-ctx.Done():
 	case <-d.drainRequested:
 	}
-	err := d.shutdown(func() {
+	err := d.shutdown(limited, func() {
 		stopBackground()
 		resolver.Wait()
 	})
@@ -211,7 +215,7 @@
 // ready. Open requests may finish within the drain timeout; after it, their connections are closed. Then the
 // last bills are written and the unspent tokens of the shares are returned. The result is an error if the
 // drain timeout expired or the shares could not be closed.
-func (d *Daemon) shutdown(stopBackground func()) error {
+func (d *Daemon) shutdown(public *netopt.LimitedListener, stopBackground func()) error {
 	obs.EventStopping.Log(d.logger, nil)
 	d.draining.Store(true)
 	d.ready.Store(false)
@@ -223,16 +227,17 @@
 	time.Sleep(d.cfg.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
 	defer cancel()
-	d.server.SetKeepAlivesEnabled(false)
-	err := d.server.Shutdown(ctx)
+	d.callers.AnnounceClose()
+	_ = public.Close()
+	err := d.waitConnectionsClosed(ctx, public)
 	if err != nil {
 		// The drain timeout has expired. The open requests stop their runs, bill what they used and tell their callers.
 		d.api.EndRequests()
 		ctx, cancelLast := context.WithTimeout(context.Background(), lastResponsesTimeout)
 		defer cancelLast()
-		_ = d.server.Shutdown(ctx) // an error means that connections are left, which Close closes
-		_ = d.server.Close()
+		_ = d.waitConnectionsClosed(ctx, public) // an error means that connections are left, which Close closes
 	}
+	_ = d.server.Close()
 	ctx, cancelClose := context.WithTimeout(context.Background(), shutdownFlushTimeout)
 	defer cancelClose()
 	d.api.WaitIdle(ctx)
@@ -243,3 +248,15 @@
 	obs.EventStopped.Log(d.logger, nil)
 	return err
 }
+
+// waitConnectionsClosed waits until all callers' connections are closed, each after a response or once it is idle.
+func (d *Daemon) waitConnectionsClosed(ctx context.Context, public *netopt.LimitedListener) error {
+	for public.Open() > 0 {
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "callers' connections are open")
+		}
+		d.callers.CloseIdle(closeIdleAfter)
+		time.Sleep(closePollInterval)
+	}
+	return nil
+}
--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -87,13 +87,6 @@
 	}
 }
 
-// Open returns the number of open connections.
-func (k *KeptConns) Open() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return len(k.conns)
-}
-
 // CloseIdle lets the server close the connections that have waited for a request for the given time. A connection whose
 // request arrives first continues. It does not reach a connection that the server has just begun to wait for, so it is
 // called repeatedly.
--- a/internal/transport/httpapi/kept_conns_test.go
+++ b/internal/transport/httpapi/kept_conns_test.go
@@ -16,8 +16,8 @@
 	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 )
 
-// startKept starts a server with KeptConns and returns its address.
-func startKept(t *testing.T, k *KeptConns, handler http.HandlerFunc) string {
+// startKept starts a server with KeptConns and returns its listener.
+func startKept(t *testing.T, k *KeptConns, handler http.HandlerFunc) *netopt.LimitedListener {
 	t.Helper()
 	l, err := netopt.Listen("127.0.0.1:0")
 	if err != nil {
@@ -25,9 +25,10 @@
 	}
 	server := &http.Server{Handler: handler, ConnContext: WithCallerConn, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
 	k.Attach(server)
-	go func() { _ = server.Serve(k.Listener(netopt.LimitConnections(l, 1000))) }()
+	limited := netopt.LimitConnections(l, 1000)
+	go func() { _ = server.Serve(k.Listener(limited)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return l.Addr().String()
+	return limited
 }
 
 // exchangeOne sends a request on a connection and reads the response.
@@ -47,7 +48,7 @@
 func TestCloseIdleSparesRequestsBeingRead(t *testing.T) {
 	var k KeptConns
 	var handled, answered atomic.Int64
-	address := startKept(t, &k, func(w http.ResponseWriter, _ *http.Request) {
+	listener := startKept(t, &k, func(w http.ResponseWriter, _ *http.Request) {
 		handled.Add(1)
 		_, _ = io.WriteString(w, "ok")
 	})
@@ -67,7 +68,7 @@
 	for range 16 {
 		callers.Go(func() {
 			for end := time.Now().Add(time.Second); time.Now().Before(end); {
-				c, err := net.Dial("tcp", address)
+				c, err := net.Dial("tcp", listener.Addr().String())
 				if err != nil {
 					t.Error(err)
 					return
@@ -95,33 +96,33 @@
 func TestCloseIdle(t *testing.T) {
 	is := is.New(t)
 	var k KeptConns
-	address := startKept(t, &k, func(http.ResponseWriter, *http.Request) {})
-	fresh, err := net.Dial("tcp", address)
+	listener := startKept(t, &k, func(http.ResponseWriter, *http.Request) {})
+	fresh, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
 	defer fresh.Close()
-	used, err := net.Dial("tcp", address)
+	used, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
 	defer used.Close()
 	reader := bufio.NewReader(used)
 	resp, err := exchangeOne(used, reader)
 	is.NoErr(err)
 	is.True(!resp.Close)
-	partial, err := net.Dial("tcp", address)
+	partial, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
 	defer partial.Close()
 	_, err = io.WriteString(partial, "GET / HTTP/1.1\r\nHo")
 	is.NoErr(err)
 	time.Sleep(50 * time.Millisecond)
-	is.Equal(k.Open(), 3)
+	is.Equal(listener.Open(), 4) // with the call of Accept
 	k.AnnounceClose()
 	k.CloseIdle(time.Minute)
 	time.Sleep(50 * time.Millisecond)
-	is.Equal(k.Open(), 3)
+	is.Equal(listener.Open(), 4) // with the call of Accept
 	for range 10 {
 		k.CloseIdle(50 * time.Millisecond)
 		time.Sleep(10 * time.Millisecond)
 	}
-	is.Equal(k.Open(), 1) // the one whose request is not complete
+	is.Equal(listener.Open(), 2) // the one whose request is not complete, and the call of Accept
 	for _, c := range []net.Conn{fresh, used} {
 		_, err := c.Read(make([]byte, 1))
 		is.Equal(err, io.EOF)
@@ -139,14 +140,14 @@
 	is := is.New(t)
 	var k KeptConns
 	var canceled atomic.Bool
-	address := startKept(t, &k, func(w http.ResponseWriter, r *http.Request) {
+	listener := startKept(t, &k, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			time.Sleep(200 * time.Millisecond)
 			canceled.Store(r.Context().Err() != nil)
 		}
 		_, _ = io.WriteString(w, r.URL.Path)
 	})
-	c, err := net.Dial("tcp", address)
+	c, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
 	defer c.Close()
 	_, err = io.WriteString(c, strings.Join([]string{"GET /fast HTTP/1.1", "Host: a", "", "GET /slow HTTP/1.1", "Host: a", "", ""}, "\r\n"))
