Send the rest of an answer before its connection is closed

Callers that read slowly and had sent more than their request lost the end of an answer: the kernel resets a connection that is closed with unread data, or that receives data afterwards, and drops what it has not sent.

Callers' connections with unacknowledged data now end their write side and discard what arrives until the caller has received everything, for 5 s at most. Connections of responses that must look truncated are reset as before.

--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -109,6 +110,8 @@
 	idleSince time.Time
 	// ending is true if the read deadline has been moved, so that the server stops waiting for a request.
 	ending bool
+	// reset is true if a close shall drop what is not sent, and closed once Close has been called.
+	reset, closed bool
 }
 
 // endIfIdle only moves the read deadline: the goroutine that reads the connection decides whether it ends.
@@ -154,14 +157,47 @@
 	return expired
 }
 
-// Close implements net.Conn.
+const (
+	// lingerTimeout limits the time for which a closed connection remains for a response that its caller reads slowly.
+	lingerTimeout = 5 * time.Second
+	// lingerPollInterval is the time between two checks whether the response is sent.
+	lingerPollInterval = 20 * time.Millisecond
+)
+
+// Close implements net.Conn. The kernel resets a connection that is closed with unread data, or that receives data
+// afterwards, and drops what it has not sent. So a connection with such data only ends its write side, and is closed once
+// the caller has received everything.
 func (c *keptConn) Close() error {
 	c.conns.mu.Lock()
 	delete(c.conns.conns, c)
 	c.conns.mu.Unlock()
-	return c.Conn.Close()
+	c.mu.Lock()
+	lingers := !c.closed && !c.reset && netopt.Unsent(c.Conn) > 0
+	c.closed = true
+	c.mu.Unlock()
+	if !lingers || c.CloseWrite() != nil {
+		return c.Conn.Close()
+	}
+	go c.linger()
+	return nil
+}
+
+// linger discards what the caller sends until the response is sent, and closes the connection.
+func (c *keptConn) linger() {
+	defer c.Conn.Close()
+	for end := time.Now().Add(lingerTimeout); netopt.Unsent(c.Conn) > 0 && time.Now().Before(end); {
+		if c.SetReadDeadline(time.Now().Add(lingerPollInterval)) != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, onlyReader{c.Conn}); !errors.Is(err, os.ErrDeadlineExceeded) {
+			time.Sleep(lingerPollInterval) // the caller has ended its side, and may still read
+		}
+	}
 }
 
+// onlyReader hides the other methods of a connection from io.Copy.
+type onlyReader struct{ io.Reader }
+
 // CloseWrite closes the write side. The server calls it before it closes a connection with unread data.
 func (c *keptConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -172,6 +208,9 @@
 
 // SetLinger sets how a close treats data that is not sent yet, as net.TCPConn does.
 func (c *keptConn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.reset = seconds == 0
+	c.mu.Unlock()
 	if conn, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return conn.SetLinger(seconds)
 	}
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -252,3 +252,23 @@
 	}
 	return n, err
 }
+
+// Unsent returns the number of bytes that are written to a connection and not acknowledged by its peer. It returns 0 for a
+// connection without a file descriptor.
+func Unsent(c net.Conn) int {
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unsent := 0
+	_ = raw.Control(func(fd uintptr) { // an error means that the connection is closed
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			unsent = n
+		}
+	})
+	return unsent
+}
