--- a/internal/transport/httpapi/caller_conn.go
+++ b/internal/transport/httpapi/caller_conn.go
@@ -19,12 +19,15 @@
 	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
-// limitCallerWrites bounds writes to the caller by its progress, as the connections of package netopt can be. It returns false if the caller's
-// connection does not support that.
+// writeLimiter is a connection whose writes can be bounded by the progress of the caller.
+type writeLimiter interface {
+	LimitWrites(stall time.Duration, until time.Time)
+}
+
+// limitCallerWrites bounds writes to the caller by its progress. It returns false if the caller's connection does not
+// support that.
 func limitCallerWrites(ctx context.Context, stall time.Duration, until time.Time) bool {
-	c, ok := ctx.Value(callerConnKey{}).(interface {
-		LimitWrites(time.Duration, time.Time)
-	})
+	c, ok := ctx.Value(callerConnKey{}).(writeLimiter)
 	if ok {
 		c.LimitWrites(stall, until)
 	}
