Log when a router reaches no upstream of a service, and when it does again

No log line told a router that is partitioned from all upstreams from failing upstreams: each request learned anew, at 600 ms a connection attempt, that none can be reached (lines 1612).

Package reach draws the conclusion from the connection attempts of all requests. It is logged (1615, 1616) and nothing acts on it yet.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/overload"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/reach"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/replica"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/streamorigin"
@@ -119,6 +120,7 @@
 	routing           *routing.Router
 	admission         *admission.Controller
 	pool              *relay.Pool
+	reach             *reach.Monitor
 	api               *httpapi.API
 	retries           retryBudgets
 	shedder           *overload.Shedder
@@ -183,6 +185,7 @@
 		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
 	}
 	g.pool = relay.NewPool(deps.ResponseID, g.buffers)
+	g.reach = g.newReachMonitor()
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
 	g.config = replica.New(replica.Config{
 		Log: deps.Log, Stream: deps.ConfigStream, Wait: configLongPoll, Now: time.Now, OnChange: g.rebuild, Logger: logger,
@@ -345,6 +348,7 @@
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse, Busy: g.shedder.Busy,
+			Reach: g.reach,
 		},
 		Requests: request.NewTable(request.Config{
 			Retention: gatewayRetention, MaxFinished: gatewayMaxFinished, Now: time.Now,
@@ -399,6 +403,7 @@
 	loops.Go(func() { every(background, updateInterval, g.admission.Advance) })
 	loops.Go(func() { g.sampleLoad(background) })
 	loops.Go(func() { every(background, time.Second, g.pool.CloseExpired) })
+	loops.Go(func() { g.reach.Run(background) })
 	obs.EventStarted.Log(g.logger, logrus.Fields{
 		"address": g.cfg.Listen, "vm": g.cfg.VM, "zone": g.cfg.Zone, "process": string(g.holder),
 	})
--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -15,6 +15,11 @@
 		"One upstream failed or sent an error. The request may have been sent to another upstream.")
 	EventLoadSheddingChanged = register(1614, logrus.WarnLevel, "load shedding started or stopped",
 		"The CPU (timers fire late) or the network link is overloaded. Refused callers use other routers. Add routers if it lasts.")
+	EventUnreachable = register(1615, logrus.WarnLevel, "no upstream of a service can be reached",
+		"Connection attempts to \"failed\" upstreams failed, and none answered for \"ms\". A check reaches "+
+			"upstreams again at 1616. If all routers say so, the upstreams are down; else check this VM's network.")
+	EventReachable = register(1616, logrus.InfoLevel, "upstreams of a service can be reached again",
+		"Two upstreams have accepted connections, after \"ms\". No action.")
 	EventLinesDropped = register(1613, logrus.WarnLevel, "log lines dropped",
 		"The log lines exceeded the rate limit, or their reader was too slow. The counters are still complete.")
 )
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/reach"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
@@ -145,6 +146,8 @@
 	ShouldShed func(priority int) bool
 	// Busy reports whether callers should reconnect, to reach another router.
 	Busy func() bool
+	// Reach is told what upstreams send. It may be nil.
+	Reach *reach.Monitor
 }
 
 // forwardSteps process a forwarded request in order. Each step may end the request with an error.
--- a/internal/transport/httpapi/forward_request.go
+++ b/internal/transport/httpapi/forward_request.go
@@ -57,7 +57,7 @@
 // relayTarget returns the chosen upstream with this router's fraction of the upstream's connection limit.
 func (op *forwardOp) relayTarget(x *exchange) relay.Target {
 	u := x.attempt.Upstream()
-	t := relay.Target{Address: u.Address}
+	t := relay.Target{Address: u.Address, Service: u.Service}
 	if u.MaxConnections > 0 {
 		t.MaxConnections = max(minUpstreamConnections, u.MaxConnections/max(1, x.api.Forwarding.Routers()))
 	}
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -54,6 +54,7 @@
 		return op.attemptError(ctx, err)
 	}
 	defer response.Close()
+	x.api.Forwarding.Reach.Received(op.service.Name)
 	info := x.api.Forwarding.Headers.ParseResponse(response.Status, response.Header)
 	if reporter, ok := x.attempt.(LoadReporter); ok && info.Load != nil {
 		reporter.Load(info.Load.Running, info.Load.Waiting, info.Load.Slots)
@@ -229,6 +230,7 @@
 			op.events++
 			op.lastEventID = id
 			x.noteEvent()
+			x.api.Forwarding.Reach.Received(op.service.Name)
 		}
 	}
 }
--- /dev/null
+++ b/internal/transport/relay/idle.go
@@ -0,0 +1,42 @@
+package relay
+
+import "time"
+
+// CloseExpired closes connections whose idle timeout has passed. The daemon calls it periodically.
+func (p *Pool) CloseExpired() {
+	now := time.Now()
+	var expired []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleUntil) {
+				kept = append(kept, c)
+			} else {
+				expired = append(expired, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		p.discard(c)
+	}
+}
+
+// Close closes the idle connections. Connections in use are closed when their exchanges end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = make(map[string][]*conn), true
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			p.discard(c)
+		}
+	}
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -68,6 +68,8 @@
 	Address string
 	// MaxConnections limits this router's connections to the address; 0 means no limit.
 	MaxConnections int
+	// Service is that of the upstream, for Pool.OnConnect.
+	Service string
 }
 
 // Request is a request as sent to the upstream. Header contains neither Host nor hop-by-hop headers.
@@ -106,6 +108,10 @@
 
 // Pool keeps idle connections to upstreams for reuse. It is safe for concurrent use.
 type Pool struct {
+	// OnConnect is called with the result of each connection attempt, unless the attempt was canceled. It may be nil, and is
+	// set before the first use.
+	OnConnect func(t Target, began time.Time, err error)
+
 	// responseID returns the ID of the request that a response belongs to.
 	responseID func(http.Header) string
 	buffers    *membuf.Limiter
@@ -252,14 +258,19 @@
 		}
 		p.discard(c)
 	}
-	return p.dial(ctx, t.Address)
+	return p.dial(ctx, t)
 }
 
 // dial opens a connection that has been counted towards the limit of its address.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
+	address, began := t.Address, time.Now()
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := netopt.Dial(ctx, address)
+	raw, err := netopt.Dial(dialCtx, address)
+	// An attempt that its caller has ended says nothing about the path.
+	if p.OnConnect != nil && (err == nil || ctx.Err() == nil) {
+		p.OnConnect(t, began, err)
+	}
 	if err != nil {
 		p.decrementOpenConns(address)
 		return nil, errors.Wrap(err, "connect")
@@ -332,7 +343,7 @@
 	p.mu.Lock()
 	p.openConns[t.Address]++
 	p.mu.Unlock()
-	c, err := p.dial(ctx, t.Address)
+	c, err := p.dial(ctx, t)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -415,45 +426,6 @@
 	}
 }
 
-// CloseExpired closes connections whose idle timeout has passed. The daemon calls it periodically.
-func (p *Pool) CloseExpired() {
-	now := time.Now()
-	var expired []*conn
-	p.mu.Lock()
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.idleUntil) {
-				kept = append(kept, c)
-			} else {
-				expired = append(expired, c)
-			}
-		}
-		if len(kept) == 0 {
-			delete(p.idle, address)
-		} else {
-			p.idle[address] = kept
-		}
-	}
-	p.mu.Unlock()
-	for _, c := range expired {
-		p.discard(c)
-	}
-}
-
-// Close closes the idle connections. Connections in use are closed when their exchanges end.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle, p.closed = make(map[string][]*conn), true
-	p.mu.Unlock()
-	for _, list := range idle {
-		for _, c := range list {
-			p.discard(c)
-		}
-	}
-}
-
 // bodyReader reads the body and records the error that ended it.
 type bodyReader struct{ r *Response }
 
