Pass requests on to a peer while no upstream of their service can be reached

A router that was partitioned from all upstreams refused what its peers could serve. Not being ready alone does not help where more than half of a zone is cut.

Such a router now sends the request to another router, over a listener for routers only and with a proof by the fleet's key. The peer serves it like a caller's and never passes it on again. Refusals say that the request has not run; then up to two more peers are asked. A request whose answer is lost at a peer is repeated only if it may be. The router that passes a request on charges nothing. The conclusion is that of package reach; a request that could not be sent to any upstream is passed on without it.

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -44,6 +44,8 @@
 	// Left is true in the last record of a process that has returned its shares. It replaces the removal of the
 	// record if there is a notice.
 	Left bool `cbor:"9,keyasint,omitempty"`
+	// HopAddress is where the router accepts requests that other routers pass on; empty if it does not.
+	HopAddress string `cbor:"10,keyasint,omitempty"`
 }
 
 // Config configures a Monitor.
--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -1,5 +1,6 @@
 // Package reach concludes, from the connection attempts of all requests together, that this router reaches no upstream of a
-// service while its peers may. daemon.Gateway runs a Monitor. The package does no I/O of its own.
+// service while its peers may, and chooses the peers that requests are passed on to. daemon.Gateway runs a Monitor; package
+// httpapi asks it before it sends a request. The package does no I/O of its own.
 package reach
 
 import (
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,8 +46,11 @@
 	// PeerListen is the address for other routers; empty means that the router does not communicate with any.
 	// Seeds are the addresses of peers to use until enough are known from their heartbeats in the log.
 	PeerListen string
-	Seeds      []string
-	PeerKey    string
+	// HopListen are addresses for requests that other routers pass on. The first free one is used; without any, no requests
+	// are passed on.
+	HopListen []string
+	Seeds     []string
+	PeerKey   string
 	// MaxSockets limits the open sockets of the process.
 	MaxSockets int
 	// ResponseMemory limits the memory for upstreams' responses in progress, in bytes. One upstream may use half of
@@ -120,12 +123,14 @@
 	routing           *routing.Router
 	admission         *admission.Controller
 	pool              *relay.Pool
-	reach             *reach.Monitor
-	api               *httpapi.API
-	retries           retryBudgets
-	shedder           *overload.Shedder
-	started           time.Time
-	ready             atomic.Bool
+	// hopPool holds the connections to other routers for requests that are passed on.
+	hopPool *relay.Pool
+	reach   *reach.Monitor
+	api     *httpapi.API
+	retries retryBudgets
+	shedder *overload.Shedder
+	started time.Time
+	ready   atomic.Bool
 	// draining is set at the start of the shutdown, and closing when new requests are refused.
 	draining atomic.Bool
 	closing  atomic.Bool
@@ -184,7 +189,7 @@
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
 		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
 	}
-	g.pool = relay.NewPool(deps.ResponseID, g.buffers)
+	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
 	g.config = replica.New(replica.Config{
@@ -348,7 +353,7 @@
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse, Busy: g.shedder.Busy,
-			Reach: g.reach,
+			Reach: g.reach, Hops: g.newHops(),
 		},
 		Requests: request.NewTable(request.Config{
 			Retention: gatewayRetention, MaxFinished: gatewayMaxFinished, Now: time.Now,
@@ -385,6 +390,9 @@
 	if err != nil {
 		return err
 	}
+	if s, ok := g.listenForHops(); ok {
+		servers = append(servers, s)
+	}
 	var loops conc.WaitGroup
 	for _, s := range servers {
 		loops.Go(func() { _ = s.server.Serve(s.listener) })
@@ -403,6 +411,7 @@
 	loops.Go(func() { every(background, updateInterval, g.admission.Advance) })
 	loops.Go(func() { g.sampleLoad(background) })
 	loops.Go(func() { every(background, time.Second, g.pool.CloseExpired) })
+	loops.Go(func() { every(background, time.Second, g.hopPool.CloseExpired) })
 	loops.Go(func() { g.reach.Run(background) })
 	obs.EventStarted.Log(g.logger, logrus.Fields{
 		"address": g.cfg.Listen, "vm": g.cfg.VM, "zone": g.cfg.Zone, "process": string(g.holder),
@@ -419,6 +428,7 @@
 	stop()
 	left := g.closeServers(servers, callers)
 	g.pool.Close()
+	g.hopPool.Close()
 	loops.Wait()
 	obs.EventStopped.Log(g.logger, logrus.Fields{
 		"open": g.api.InProgress(), "connections_closed": left.closed, "connections_queued": left.queued,
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -3,15 +3,27 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/reach"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/transport/hop"
+	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 )
 
+// hopSocketPart is the part of GatewayConfig.MaxSockets, as its inverse, for requests of other routers, and for requests to
+// them.
+const hopSocketPart = 8
+
+// hopIdleTimeout exceeds the time for which another router keeps an idle connection.
+const hopIdleTimeout = time.Minute
+
 // newReachMonitor returns a monitor that learns the results of all connection attempts to upstreams.
 func (g *Gateway) newReachMonitor() *reach.Monitor {
 	monitor := reach.New(reach.Config{
@@ -22,6 +34,17 @@
 	return monitor
 }
 
+// newHops returns nil if the router does not communicate with others.
+func (g *Gateway) newHops() *httpapi.Hops {
+	if len(g.cfg.HopListen) == 0 || g.cfg.PeerKey == "" {
+		return nil
+	}
+	return &httpapi.Hops{
+		Peers: reach.NewPeers(reach.PeersConfig{List: g.hopPeers, Now: time.Now}), Sender: g.hopPool, Key: hop.NewKey([]byte(g.cfg.PeerKey)),
+		MaxConnections: g.cfg.MaxSockets / hopSocketPart,
+	}
+}
+
 func (g *Gateway) upstreamAddresses(service string) (addresses []string) {
 	for u := range g.Current().Upstreams {
 		if u.Service == service && !u.Draining {
@@ -53,5 +76,45 @@
 		obs.EventReachable.Log(g.logger, fields)
 		return
 	}
+	if g.api.Forwarding.Hops != nil {
+		g.pool.CloseIdle(g.upstreamAddresses(c.Service))
+	}
 	obs.EventUnreachable.Log(g.logger, fields)
 }
+
+// hopPeers returns the other live routers that accept requests.
+func (g *Gateway) hopPeers() []reach.Peer {
+	members := g.heartbeats.HopAddresses()
+	peers := make([]reach.Peer, 0, len(members))
+	for vm, r := range members {
+		peers = append(peers, reach.Peer{VM: vm, Zone: r.Zone, Address: r.HopAddress})
+	}
+	return peers
+}
+
+// listenForHops opens the listener for requests of other routers at the first free address. Without one, the router still
+// serves its callers.
+func (g *Gateway) listenForHops() (gatewayServer, bool) {
+	hops := g.api.Forwarding.Hops
+	if hops == nil {
+		return gatewayServer{}, false
+	}
+	var lastErr error
+	for _, address := range g.cfg.HopListen {
+		listener, err := netopt.Listen(address)
+		if err != nil {
+			lastErr = err
+			continue
+		}
+		hops.Address = listener.Addr().String()
+		g.heartbeats.SetHopAddress(hops.Address)
+		server := &http.Server{
+			Handler: g.api.HopHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: hopIdleTimeout,
+			MaxHeaderBytes: gatewayMaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
+		}
+		var limited net.Listener = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/hopSocketPart))
+		return gatewayServer{server: server, listener: limited}, true
+	}
+	obs.EventStartOrStopFailed.Log(g.logger, logrus.Fields{"error": lastErr.Error()})
+	return gatewayServer{}, false
+}
--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -5,7 +5,7 @@
 // Events of forwarded requests, numbers 1610 to 1649.
 var (
 	EventRequestServed = register(1610, logrus.InfoLevel, "request succeeded",
-		"The upstream's response was delivered. The field \"first_ms\" is the time to its first byte. "+
+		"The upstream's response was delivered. \"passed_on\" says that the router \"upstream\" served it, \"from_router\" that another router passed it on. The field \"first_ms\" is the time to its first byte. "+
 			"\"out_of_order\" counts events of a stream that did not follow the one before; \"unproven_end\" says that a stream "+
 			"ended with the upstream's connection and had neither a length nor chunks. \"resumed_after\" is the last event that a "+
 			"caller has of the stream that it takes up again.")
@@ -16,10 +16,24 @@
 	EventLoadSheddingChanged = register(1614, logrus.WarnLevel, "load shedding started or stopped",
 		"The CPU (timers fire late) or the network link is overloaded. Refused callers use other routers. Add routers if it lasts.")
 	EventUnreachable = register(1615, logrus.WarnLevel, "no upstream of a service can be reached",
-		"Connection attempts to \"failed\" upstreams failed, and none answered for \"ms\". A check reaches "+
-			"upstreams again at 1616. If all routers say so, the upstreams are down; else check this VM's network.")
+		"Connection attempts to \"failed\" upstreams failed, and none answered for \"ms\". Requests are passed on to other routers until a "+
+			"check reaches upstreams again (1616). If all routers say so, the upstreams are down; else check this VM's network.")
 	EventReachable = register(1616, logrus.InfoLevel, "upstreams of a service can be reached again",
-		"Two upstreams have accepted connections, after \"ms\". No action.")
+		"After \"ms\" requests are sent to upstreams again. No action.")
+	EventHopUnauthorized = register(1617, logrus.WarnLevel, "request at the address for routers refused",
+		"It carries no proof that a router of the fleet passed it on, or the proof is older than a minute. Check who reaches the address, "+
+			"the key of the fleet and the clocks.")
 	EventLinesDropped = register(1613, logrus.WarnLevel, "log lines dropped",
 		"The log lines exceeded the rate limit, or their reader was too slow. The counters are still complete.")
 )
+
+var (
+	// HopsSentTotal counts requests that were sent to another router, because no upstream could be reached. HopsRefusedTotal
+	// counts those of them that did not run there, and HopsLostTotal those whose outcome the other router did not tell.
+	HopsSentTotal    = newMetric("hops_sent_total")
+	HopsRefusedTotal = newMetric("hops_refused_total")
+	HopsLostTotal    = newMetric("hops_lost_total")
+	// HopsReceivedTotal counts requests that other routers passed on, and HopsUnauthorizedTotal those without a proof of it.
+	HopsReceivedTotal     = newMetric("hops_received_total")
+	HopsUnauthorizedTotal = newMetric("hops_unauthorized_total")
+)
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -24,6 +24,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
+	"github.com/dotterelthread/dotterelthread/internal/transport/hop"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -60,6 +61,8 @@
 	attemptCount int
 	// subjects are what the request may have in common with others that crash upstreams.
 	subjects []quarantine.Subject
+	// hop is set if another router has passed the request on to this one.
+	hop      *hop.Request
 	progress attemptProgress
 	// crashedUpstream is true if an upstream crashed as its answer to the request began. Hardly any other request is
 	// in that state when an upstream crashes, so the request is not sent again.
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
+	"github.com/dotterelthread/dotterelthread/internal/transport/hop"
 	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
@@ -34,6 +35,8 @@
 	// SetOutgoing sets the router's own headers on a request to an upstream, and removes those that only the
 	// router may set.
 	SetOutgoing(h http.Header, o OutgoingInfo)
+	// SetRemaining sets the time left until the deadline of a request that is passed on to another router.
+	SetRemaining(h http.Header, remaining time.Duration)
 	// ParseResponse parses the headers of an upstream's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
 	// SetRefusal sets the headers of an error response that comes from the router itself.
@@ -148,11 +151,13 @@
 	Busy func() bool
 	// Reach is told what upstreams send. It may be nil.
 	Reach *reach.Monitor
+	// Hops is nil if requests are not passed on to other routers.
+	Hops *Hops
 }
 
 // forwardSteps process a forwarded request in order. Each step may end the request with an error.
 var forwardSteps = [...]func(*exchange) *APIError{
-	(*exchange).registerForward, (*exchange).resolveOrigin, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
+	(*exchange).registerForward, (*exchange).passOnUnreachable, (*exchange).resolveOrigin, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
 }
 
 // ForwardHandler returns the handler that forwards requests by host and path.
@@ -171,7 +176,10 @@
 // forward serves one request and reports whether its connection must be aborted.
 func (a *API) forward(w http.ResponseWriter, httpReq *http.Request) (abort bool) {
 	obs.RequestsTotal.Add(1)
-	x := &exchange{api: a, w: w, control: http.NewResponseController(w), httpReq: httpReq, startedAt: a.Now()}
+	x := &exchange{
+		api: a, w: w, control: http.NewResponseController(w), httpReq: httpReq, startedAt: a.Now(), hop: hopOf(httpReq.Context()),
+	}
+	x.setHopResult(hop.ResultAnswer)
 	ctx, release := a.requestContext(httpReq)
 	defer release()
 	x.ctx, x.span = obs.StartSpan(obs.ExtractTrace(ctx, httpReq.Header), obs.SpanRequest, x.id)
@@ -215,7 +223,7 @@
 	if e := x.findRoute(op); e != nil {
 		return e
 	}
-	if x.api.Forwarding.Busy() {
+	if x.hop == nil && x.api.Forwarding.Busy() {
 		// When the caller reconnects, it may reach another router.
 		x.w.Header().Set("Connection", "close")
 	}
@@ -285,6 +293,11 @@
 	mayHaveRunCount int
 	refusals        int
 	unsent          int
+	// unconnected counts those of the unsent ones for which no connection could be opened.
+	unconnected int
+	// passedOn is true while another router serves the request, and counted once this one has counted it towards its retry
+	// budget.
+	passedOn, counted bool
 	// errorResponse is the last server error of an upstream. The caller gets it if no attempt succeeds.
 	errorResponse *bufferedResponse
 	// committed is true once status and headers of a stream are decided: just before its first event is
@@ -395,7 +408,9 @@
 func (x *exchange) runForward() *APIError {
 	op := x.op.(*forwardOp)
 	retryBudget := x.api.Forwarding.Retry(op.service.Name)
-	retryBudget.RecordRequest()
+	if op.counted = true; x.hop == nil || !x.hop.Counted {
+		retryBudget.RecordRequest()
+	}
 	for {
 		if callerHasLeft(x.httpReq.Context()) {
 			x.cancel()
@@ -405,7 +420,13 @@
 			// The request came before the shutdown refused new ones, and would be cut off at its end.
 			return stoppingRefusal()
 		}
+		if x.mustPassOn() {
+			return x.passOn(op.cause)
+		}
 		attempt, err := x.api.Routing.Pick(x.routingReq)
+		if err != nil && op.isLastResort(x) {
+			return x.passOn(errors.CombineErrors(err, op.cause))
+		}
 		if err != nil {
 			return op.finishFailed(x, errors.CombineErrors(err, op.cause))
 		}
@@ -423,6 +444,9 @@
 			})
 		}
 		if !op.mayRetry(x, err, retryBudget) {
+			if op.isLastResort(x) {
+				return x.passOn(err)
+			}
 			return op.finishFailed(x, err)
 		}
 		obs.RetriesTotal.Add(1)
@@ -436,6 +460,9 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		op.unsent++
+		if !errors.Is(err, relay.ErrConnectionLimit) {
+			op.unconnected++
+		}
 	case errors.Is(err, upstream.ErrRefused):
 		op.refusals++
 	default:
--- a/internal/transport/httpapi/forward_end.go
+++ b/internal/transport/httpapi/forward_end.go
@@ -69,6 +69,11 @@
 		bill.Charged = min(x.maxCost, bill.InputTokens+bill.OutputTokens)
 		op.charged = bill.Charged
 	}
+	if op.passedOn {
+		// The router that ran the request charges it.
+		x.releaseReservation()
+		bill.Charged, op.charged = 0, 0
+	}
 	if outcome == outcomeUnknown {
 		if x.request.MarkUnknown(string(CodeOutcomeUnknown)) == nil {
 			obs.OutcomeUnknownTotal.Add(1)
@@ -104,6 +109,7 @@
 	if op.cause = errors.CombineErrors(op.cause, x.reserveErr); op.cause == nil {
 		op.cause = e
 	}
+	x.setHopResult(x.hopResult(e))
 	header := x.w.Header()
 	x.api.Forwarding.Headers.SetRefusal(header, x.id, time.Duration(e.RetryAfterMS)*time.Millisecond)
 	header.Set("Content-Type", contentTypeJSON)
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -46,6 +46,12 @@
 	if op.abortConnection {
 		fields["cut"] = true
 	}
+	if op.passedOn {
+		fields["passed_on"] = true
+	}
+	if x.hop != nil {
+		fields["from_router"] = true
+	}
 	if op.origin.takenUp {
 		fields["resumes"], fields["origin"] = op.caller.Resumes, op.origin.source
 	}
--- a/internal/transport/httpapi/forward_origin.go
+++ b/internal/transport/httpapi/forward_origin.go
@@ -66,7 +66,7 @@
 // beginOrigin binds the stream to the version of the upstream that sent its first event. It is called before the event is
 // written to the caller.
 func (op *forwardOp) beginOrigin(x *exchange) {
-	if x.api.Origins == nil || !op.route.Stream || !op.route.Resumable {
+	if x.api.Origins == nil || !op.route.Stream || !op.route.Resumable || op.passedOn {
 		return
 	}
 	version := x.attempt.Upstream().SoftwareVersion
--- a/internal/transport/httpapi/forward_request.go
+++ b/internal/transport/httpapi/forward_request.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/dotterelthread/dotterelthread/internal/transport/hop"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 )
 
@@ -19,13 +20,17 @@
 		out.LastEventID = op.lastEventID
 	}
 	x.api.Forwarding.Headers.SetOutgoing(header, out)
-	uri := x.httpReq.RequestURI
-	if !strings.HasPrefix(uri, "/") {
-		uri = x.httpReq.URL.RequestURI()
-	}
 	return relay.Request{
-		Method: x.httpReq.Method, URI: uri, Host: x.httpReq.Host, Header: header, Body: x.body, ID: op.caller.ID,
+		Method: x.httpReq.Method, URI: requestURI(x.httpReq), Host: x.httpReq.Host, Header: header, Body: x.body, ID: op.caller.ID,
+	}
+}
+
+// requestURI returns the path and query of a request as received.
+func requestURI(httpReq *http.Request) string {
+	if strings.HasPrefix(httpReq.RequestURI, "/") {
+		return httpReq.RequestURI
 	}
+	return httpReq.URL.RequestURI()
 }
 
 // lowestPriority is the least urgent priority that engines accept; 0 is the most urgent.
@@ -36,7 +41,7 @@
 // hopByHopHeaders are not forwarded: they apply to a single connection, or the router handles them itself.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", hop.HeaderAuth, hop.HeaderResult,
 }
 
 // endToEndHeaders returns a copy of the headers without the hop-by-hop headers, including those that the
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -230,7 +230,9 @@
 			op.events++
 			op.lastEventID = id
 			x.noteEvent()
-			x.api.Forwarding.Reach.Received(op.service.Name)
+			if !op.passedOn {
+				x.api.Forwarding.Reach.Received(op.service.Name)
+			}
 		}
 	}
 }
--- a/internal/transport/relay/idle.go
+++ b/internal/transport/relay/idle.go
@@ -2,6 +2,20 @@
 
 import "time"
 
+// CloseIdle closes the idle connections to the given addresses. They may be dead without a sign of it after a partition.
+func (p *Pool) CloseIdle(addresses []string) {
+	var idle []*conn
+	p.mu.Lock()
+	for _, address := range addresses {
+		idle = append(idle, p.idle[address]...)
+		delete(p.idle, address)
+	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.discard(c)
+	}
+}
+
 // CloseExpired closes connections whose idle timeout has passed. The daemon calls it periodically.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
