Do not take a router's partition from all upstreams for crashes of the upstreams

A lost connection whose upstream then refuses a new one counted as a crash of that upstream (1504). A router whose path to all upstreams is reset sees just that for each request in progress, and all routers then quarantine the parts that these requests have in common (1505): requests that crash nothing were refused everywhere.

The router now opens a connection to another upstream of the service before it records a crash. If that fails too and the service counts as unreachable, nothing is recorded. With one upstream, another service that is unreachable tells. Where the other upstream has crashed as well one crash goes unnoticed; the connection that succeeds is kept.

--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,7 +28,7 @@
 	// Services returns the names of all services.
 	Services func() []string
 	// Check opens a connection to an upstream of a service and reports it with Monitor.Connected. No request is sent.
-	Check func(ctx context.Context, service, address string)
+	Check func(ctx context.Context, service, address string) error
 	// Notify is called without a lock held when a conclusion changes.
 	Notify func(Change)
 	// Choose returns an index below n; nil means the first.
@@ -224,19 +225,42 @@
 		if !ok {
 			return
 		}
-		m.cfg.Check(ctx, name, address)
-		if !m.hasReached(name) {
+		if m.cfg.Check(ctx, name, address) != nil || !m.Unreachable(name) {
 			return
 		}
 	}
 }
 
-// hasReached reports whether the last check of an unreachable service succeeded.
-func (m *Monitor) hasReached(name string) bool {
+// Confirm reports whether the router reaches no upstream of the service, after a connection attempt at one of them failed. It
+// tries another one.
+func (m *Monitor) Confirm(ctx context.Context, name, failed string) bool {
+	if m == nil {
+		return false
+	}
+	others := slices.DeleteFunc(slices.Clone(m.cfg.Upstreams(name)), func(a string) bool { return a == failed })
+	if len(others) == 0 {
+		return m.anyOtherUnreachable(name)
+	}
+	return m.cfg.Check(ctx, name, others[m.choose(len(others))]) != nil && m.Unreachable(name)
+}
+
+// anyOtherUnreachable reports whether another service is unreachable.
+func (m *Monitor) anyOtherUnreachable(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.service(name)
-	return !s.unreachableSince.IsZero() && len(s.reached) > 0
+	for other, s := range m.services {
+		if other != name && !s.unreachableSince.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Monitor) choose(n int) int {
+	if m.cfg.Choose == nil {
+		return 0
+	}
+	return m.cfg.Choose(n)
 }
 
 // nextToCheck returns an upstream that has not been reached. A service without upstreams counts as reachable again.
@@ -258,9 +282,5 @@
 	if len(candidates) == 0 {
 		candidates = addresses
 	}
-	choice := 0
-	if m.cfg.Choose != nil {
-		choice = m.cfg.Choose(len(candidates))
-	}
-	return candidates[choice], true
+	return candidates[m.choose(len(candidates))], true
 }
--- a/internal/coordination/reach/reach_test.go
+++ b/internal/coordination/reach/reach_test.go
@@ -32,8 +32,12 @@
 			}
 			return names
 		},
-		Check: func(_ context.Context, service, address string) {
-			f.Connected(service, address, f.now, f.check(service, address))
+		Check: func(_ context.Context, service, address string) error {
+			began := f.now
+			f.now = f.now.Add(time.Millisecond)
+			err := f.check(service, address)
+			f.Connected(service, address, began, err)
+			return err
 		},
 		Notify: func(c Change) { f.changes = append(f.changes, c) },
 		Now:    func() time.Time { return f.now },
@@ -153,6 +157,32 @@
 	is.True(!f.Unreachable("s")) // it has no upstreams
 }
 
+// Guards against a crash of one upstream, or of the only one, that counts as a partition, and the other way round.
+func TestConfirm(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string][]string{"s": {"a", "b"}, "t": {"c"}})
+	up := map[string]bool{"b": true}
+	f.check = func(_, address string) error {
+		if up[address] {
+			return nil
+		}
+		return errConnect
+	}
+	f.connect("s", "a", errConnect)
+	is.True(!f.Confirm(t.Context(), "s", "a"))
+	f.connect("t", "c", errConnect)
+	is.True(f.Unreachable("t"))
+	is.True(!f.Confirm(t.Context(), "t", "c"))
+	up["b"] = false
+	f.connect("s", "a", errConnect)
+	is.True(f.Confirm(t.Context(), "s", "a"))
+	is.True(f.Confirm(t.Context(), "t", "c"))
+	up["b"] = true
+	is.True(!f.Confirm(t.Context(), "s", "a")) // one connection is enough to doubt
+	var none *Monitor
+	is.True(!none.Confirm(t.Context(), "s", "a"))
+}
+
 // Guards against conclusions that do not follow from the results since the last sign of a path, in any order.
 func TestConclusionsFollowFromResults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -65,9 +65,9 @@
 	return names
 }
 
-// checkUpstream opens a connection, which is kept for the next request. The pool reports the result to the monitor.
-func (g *Gateway) checkUpstream(ctx context.Context, service, address string) {
-	g.pool.RefusesConnections(ctx, relay.Target{Address: address, Service: service})
+// checkUpstream opens a connection. The pool reports the result to the monitor.
+func (g *Gateway) checkUpstream(ctx context.Context, service, address string) error {
+	return g.pool.Connect(ctx, relay.Target{Address: address, Service: service})
 }
 
 func (g *Gateway) reachChanged(c reach.Change) {
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -438,9 +438,9 @@
 		}
 		op.countAttempt(x, err)
 		if errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, errAttemptTimeout) {
-			target := op.relayTarget(x)
+			target, service := op.relayTarget(x), op.service.Name
 			x.noteCrash(op.upstream, func(ctx context.Context) bool {
-				return x.api.Forwarding.Forwarder.RefusesConnections(ctx, target)
+				return x.api.Forwarding.Forwarder.RefusesConnections(ctx, target) && !x.api.Forwarding.Reach.Confirm(ctx, service, target.Address)
 			})
 		}
 		if !op.mayRetry(x, err, retryBudget) {
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -337,18 +337,21 @@
 	return n, err
 }
 
-// RefusesConnections reports whether the host of an upstream refuses connections, because no process listens. A
-// connection that it accepts is kept for the next request.
+// RefusesConnections reports whether the host of an upstream refuses connections, because no process listens.
 func (p *Pool) RefusesConnections(ctx context.Context, t Target) bool {
+	return errors.Is(p.Connect(ctx, t), syscall.ECONNREFUSED)
+}
+
+// Connect opens a connection, which is kept for the next request.
+func (p *Pool) Connect(ctx context.Context, t Target) error {
 	p.mu.Lock()
 	p.openConns[t.Address]++
 	p.mu.Unlock()
 	c, err := p.dial(ctx, t)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil {
+		p.release(c, maxIdleTime)
 	}
-	p.release(c, maxIdleTime)
-	return false
+	return err
 }
 
 // takeIdle removes and returns the most recently used of the idle connections that have not carried a request ID with the
