Heartbeats name the services of which a router reaches no upstream

A router that passes requests on learned only from refusals which of its peers are cut as well, and asked each of them again every 1 to 1.5 s. A request that met three of them was refused.

Heartbeats now name these services, and peers that do not name them are chosen first. If all do, they are chosen as before: the record may be out of date.

Older routers ignore the new field.

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -46,6 +46,8 @@
 	Left bool `cbor:"9,keyasint,omitempty"`
 	// HopAddress is where the router accepts requests that other routers pass on; empty if it does not.
 	HopAddress string `cbor:"10,keyasint,omitempty"`
+	// Unreachable is what Config.Unreachable returned for this heartbeat.
+	Unreachable []string `cbor:"11,keyasint,omitempty"`
 }
 
 // Config configures a Monitor.
@@ -73,6 +75,8 @@
 	// each other router, and of a predecessor of this process, when it changes. Both may be nil.
 	Notice   func() []byte
 	OnNotice func(notice []byte)
+	// Unreachable returns the services of which the router reaches no upstream. It may be nil.
+	Unreachable func() []string
 	// QueryAge asks the other routers for the age of the heartbeat at an offset.
 	QueryAge func(ctx context.Context, offset uint64) []AgeBounds
 	Logger   logrus.FieldLogger
@@ -216,6 +220,9 @@
 		record.Usage, undoUsage = m.cfg.HeartbeatUsage()
 	}
 	record.Notice = m.notice()
+	if m.cfg.Unreachable != nil {
+		record.Unreachable = m.cfg.Unreachable()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastSent = record
--- a/internal/coordination/reach/peers.go
+++ b/internal/coordination/reach/peers.go
@@ -25,6 +25,8 @@
 	VM, Zone string
 	// Address is where it accepts requests of other routers.
 	Address string
+	// Unreachable are the services of which the peer has said that it reaches no upstream. It may be out of date.
+	Unreachable []string
 }
 
 // PeersConfig configures Peers.
@@ -59,7 +61,8 @@
 	return &Peers{cfg: cfg, avoid: make(map[string]time.Time), noPath: make(map[peerService]time.Time), pauses: make(map[string]pause)}
 }
 
-// Pick chooses a peer at random for a request for a service. ok is false if no peer is known that may serve it now. tried
+// Pick chooses a peer at random for a request for a service, of those that have not said that they reach no upstream of it if
+// there are any. ok is false if no peer is known that may serve it now. tried
 // are the addresses of the peers that have not served the request.
 func (p *Peers) Pick(service string, tried []string) (peer Peer, ok bool) {
 	peers := p.cfg.List()
@@ -75,6 +78,10 @@
 	if len(peers) == 0 {
 		return Peer{}, false
 	}
+	reaching := slices.DeleteFunc(slices.Clone(peers), func(c Peer) bool { return slices.Contains(c.Unreachable, service) })
+	if len(reaching) > 0 {
+		peers = reaching
+	}
 	return peers[p.intN(len(peers))], true
 }
 
--- a/internal/coordination/reach/peers_test.go
+++ b/internal/coordination/reach/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,6 +60,17 @@
 	is.Equal(len(picks(p, "s")), 3)
 }
 
+// Guards against requests to peers of which it is known that they reach no upstream, and against a refusal because all
+// have said so a while ago.
+func TestPeersThatReachUpstreamsComeFirst(t *testing.T) {
+	is := is.New(t)
+	list := []Peer{{VM: "x", Address: "x:1", Unreachable: []string{"s"}}, {VM: "y", Address: "y:1"}, {VM: "z", Address: "z:1", Unreachable: []string{"t", "s"}}}
+	p := NewPeers(PeersConfig{List: func() []Peer { return slices.Clone(list) }, Now: time.Now})
+	is.Equal(picks(p, "s"), map[string]int{"y": 300})
+	is.Equal(len(picks(p, "t")), 2)
+	is.Equal(len(picks(p, "s", "y:1")), 2)
+}
+
 // Guards against asking the whole fleet again and again while the upstreams of a service are down for all.
 func TestPauseWhileNoPeerReachesAnUpstream(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -91,6 +91,19 @@
 	return s != nil && !s.unreachableSince.IsZero()
 }
 
+// UnreachableServices returns the names of the services for which Unreachable is true.
+func (m *Monitor) UnreachableServices() (names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, s := range m.services {
+		if !s.unreachableSince.IsZero() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Received records that an upstream of the service sent something. It does not end a conclusion: open connections may
 // live on while new ones fail.
 func (m *Monitor) Received(name string) {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -206,6 +206,7 @@
 		HeartbeatUsage: func() (map[string]int64, func()) { return g.budget.HeartbeatUsage() },
 		Notice:         func() []byte { return encodeVerdicts(logger, g.crashes) },
 		OnNotice:       func(notice []byte) { mergeVerdicts(logger, g.crashes, notice) },
+		Unreachable:    g.reach.UnreachableServices,
 		QueryAge:       func(ctx context.Context, offset uint64) []heartbeat.AgeBounds { return g.peers.queryAges(ctx, offset) },
 		Now:            time.Now, Logger: logger,
 	})
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -87,7 +87,7 @@
 	members := g.heartbeats.HopAddresses()
 	peers := make([]reach.Peer, 0, len(members))
 	for vm, r := range members {
-		peers = append(peers, reach.Peer{VM: vm, Zone: r.Zone, Address: r.HopAddress})
+		peers = append(peers, reach.Peer{VM: vm, Zone: r.Zone, Address: r.HopAddress, Unreachable: r.Unreachable})
 	}
 	return peers
 }
