Check the path to a service whose requests all wait in silence

After a cut, requests were written to kept connections, which show no failure for 2.5 s and more.

If all requests to a service have waited for 0.8 s, a connection is opened to one upstream, and to a second one if that fails. Checks that find a path are repeated after 1 s, then after twice as long, up to 8 s.

TestSilenceLeadsToCheck covers it with an injected clock.

--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -17,6 +17,14 @@
 	// checksToReturn is the number of upstreams that checks must reach in a row before requests are sent to them again. In
 	// some partitions a part of the connection attempts succeeds.
 	checksToReturn = 2
+	// silenceToCheck is how long all requests to a service may wait before a connection is opened to tell a partition from
+	// slow upstreams. Requests on connections that died with the path show no failure for longer.
+	silenceToCheck = 800 * time.Millisecond
+	// minCheckPause and maxCheckPause limit the pause after such a check that found a path. It doubles each time, and starts anew
+	// after checkPauseReset without one.
+	minCheckPause   = time.Second
+	maxCheckPause   = 8 * time.Second
+	checkPauseReset = 30 * time.Second
 	// checkInterval is the time between two checks of an unreachable service.
 	checkInterval = 200 * time.Millisecond
 )
@@ -66,6 +74,12 @@
 	// reached holds the addresses that were reached since, without a failure between.
 	reached  map[string]struct{}
 	checking bool
+	// waiting is the number of requests at upstreams, and waitingSince when it last rose from 0.
+	waiting      int
+	waitingSince time.Time
+	// silentAt is when silence led to the last check, and pause the time until the next one.
+	silentAt time.Time
+	pause    time.Duration
 }
 
 // New returns a Monitor for which all services are reachable.
@@ -115,6 +129,43 @@
 	m.service(name).prove(m.cfg.Now())
 }
 
+// Begin records that a request is sent to an upstream of the service, and End that it has ended.
+func (m *Monitor) Begin(name string) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.service(name)
+	if s.waiting++; s.waiting == 1 {
+		s.waitingSince = m.cfg.Now()
+	}
+}
+
+// End is the counterpart of Begin.
+func (m *Monitor) End(name string) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.service(name).waiting--
+}
+
+// isSilent reports whether silence of all upstreams calls for a check now.
+func (s *service) isSilent(now time.Time) bool {
+	return s.waiting > 0 && now.Sub(s.waitingSince) >= silenceToCheck && now.Sub(s.provenAt) >= silenceToCheck &&
+		now.Sub(s.silentAt) >= s.pause
+}
+
+// noteSilence sets the time of the next check.
+func (s *service) noteSilence(now time.Time) {
+	if now.Sub(s.silentAt) > checkPauseReset {
+		s.pause = 0
+	}
+	s.pause, s.silentAt = min(maxCheckPause, max(minCheckPause, 2*s.pause)), now
+}
+
 func (s *service) prove(now time.Time) {
 	s.provenAt = now
 	clear(s.failed)
@@ -202,43 +253,49 @@
 	}
 }
 
-// toCheck returns the services to check now, and marks them as being checked. While a service is unreachable, those that
-// no upstream of has answered since are checked too: a partition mostly concerns all services.
+// toCheck returns the services to check now, and marks them as being checked: unreachable ones, those that are silent and,
+// while a service is unreachable, those that have shown no path since. A partition mostly concerns all services.
 func (m *Monitor) toCheck() (names []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.cfg.Now()
 	var since time.Time
 	for _, s := range m.services {
 		if s.unreachableSince.After(since) {
 			since = s.unreachableSince
 		}
 	}
-	if since.IsZero() {
-		return nil
-	}
 	for _, name := range m.cfg.Services() {
 		s := m.service(name)
-		if !s.checking && (!s.unreachableSince.IsZero() || s.provenAt.Before(since)) {
-			s.checking = true
-			names = append(names, name)
+		silent := s.unreachableSince.IsZero() && s.isSilent(now)
+		if s.checking || !silent && s.unreachableSince.IsZero() && !s.provenAt.Before(since) {
+			continue
+		}
+		if silent {
+			s.noteSilence(now)
 		}
+		s.checking = true
+		names = append(names, name)
 	}
 	return names
 }
 
-// check opens a connection to one upstream of a service, and to another one if that succeeds.
+// check opens connections to upstreams of a service: to return to an unreachable one as many as that needs, unless one
+// fails, else until one succeeds or the service is unreachable.
 func (m *Monitor) check(ctx context.Context, name string) {
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.service(name).checking = false
 	}()
-	for range checksToReturn {
+	returning := m.Unreachable(name)
+	for range max(checksToReturn, addressesToConclude) {
 		address, ok := m.nextToCheck(name)
 		if !ok {
 			return
 		}
-		if m.cfg.Check(ctx, name, address) != nil || !m.Unreachable(name) {
+		failed := m.cfg.Check(ctx, name, address) != nil
+		if failed == returning || m.Unreachable(name) != returning {
 			return
 		}
 	}
@@ -276,7 +333,7 @@
 	return m.cfg.Choose(n)
 }
 
-// nextToCheck returns an upstream that has not been reached. A service without upstreams counts as reachable again.
+// nextToCheck returns an upstream that has not been tried since the last change. A service without upstreams counts as reachable again.
 func (m *Monitor) nextToCheck(name string) (address string, ok bool) {
 	addresses := m.cfg.Upstreams(name)
 	m.mu.Lock()
@@ -286,9 +343,13 @@
 		s.unreachableSince = time.Time{}
 		return "", false
 	}
+	tried := s.failed
+	if !s.unreachableSince.IsZero() {
+		tried = s.reached
+	}
 	var candidates []string
 	for _, a := range addresses {
-		if _, reached := s.reached[a]; !reached {
+		if _, ok := tried[a]; !ok {
 			candidates = append(candidates, a)
 		}
 	}
--- a/internal/coordination/reach/reach_test.go
+++ b/internal/coordination/reach/reach_test.go
@@ -157,6 +157,52 @@
 	is.True(!f.Unreachable("s")) // it has no upstreams
 }
 
+// Guards against a partition that nobody notices while requests wait on connections that died with the path, and against
+// checks because one upstream is slow, or without end because all are.
+func TestSilenceLeadsToCheck(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string][]string{"s": {"a", "b", "c"}})
+	checked, path := 0, true
+	f.check = func(string, string) error {
+		checked++
+		if path {
+			return nil
+		}
+		return errConnect
+	}
+	run := func(d time.Duration) {
+		for range d / checkInterval {
+			f.now = f.now.Add(checkInterval)
+			for _, name := range f.toCheck() {
+				f.Monitor.check(t.Context(), name)
+			}
+		}
+	}
+	run(10 * time.Second)
+	is.Equal(checked, 0) // no request waits
+	f.Begin("s")
+	f.Begin("s")
+	for range 10 {
+		run(silenceToCheck - checkInterval)
+		f.Received("s")
+	}
+	is.Equal(checked, 0) // one of the upstreams answers
+	run(20 * time.Second)
+	is.Equal(checked, 5) // with pauses of 1, 2, 4 and 8 seconds
+	is.True(!f.Unreachable("s"))
+	path = false
+	run(maxCheckPause + silenceToCheck)
+	is.True(f.Unreachable("s"))
+	path = true
+	run(time.Second)
+	is.True(!f.Unreachable("s"))
+	f.End("s")
+	f.End("s")
+	checked = 0
+	run(10 * time.Second)
+	is.Equal(checked, 0)
+}
+
 // Guards against a crash of one upstream, or of the only one, that counts as a partition, and the other way round.
 func TestConfirm(t *testing.T) {
 	is := is.New(t)
