Do not count connection attempts that a request's deadline ended

An attempt that ended with the deadline of its request, after a few milliseconds, counted as a failure: of the upstream for the conclusion that none can be reached, and of a peer, which was then left out for 1 to 1.5 s.

The pool reports only attempts that failed by themselves or after the whole timeout.

--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -39,8 +39,14 @@
 	if len(g.cfg.HopListen) == 0 || g.cfg.PeerKey == "" {
 		return nil
 	}
+	peers := reach.NewPeers(reach.PeersConfig{List: g.hopPeers, Now: time.Now})
+	g.hopPool.OnConnect = func(t relay.Target, _ time.Time, err error) {
+		if err != nil {
+			peers.Avoid(reach.Peer{Address: t.Address})
+		}
+	}
 	return &httpapi.Hops{
-		Peers: reach.NewPeers(reach.PeersConfig{List: g.hopPeers, Now: time.Now}), Sender: g.hopPool, Key: hop.NewKey([]byte(g.cfg.PeerKey)),
+		Peers: peers, Sender: g.hopPool, Key: hop.NewKey([]byte(g.cfg.PeerKey)),
 		MaxConnections: g.cfg.MaxSockets / hopSocketPart,
 	}
 }
--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -22,7 +22,7 @@
 // A request is passed on once at most.
 type Hops struct {
 	Peers *reach.Peers
-	// Sender sends requests to the addresses of Peers.
+	// Sender sends requests to the addresses of Peers, which are told of failed connection attempts.
 	Sender Forwarder
 	Key    hop.Key
 	// Address is where this router accepts requests of others.
@@ -111,7 +111,7 @@
 	x.beginPassOn()
 	retry := x.api.Forwarding.Retry(op.service.Name)
 	tries := hopTries{cause: errors.CombineErrors(errNoPath, cause)}
-	for len(tries.addresses) < maxHopTries && x.ctx.Err() == nil && !callerHasLeft(x.httpReq.Context()) {
+	for len(tries.addresses) < maxHopTries && x.hasTime() && !callerHasLeft(x.httpReq.Context()) {
 		peer, ok := hops.Peers.Pick(op.service.Name, tries.addresses)
 		if !ok {
 			break
@@ -238,6 +238,12 @@
 // Error implements error.
 func (r *peerRefusal) Error() string { return "refused by a peer: " + r.error.Error() }
 
+// hasTime reports whether the request has not ended. Reads fail at the deadline of a context before its Err says so.
+func (x *exchange) hasTime() bool {
+	deadline, ok := x.ctx.Deadline()
+	return x.ctx.Err() == nil && (!ok || time.Now().Before(deadline))
+}
+
 // maxRefusalBytes bounds the body of a peer's refusal.
 const maxRefusalBytes = 16 << 10
 
@@ -253,7 +259,10 @@
 	limit := max(minUpstreamConnections, hops.MaxConnections/max(1, hops.Peers.Count()))
 	response, err := hops.Sender.Send(x.ctx, relay.Target{Address: peer.Address, MaxConnections: limit}, req)
 	if err != nil {
-		if x.ctx.Err() == nil {
+		switch {
+		case errors.Is(err, relay.ErrConnectionLimit):
+			hops.Peers.Busy(peer)
+		case !errors.Is(err, upstream.ErrNotSent) && x.hasTime():
 			hops.Peers.Avoid(peer)
 		}
 		return err
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -108,8 +108,8 @@
 
 // Pool keeps idle connections to upstreams for reuse. It is safe for concurrent use.
 type Pool struct {
-	// OnConnect is called with the result of each connection attempt, unless the attempt was canceled. It may be nil, and is
-	// set before the first use.
+	// OnConnect is called with the result of each connection attempt, unless its caller ended the attempt. It may be nil, and
+	// is set before the first use.
 	OnConnect func(t Target, began time.Time, err error)
 
 	// responseID returns the ID of the request that a response belongs to.
@@ -267,8 +267,7 @@
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := netopt.Dial(dialCtx, address)
-	// An attempt that its caller has ended says nothing about the path.
-	if p.OnConnect != nil && (err == nil || ctx.Err() == nil) {
+	if p.OnConnect != nil && (err == nil || ctx.Err() == nil && !endedEarly(err, time.Since(began))) {
 		p.OnConnect(t, began, err)
 	}
 	if err != nil {
@@ -279,6 +278,16 @@
 	return newConn(raw, address, p.buffers), nil
 }
 
+// endedEarly reports whether the deadline of its caller ended a connection attempt before dialTimeout. Such an attempt says
+// nothing about the path.
+func endedEarly(err error, after time.Duration) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout() && after < dialTimeout-dialTimeoutSlack
+}
+
+// dialTimeoutSlack covers the time that passes before a connection attempt begins.
+const dialTimeoutSlack = 50 * time.Millisecond
+
 func newConn(raw net.Conn, address string, buffers *membuf.Limiter) *conn {
 	head := &headLimiter{r: raw, buffers: buffers, owner: address}
 	return &conn{Conn: raw, address: address, head: head, br: bufio.NewReaderSize(head, readBufferBytes), sent: make(map[uint64]struct{})}
