--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/coordination/overload"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/reach"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/replica"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/streamorigin"
@@ -45,8 +46,11 @@
 	// PeerListen is the address for other routers; empty means that the router does not communicate with any.
 	// Seeds are the addresses of peers to use until enough are known from their heartbeats in the log.
 	PeerListen string
-	Seeds      []string
-	PeerKey    string
+	// HopListen are addresses for requests that other routers pass on. The first free one is used; without any, no requests
+	// are passed on.
+	HopListen []string
+	Seeds     []string
+	PeerKey   string
 	// MaxSockets limits the open sockets of the process.
 	MaxSockets int
 	// ResponseMemory limits the memory for upstreams' responses in progress, in bytes. One upstream may use half of
@@ -119,11 +123,14 @@
 	routing           *routing.Router
 	admission         *admission.Controller
 	pool              *relay.Pool
-	api               *httpapi.API
-	retries           retryBudgets
-	shedder           *overload.Shedder
-	started           time.Time
-	ready             atomic.Bool
+	// hopPool holds the connections to other routers for requests that are passed on.
+	hopPool *relay.Pool
+	reach   *reach.Monitor
+	api     *httpapi.API
+	retries retryBudgets
+	shedder *overload.Shedder
+	started time.Time
+	ready   atomic.Bool
 	// draining is set at the start of the shutdown, and closing when new requests are refused.
 	draining atomic.Bool
 	closing  atomic.Bool
@@ -184,7 +191,8 @@
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
 		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
 	}
-	g.pool = relay.NewPool(deps.ResponseID, g.buffers)
+	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
+	g.reach = g.newReachMonitor()
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
 	g.config = replica.New(replica.Config{
 		Log: deps.Log, Stream: deps.ConfigStream, Wait: configLongPoll, Now: time.Now, OnChange: g.rebuild, Logger: logger,
@@ -200,6 +208,7 @@
 		HeartbeatUsage: func() (map[string]int64, func()) { return g.budget.HeartbeatUsage() },
 		Notice:         func() []byte { return encodeVerdicts(logger, g.crashes) },
 		OnNotice:       func(notice []byte) { mergeVerdicts(logger, g.crashes, notice) },
+		Unreachable:    g.reach.UnreachableServices,
 		QueryAge:       func(ctx context.Context, offset uint64) []heartbeat.AgeBounds { return g.peers.queryAges(ctx, offset) },
 		Now:            time.Now, Logger: logger,
 	})
@@ -347,6 +356,7 @@
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse, Busy: g.shedder.Busy,
+			Reach: g.reach, Hops: g.newHops(),
 		},
 		Requests: request.NewTable(request.Config{
 			Retention: gatewayRetention, MaxFinished: gatewayMaxFinished, Now: time.Now,
@@ -383,6 +393,9 @@
 	if err != nil {
 		return err
 	}
+	if s, ok := g.listenForHops(); ok {
+		servers = append(servers, s)
+	}
 	var loops conc.WaitGroup
 	for _, s := range servers {
 		loops.Go(func() { _ = s.server.Serve(s.listener) })
@@ -401,6 +414,8 @@
 	loops.Go(func() { every(background, updateInterval, g.admission.Advance) })
 	loops.Go(func() { g.sampleLoad(background) })
 	loops.Go(func() { every(background, time.Second, g.pool.CloseExpired) })
+	loops.Go(func() { every(background, time.Second, g.hopPool.CloseExpired) })
+	loops.Go(func() { g.reach.Run(background) })
 	obs.EventStarted.Log(g.logger, logrus.Fields{
 		"address": g.cfg.Listen, "vm": g.cfg.VM, "zone": g.cfg.Zone, "process": string(g.holder),
 	})
@@ -416,6 +431,7 @@
 	stop()
 	left := g.closeServers(servers, callers)
 	g.pool.Close()
+	g.hopPool.Close()
 	loops.Wait()
 	obs.EventStopped.Log(g.logger, logrus.Fields{
 		"open": g.api.InProgress(), "connections_closed": left.closed, "connections_queued": left.queued,
