Streams: without the log, a stream's version is judged by a list of upstreams that is newer than the request

A caller took a stream up at a router that the store rejected, or that reached neither the store nor the router that had begun the stream, and it went on at a worker of another version.

Cause: without the log, and if no peer knows the stream, a router that has run for 40 s took the only version that it had seen for the stream's if its list of upstreams was at most 2 s old. Servers of a new version join, are announced by another router and begin streams within half a second, so the list may lack the version. Its age also counted from the response, which may have waited in a frozen process. The list counts now if its read began after the request had arrived: what began the stream had joined before that. While the log responds, a request waits for such a read, or lists again, up to three times. If it does not, it is refused with 503 at once.

Ruled out: routers that only stood still, or lost their peers only. They list the log after the request has arrived, and the records name a version before its first stream begins.

TestOnlyVersionOfAnOldListIsNotTrusted asked for a refusal 2 s after the list was read. It asks for one whenever the list is older than the request.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -80,6 +80,8 @@
 	behind bool
 	// lastResponse is the time of the log's last response, and zero before the first one.
 	lastResponse time.Time
+	// completeAsOf is when the last read started that reached the end of the stream. Its records are applied.
+	completeAsOf time.Time
 	unreachable  bool
 	// failures counts the failed calls since the last response. They were last logged at failureLoggedAt.
 	failures        int
@@ -151,6 +153,7 @@
 		r.Merge(page)
 	}
 	r.applyDeferred()
+	r.noteApplied(started)
 	if r.cfg.OnRead != nil {
 		r.cfg.OnRead(began, max(page.Next, page.End))
 	}
@@ -226,6 +229,15 @@
 	r.lastResponse = now
 }
 
+// noteApplied notes that the records of a read are applied that was started at the given time.
+func (r *Replica) noteApplied(started time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.behind {
+		r.completeAsOf = started
+	}
+}
+
 // applyListing applies a listing, the newest record of each key. Keys that are missing from it were removed. In the first
 // listing after the log was restored, they may be missing only because their writers have not written them again, so
 // their removals are deferred.
@@ -381,6 +393,14 @@
 	return r.loaded
 }
 
+// CompleteAsOf returns a time up to which the replica has all records that were in the log, or zero if it never had all. Unlike
+// Staleness it does not count from a response, which may have waited in this process or on its way.
+func (r *Replica) CompleteAsOf() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.completeAsOf
+}
+
 // Staleness is the time since the log's last response, or since the given start if it has never
 // responded.
 func (r *Replica) Staleness(start time.Time) time.Duration {
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -36,9 +36,9 @@
 	// announceTimeout is how long a service waits for the log before a version that the log does not name is used, if it
 	// has no other.
 	announceTimeout = time.Second
-	// maxListedAge is how old the list of upstreams may be to tell, without the records of the other routers, that a service
-	// has one version. It exceeds the time for which a read of the upstreams waits at the log.
-	maxListedAge = 2 * time.Second
+	// logAwayAfter is how long ago the log last confirmed the upstreams when take-ups no longer wait for it. It exceeds the
+	// time between two reads of the upstreams.
+	logAwayAfter = time.Second
 	// maxStreams bounds the streams that are remembered.
 	maxStreams = 50_000
 )
@@ -52,8 +52,8 @@
 	VM string
 	// Routers returns the number of live routers.
 	Routers func() int
-	// ListedAge returns how long ago the log confirmed the upstreams of SetListed.
-	ListedAge func() time.Duration
+	// ListedAsOf returns a time up to which SetListed was told of all upstreams in the log.
+	ListedAsOf func() time.Time
 	// QueryPeers asks other routers for the origin of a stream by its hash, see Known, and returns the answers of those that
 	// know it. It may be nil.
 	QueryPeers func(ctx context.Context, hash uint64) []Origin
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -27,7 +27,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	return New(Config{Log: log, Stream: testStream, VM: vm, Routers: func() int { return 1 }, Now: now, Logger: logger,
-		ListedAge: func() time.Duration { return 0 }})
+		ListedAsOf: now})
 }
 
 func listed(origins ...Origin) map[Origin]struct{} {
@@ -224,13 +224,12 @@
 }
 
 // TestOnlyVersionOfAnOldListIsNotTrusted guards against a router without the log that takes the only version that it has seen for
-// the only one, while others have begun streams at a newer one. A single failure of the log must not refuse a stream.
+// the only one, while others have begun streams at a newer one: whatever joined before the request may have begun its stream. A
+// single failure of the log must not refuse a stream.
 func TestOnlyVersionOfAnOldListIsNotTrusted(t *testing.T) {
 	is := is.New(t)
 	log := keyedlog.NewMemory()
 	r := newTestRegistry(log, "vm-1", time.Now)
-	var age time.Duration
-	r.cfg.ListedAge = func() time.Duration { return age }
 	r.startedAt = r.startedAt.Add(-retention - time.Second) // else nothing tells of the time before its start
 	r.SetListed(listed(v1))
 	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
@@ -238,10 +237,48 @@
 	is.NoErr(err)
 	is.Equal(o, v1)
 	r.Begin("own", v1)
-	age = maxListedAge + 1
-	_, _, err = resolve(r, "of another router")
-	is.True(errors.Is(err, ErrUnknown))
-	o, _, err = resolve(r, "own")
+	for _, age := range []time.Duration{time.Millisecond, logAwayAfter / 2, logAwayAfter + time.Second} {
+		before := time.Now().Add(-age)
+		r.cfg.ListedAsOf = func() time.Time { return before }
+		_, _, err = resolve(r, "of another router")
+		is.True(errors.Is(err, ErrUnknown))
+		o, _, err = resolve(r, "own")
+		is.NoErr(err)
+		is.Equal(o, v1)
+	}
+}
+
+// TestTakeUpWaitsForTheLog guards against refusing a stream because one listing failed, or because the list of upstreams was read just
+// before the request, while the log responds.
+func TestTakeUpWaitsForTheLog(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	r := newTestRegistry(log, "vm-1", time.Now)
+	r.startedAt = r.startedAt.Add(-retention - time.Second)
+	r.SetListed(listed(v1))
+	is.NoErr(r.step(context.Background()))
+	read := time.Now()
+	r.cfg.ListedAsOf = func() time.Time { return read }
+	failures := 1
+	log.FaultHook = func(string, keyedlog.Stream, bool) error {
+		if failures--; failures >= 0 {
+			return keyedlog.ErrUnavailable
+		}
+		return nil
+	}
+	o, _, err := resolve(r, "of another router")
+	is.NoErr(err)
+	is.Equal(o, v1)
+
+	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
+	arrived := time.Now()
+	r.cfg.ListedAsOf = func() time.Time {
+		if now := time.Now(); now.Sub(arrived) > 100*time.Millisecond {
+			return now
+		}
+		return arrived.Add(-time.Millisecond)
+	}
+	o, _, err = resolve(r, "of another router")
 	is.NoErr(err)
 	is.Equal(o, v1)
 }
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -24,6 +24,9 @@
 	// a large fleet it is the time of resolveWrites writes.
 	minResolveWait = time.Second
 	resolveWrites  = 3
+	// maxListRetries limits how often a request lists again after a failure, and listRetryDelay is the time before.
+	maxListRetries = 3
+	listRetryDelay = 250 * time.Millisecond
 )
 
 // listing is what all VMs wrote.
@@ -72,9 +75,10 @@
 	if named && known && isTarget(local.Service) {
 		return local, SourceMemory, nil
 	}
-	deadline := r.cfg.Now().Add(max(minResolveWait, resolveWrites*r.writeInterval()))
+	arrived := r.cfg.Now()
+	deadline := arrived.Add(max(minResolveWait, resolveWrites*r.writeInterval()))
 	first := make(map[string]record)
-	for {
+	for retries := 0; ; {
 		l, err := r.listSince(ctx, r.cfg.Now())
 		if named {
 			if o, source, ok := r.findElsewhere(ctx, h, l, err, isTarget); ok {
@@ -85,7 +89,12 @@
 			}
 		}
 		if err != nil {
-			return r.resolveWithoutLog(service, err)
+			versions, current := r.versionsWithoutLog(service, arrived)
+			if !current && r.logResponds() && retries < maxListRetries && sleep(ctx, listRetryDelay) == nil {
+				retries++
+				continue
+			}
+			return r.onlyVersion(versions, service, err)
 		}
 		versions := r.candidates(service, l, first)
 		if len(versions) <= 1 || !named || !r.cfg.Now().Before(deadline) {
@@ -125,16 +134,19 @@
 	return found, ok
 }
 
-// resolveWithoutLog returns the only version that this router has seen, if its list of upstreams is up to date. That tells
-// nothing of the time before its start, nor of versions at which others have begun streams since the log was read.
-func (r *Registry) resolveWithoutLog(service string, cause error) (Origin, Source, error) {
-	var versions []string
-	if r.cfg.Now().Sub(r.startedAt) > retention && r.cfg.ListedAge() <= maxListedAge {
-		versions = r.seenVersions(service)
+// versionsWithoutLog returns the versions that this router has seen, if these are all that may have begun a stream that was taken
+// up at the given time. The list of upstreams must have been read since: the versions of the upstreams that joined before may
+// have begun it, at routers that learned of them earlier. It tells nothing of the time before the start of this router.
+func (r *Registry) versionsWithoutLog(service string, takenUpAt time.Time) (versions []string, current bool) {
+	if takenUpAt.Sub(r.startedAt) <= retention || r.cfg.ListedAsOf().Before(takenUpAt) {
+		return nil, false
 	}
-	return r.onlyVersion(versions, service, cause)
+	return r.seenVersions(service), true
 }
 
+// logResponds reports whether the log has responded to this router of late.
+func (r *Registry) logResponds() bool { return r.cfg.Now().Sub(r.cfg.ListedAsOf()) <= logAwayAfter }
+
 // onlyVersion returns the origin of a stream of which nothing is known but the versions that may have begun it.
 func (r *Registry) onlyVersion(versions []string, service string, cause error) (Origin, Source, error) {
 	if len(versions) == 1 {
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -71,6 +71,14 @@
 	return usable, len(served) == len(listed)
 }
 
+// upstreamsAsOf returns a time up to which all upstreams in the log are in the snapshot, or were.
+func (g *Gateway) upstreamsAsOf() time.Time {
+	at := g.upstreams.CompleteAsOf()
+	// A peer may have sent the records of the last read just before it, and its rebuild may be in progress.
+	g.rebuild()
+	return at
+}
+
 // listedVersions returns the services of the upstreams with the versions of their software.
 func listedVersions(upstreams []catalogue.Upstream) map[streamorigin.Origin]struct{} {
 	listed := make(map[streamorigin.Origin]struct{})
