Streams: a version that only other routers have seen counts for a stream that nobody knows

A stream that no router knows, or whose client names a later attempt in Resumes, went on at the old version at a router that had not learned of the new one yet: if the records rule out what the others have begun, the versions that this router has seen were left. Those that the records name count too now.

--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -248,6 +248,25 @@
 	}
 }
 
+// TestUnknownStreamIsNotGuessedFromAnOldList guards against a router that has not learned of a version yet and takes the other one
+// for that of a stream which nobody knows.
+func TestUnknownStreamIsNotGuessedFromAnOldList(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	other := newTestRegistry(log, "vm-1", time.Now)
+	other.SetListed(listed(v1, v2))
+	is.NoErr(other.step(context.Background()))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go other.Run(ctx)
+
+	r := newTestRegistry(log, "vm-2", time.Now)
+	r.SetListed(listed(v1))
+	is.NoErr(r.step(context.Background()))
+	_, _, err := resolve(r, "of nobody")
+	is.True(errors.Is(err, ErrUnknown))
+}
+
 // TestTakeUpWaitsForTheLog guards against refusing a stream because one listing failed, or because the list of upstreams was read just
 // before the request, while the log responds.
 func TestTakeUpWaitsForTheLog(t *testing.T) {
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -166,6 +166,15 @@
 	return n
 }
 
+// named adds the versions of a service that records name.
+func (l listing) named(service string, now time.Time, versions map[string]struct{}) {
+	for _, rec := range l.records {
+		if !rec.outdated(now) {
+			rec.unlisted(service, false, versions)
+		}
+	}
+}
+
 // find returns an origin of a stream in the records, one at a target if there is any.
 func (l listing) find(h streamHash, isTarget func(service string) bool) (found Origin, ok bool) {
 	for _, rec := range l.records {
@@ -215,8 +224,12 @@
 		}
 	}
 	if len(versions) == 0 {
-		// Nobody who may have begun the stream has a record, so that its version is one in service.
-		return r.seenVersions(service)
+		// Nobody who may have begun the stream has a record, so that its version is one in service. This router may not have
+		// learned of all of them.
+		for _, version := range r.seenVersions(service) {
+			versions[version] = struct{}{}
+		}
+		l.named(service, now, versions)
 	}
 	return slices.Sorted(maps.Keys(versions))
 }
