Streams: a router that was out of step does not take the only version that it has seen for the only one

Servers of a version could join, begin streams and leave while a router was out of step. If the list of stream origins could not be read when such a stream was taken up there, though the list of upstreams could, the stream went on at the version that the router had seen.

Cause: the router trusted its list 40 s after its start, whether or not it had read it all that time. It must have read it without a gap of 1.5 s for 40 s now. Otherwise, and if no peer knows the stream, it is refused with 503.

Routers without the log rely on limits that the model now has: a version is listed for 1.5 s at least, upstreams that left serve no longer than 5 s, and a stream ends after 15 s. Take-ups with the log have none of them, as before.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -31,6 +31,9 @@
 	// does not last long enough for records to expire that their writers renew every 1.2 s, and a single
 	// slow or failed read of this process must not delay the removal of a record.
 	removalGraceAfter = 2 * time.Second
+	// maxReadGap is the time between two reads after which records may have come and gone unseen. It exceeds the time between
+	// two reads in a large fleet.
+	maxReadGap = 1500 * time.Millisecond
 	// failureLogInterval is the least time between two log lines about failed calls.
 	failureLogInterval = time.Second
 )
@@ -80,9 +83,10 @@
 	behind bool
 	// lastResponse is the time of the log's last response, and zero before the first one.
 	lastResponse time.Time
-	// completeAsOf is when the last read started that reached the end of the stream. Its records are applied.
-	completeAsOf time.Time
-	unreachable  bool
+	// completeAsOf is when the last read started that reached the end of the stream. Its records are applied. completeSince
+	// is when the first of them started that followed each other within maxReadGap.
+	completeSince, completeAsOf time.Time
+	unreachable                 bool
 	// failures counts the failed calls since the last response. They were last logged at failureLoggedAt.
 	failures        int
 	failureLoggedAt time.Time
@@ -233,9 +237,13 @@
 func (r *Replica) noteApplied(started time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.behind {
-		r.completeAsOf = started
+	if r.behind {
+		return
+	}
+	if started.Sub(r.completeAsOf) > maxReadGap {
+		r.completeSince = started
 	}
+	r.completeAsOf = started
 }
 
 // applyListing applies a listing, the newest record of each key. Keys that are missing from it were removed. In the first
@@ -393,12 +401,13 @@
 	return r.loaded
 }
 
-// CompleteAsOf returns a time up to which the replica has all records that were in the log, or zero if it never had all. Unlike
-// Staleness it does not count from a response, which may have waited in this process or on its way.
-func (r *Replica) CompleteAsOf() time.Time {
+// CompleteBetween returns the time for which the replica has had all records of the log, but for those that came and went within
+// maxReadGap, or zero times if it never had all. Unlike Staleness it does not count from a response, which may have waited in this
+// process or on its way.
+func (r *Replica) CompleteBetween() (since, asOf time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.completeAsOf
+	return r.completeSince, r.completeAsOf
 }
 
 // Staleness is the time since the log's last response, or since the given start if it has never
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -202,3 +202,46 @@
 	is.NoErr(r.poll(context.Background()))
 	is.Equal(value(r, "a"), "")
 }
+
+// Guards against a replica that says that it is complete up to the time of a response, which may be old, or through a time in which
+// it did not read.
+func TestCompletenessCountsFromTheReads(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	log.AppendUnconditionally(stream, keyedlog.Record{Key: "a", Value: []byte("1")})
+	now := time.Unix(1_000_000, 0)
+	r := newReplica(log, func() time.Time { return now })
+	var late time.Duration
+	var failure error
+	log.FaultHook = func(string, keyedlog.Stream, bool) error {
+		now = now.Add(late)
+		return failure
+	}
+	since, asOf := r.CompleteBetween()
+	is.True(since.IsZero())
+	is.True(asOf.IsZero())
+	first := now
+	for range 3 {
+		now = now.Add(maxReadGap)
+		started := now
+		if asOf.IsZero() {
+			first = started
+		}
+		is.NoErr(r.poll(context.Background()))
+		since, asOf = r.CompleteBetween()
+		is.Equal(since, first)
+		is.Equal(asOf, started)
+	}
+	failure = keyedlog.ErrUnavailable
+	now = now.Add(time.Millisecond)
+	is.True(r.poll(context.Background()) != nil)
+	_, after := r.CompleteBetween()
+	is.Equal(after, asOf)
+	failure, late = nil, 10*time.Second
+	now = now.Add(maxReadGap)
+	started := now
+	is.NoErr(r.poll(context.Background()))
+	since, asOf = r.CompleteBetween()
+	is.Equal(since, started)
+	is.Equal(asOf, started)
+}
--- a/internal/coordination/streamorigin/model_test.go
+++ b/internal/coordination/streamorigin/model_test.go
@@ -72,7 +72,9 @@
 	routers []*modelRouter
 	vms     int
 	listed  map[Origin]struct{}
-	streams []*modelStream
+	// joinedAt is when the versions last came into service, and leftAt when those that are not listed left it.
+	joinedAt, leftAt map[Origin]time.Time
+	streams          []*modelStream
 }
 
 // modelRouter is a process with the clock of its VM.
@@ -80,6 +82,8 @@
 	*Registry
 	vm     string
 	offset time.Duration
+	// listedAt is when the router last read the list of upstreams, and listedSince since when it has done so without a gap.
+	listedSince, listedAt time.Time
 	// announced are the versions that the record in the log has named, as the log has acknowledged.
 	announced map[Origin]bool
 }
@@ -90,11 +94,24 @@
 	router *modelRouter
 	// endedAt is when the answer ended, or zero.
 	endedAt time.Time
+	// beganAt is when the stream began, and left how long its version had been out of service then.
+	beganAt time.Time
+	left    time.Duration
 }
 
 // modelPatience is how long clients of the model try to go on with a stream.
 const modelPatience = 15 * time.Second
 
+const (
+	// modelLinger is how long upstreams that have left serve routers that have not learned of it, and modelStreamTimeout the time
+	// limit of a stream. A router without the log relies on both: it forgets a version retention after it has left.
+	modelLinger        = 5 * time.Second
+	modelStreamTimeout = 15 * time.Second
+	// modelMinService is the least time for which a version is listed that may have begun a stream. A router without the log does
+	// not notice one that comes and goes between two reads.
+	modelMinService = 1500 * time.Millisecond
+)
+
 func (m *originModel) start(i int, vm string, offset time.Duration) {
 	if old := m.routers[i]; old != nil {
 		for _, s := range m.streams {
@@ -106,10 +123,21 @@
 	m.now = m.now.Add(time.Millisecond)
 	r := &modelRouter{vm: vm, offset: offset, announced: make(map[Origin]bool)}
 	r.Registry = newTestRegistry(m.log, vm, func() time.Time { return m.now.Add(offset) })
-	r.SetListed(m.listed)
+	r.cfg.Listed = func() (since, asOf time.Time) { return r.listedSince.Add(offset), r.listedAt.Add(offset) }
+	m.learn(r)
 	m.routers[i] = r
 }
 
+// learn tells a router of the upstreams. Whatever happens next, happens later.
+func (m *originModel) learn(r *modelRouter) {
+	r.SetListed(m.listed)
+	if m.now.Sub(r.listedAt) > modelMinService {
+		r.listedSince = m.now
+	}
+	r.listedAt = m.now
+	m.now = m.now.Add(time.Millisecond)
+}
+
 func (m *originModel) write(r *modelRouter) {
 	if r.step(context.Background()) != nil {
 		return
@@ -124,8 +152,18 @@
 // takeUp takes a stream up at a router, which lists several times. Between the listings others go on.
 func (m *originModel) takeUp(rt *rapid.T, s *modelStream, r *modelRouter, between func()) {
 	first := make(map[string]record)
+	takenUpAt := r.cfg.Now()
 	for range rapid.IntRange(1, 4).Draw(rt, "listings") {
-		if o, ok := r.resolveNow(s.id, s.origin.Service, first); ok {
+		var o Origin
+		var ok bool
+		_, listed := m.listed[s.origin]
+		withinLimits := (listed || m.leftAt[s.origin].Sub(m.joinedAt[s.origin]) > modelMinService) && s.left <= modelLinger && m.now.Sub(s.beganAt) <= modelStreamTimeout+modelPatience
+		if withinLimits && rapid.IntRange(0, 3).Draw(rt, "listing fails") == 0 {
+			o, ok = r.resolveWithoutLog(s.id, s.origin.Service, takenUpAt)
+		} else {
+			o, ok = r.resolveNow(s.id, s.origin.Service, first)
+		}
+		if ok {
 			if o != s.origin {
 				rt.Fatalf("stream %s began at %v and goes on at %v", s.id, s.origin, o)
 			}
@@ -139,7 +177,8 @@
 // go on at another version.
 func TestStreamsAreNeverJoined(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		m := &originModel{log: newFaultyLog(), now: time.Unix(1_000_000, 0), listed: listed(v1), routers: make([]*modelRouter, 3)}
+		m := &originModel{log: newFaultyLog(), now: time.Unix(1_000_000, 0), listed: listed(v1),
+			joinedAt: make(map[Origin]time.Time), leftAt: make(map[Origin]time.Time), routers: make([]*modelRouter, 3)}
 		healthy := false
 		m.log.draw = func() fate {
 			if healthy {
@@ -168,7 +207,10 @@
 				if _, ok := r.listed[o]; !ok || !r.MayBegin(o) || !r.announced[o] || rapid.Bool().Draw(rt, "other version") {
 					continue
 				}
-				s := &modelStream{id: fmt.Sprint("s", len(m.streams)), origin: o, router: r}
+				s := &modelStream{id: fmt.Sprint("s", len(m.streams)), origin: o, router: r, beganAt: m.now}
+				if _, ok := m.listed[o]; !ok {
+					s.left = m.now.Sub(m.leftAt[o])
+				}
 				r.Begin(s.id, o)
 				m.streams = append(m.streams, s)
 				if rapid.Bool().Draw(rt, "ended") {
@@ -180,12 +222,19 @@
 		}
 		rt.Repeat(map[string]func(*rapid.T){
 			"release": func(rt *rapid.T) {
+				before := m.listed
+				for o := range before {
+					m.leftAt[o] = m.now
+				}
 				m.listed = make(map[Origin]struct{})
 				for _, o := range rapid.SliceOfNDistinct(rapid.SampledFrom(versions), 1, len(versions), rapid.ID).Draw(rt, "versions") {
 					m.listed[o] = struct{}{}
+					if _, ok := before[o]; !ok {
+						m.joinedAt[o] = m.now
+					}
 				}
 			},
-			"learn":   func(rt *rapid.T) { anyRouter(rt).SetListed(m.listed) },
+			"learn":   func(rt *rapid.T) { m.learn(anyRouter(rt)) },
 			"begin":   func(rt *rapid.T) { begin(rt, anyRouter(rt)) },
 			"write":   func(rt *rapid.T) { m.write(anyRouter(rt)) },
 			"inherit": func(rt *rapid.T) { _ = anyRouter(rt).inherit(context.Background()) },
@@ -224,7 +273,11 @@
 					return
 				}
 				s := rapid.SampledFrom(waiting).Draw(rt, "stream")
-				m.takeUp(rt, s, anyRouter(rt), func() {
+				taking := anyRouter(rt)
+				m.takeUp(rt, s, taking, func() {
+					if rapid.Bool().Draw(rt, "learns") {
+						m.learn(taking)
+					}
 					for _, other := range m.routers {
 						for rapid.Bool().Draw(rt, "writes") {
 							m.write(other)
@@ -256,3 +309,15 @@
 	}
 	return Origin{}, false
 }
+
+// resolveWithoutLog is Resolve when a listing fails and no other router answers.
+func (r *Registry) resolveWithoutLog(id, service string, takenUpAt time.Time) (Origin, bool) {
+	if o, ok := r.local(hashOf(id)); ok {
+		return o, true
+	}
+	versions, _ := r.versionsWithoutLog(service, takenUpAt)
+	if len(versions) != 1 {
+		return Origin{}, false
+	}
+	return Origin{Service: service, Version: versions[0]}, true
+}
--- a/internal/coordination/streamorigin/registry.go
+++ b/internal/coordination/streamorigin/registry.go
@@ -52,8 +52,8 @@
 	VM string
 	// Routers returns the number of live routers.
 	Routers func() int
-	// ListedAsOf returns a time up to which SetListed was told of all upstreams in the log.
-	ListedAsOf func() time.Time
+	// Listed returns the time for which SetListed was told of all upstreams in the log.
+	Listed func() (since, asOf time.Time)
 	// QueryPeers asks other routers for the origin of a stream by its hash, see Known, and returns the answers of those that
 	// know it. It may be nil.
 	QueryPeers func(ctx context.Context, hash uint64) []Origin
@@ -95,7 +95,6 @@
 type Registry struct {
 	cfg Config
 
-	startedAt time.Time
 	// writers is the number of VMs that had a record in the last listing.
 	writers atomic.Int64
 	// stepping holds one element while a step is in progress.
@@ -121,7 +120,7 @@
 // processes.
 func New(cfg Config) *Registry {
 	return &Registry{
-		cfg: cfg, startedAt: cfg.Now(), stepping: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		cfg: cfg, stepping: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		streams: make(map[streamHash]*stream), seen: make(map[string]map[string]*sighting),
 		unrecorded: make(map[Origin]time.Time), listed: make(map[Origin]struct{}),
 		writer: writerState{producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())}},
--- a/internal/coordination/streamorigin/registry_test.go
+++ b/internal/coordination/streamorigin/registry_test.go
@@ -26,8 +26,9 @@
 func newTestRegistry(log keyedlog.Log, vm string, now func() time.Time) *Registry {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	started := now()
 	return New(Config{Log: log, Stream: testStream, VM: vm, Routers: func() int { return 1 }, Now: now, Logger: logger,
-		ListedAsOf: now})
+		Listed: func() (since, asOf time.Time) { return started, now() }})
 }
 
 func listed(origins ...Origin) map[Origin]struct{} {
@@ -230,7 +231,8 @@
 	is := is.New(t)
 	log := keyedlog.NewMemory()
 	r := newTestRegistry(log, "vm-1", time.Now)
-	r.startedAt = r.startedAt.Add(-retention - time.Second) // else nothing tells of the time before its start
+	since := time.Now().Add(-retention - 10*time.Second) // else nothing tells of the time before its start
+	r.cfg.Listed = func() (time.Time, time.Time) { return since, time.Now() }
 	r.SetListed(listed(v1))
 	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
 	o, _, err := resolve(r, "of another router")
@@ -239,7 +241,7 @@
 	r.Begin("own", v1)
 	for _, age := range []time.Duration{time.Millisecond, logAwayAfter / 2, logAwayAfter + time.Second} {
 		before := time.Now().Add(-age)
-		r.cfg.ListedAsOf = func() time.Time { return before }
+		r.cfg.Listed = func() (time.Time, time.Time) { return since, before }
 		_, _, err = resolve(r, "of another router")
 		is.True(errors.Is(err, ErrUnknown))
 		o, _, err = resolve(r, "own")
@@ -267,17 +269,31 @@
 	is.True(errors.Is(err, ErrUnknown))
 }
 
+// TestVersionMayHaveComeAndGoneUnseen guards against a router without the log that takes the only version that it has seen for the only
+// one, although it was out of step for a part of the retention time.
+func TestVersionMayHaveComeAndGoneUnseen(t *testing.T) {
+	is := is.New(t)
+	log := keyedlog.NewMemory()
+	r := newTestRegistry(log, "vm-1", time.Now)
+	r.SetListed(listed(v1))
+	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
+	since := time.Now().Add(-retention + time.Second)
+	r.cfg.Listed = func() (time.Time, time.Time) { return since, time.Now() }
+	_, _, err := resolve(r, "of another router")
+	is.True(errors.Is(err, ErrUnknown))
+}
+
 // TestTakeUpWaitsForTheLog guards against refusing a stream because one listing failed, or because the list of upstreams was read just
 // before the request, while the log responds.
 func TestTakeUpWaitsForTheLog(t *testing.T) {
 	is := is.New(t)
 	log := keyedlog.NewMemory()
 	r := newTestRegistry(log, "vm-1", time.Now)
-	r.startedAt = r.startedAt.Add(-retention - time.Second)
+	since := time.Now().Add(-retention - 10*time.Second)
 	r.SetListed(listed(v1))
 	is.NoErr(r.step(context.Background()))
 	read := time.Now()
-	r.cfg.ListedAsOf = func() time.Time { return read }
+	r.cfg.Listed = func() (time.Time, time.Time) { return since, read }
 	failures := 1
 	log.FaultHook = func(string, keyedlog.Stream, bool) error {
 		if failures--; failures >= 0 {
@@ -291,11 +307,11 @@
 
 	log.FaultHook = func(string, keyedlog.Stream, bool) error { return keyedlog.ErrUnavailable }
 	arrived := time.Now()
-	r.cfg.ListedAsOf = func() time.Time {
+	r.cfg.Listed = func() (time.Time, time.Time) {
 		if now := time.Now(); now.Sub(arrived) > 100*time.Millisecond {
-			return now
+			return since, now
 		}
-		return arrived.Add(-time.Millisecond)
+		return since, arrived.Add(-time.Millisecond)
 	}
 	o, _, err = resolve(r, "of another router")
 	is.NoErr(err)
--- a/internal/coordination/streamorigin/resolve.go
+++ b/internal/coordination/streamorigin/resolve.go
@@ -136,16 +136,21 @@
 
 // versionsWithoutLog returns the versions that this router has seen, if these are all that may have begun a stream that was taken
 // up at the given time. The list of upstreams must have been read since: the versions of the upstreams that joined before may
-// have begun it, at routers that learned of them earlier. It tells nothing of the time before the start of this router.
+// have begun it, at routers that learned of them earlier. It must also have been read all through the retention time, because
+// a version may have come and gone.
 func (r *Registry) versionsWithoutLog(service string, takenUpAt time.Time) (versions []string, current bool) {
-	if takenUpAt.Sub(r.startedAt) <= retention || r.cfg.ListedAsOf().Before(takenUpAt) {
+	since, asOf := r.cfg.Listed()
+	if takenUpAt.Sub(since) <= retention || asOf.Before(takenUpAt) {
 		return nil, false
 	}
 	return r.seenVersions(service), true
 }
 
 // logResponds reports whether the log has responded to this router of late.
-func (r *Registry) logResponds() bool { return r.cfg.Now().Sub(r.cfg.ListedAsOf()) <= logAwayAfter }
+func (r *Registry) logResponds() bool {
+	_, asOf := r.cfg.Listed()
+	return r.cfg.Now().Sub(asOf) <= logAwayAfter
+}
 
 // onlyVersion returns the origin of a stream of which nothing is known but the versions that may have begun it.
 func (r *Registry) onlyVersion(versions []string, service string, cause error) (Origin, Source, error) {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -209,7 +209,7 @@
 		Notify: logQuarantine(logger),
 	})
 	g.origins = streamorigin.New(streamorigin.Config{
-		Log: deps.Log, Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, ListedAsOf: g.upstreamsAsOf,
+		Log: deps.Log, Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, Listed: g.upstreamsBetween,
 		QueryPeers:  func(ctx context.Context, hash uint64) []streamorigin.Origin { return g.peers.queryOrigins(ctx, hash) },
 		OnAnnounced: g.useAnnouncedVersions, Now: time.Now, Logger: logger,
 	})
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -71,12 +71,12 @@
 	return usable, len(served) == len(listed)
 }
 
-// upstreamsAsOf returns a time up to which all upstreams in the log are in the snapshot, or were.
-func (g *Gateway) upstreamsAsOf() time.Time {
-	at := g.upstreams.CompleteAsOf()
+// upstreamsBetween returns the time for which all upstreams in the log are in the snapshot, or were.
+func (g *Gateway) upstreamsBetween() (since, asOf time.Time) {
+	since, asOf = g.upstreams.CompleteBetween()
 	// A peer may have sent the records of the last read just before it, and its rebuild may be in progress.
 	g.rebuild()
-	return at
+	return since, asOf
 }
 
 // listedVersions returns the services of the upstreams with the versions of their software.
