Do not wait for a peer that stands still until the caller's deadline

A request that was passed on to a peer that accepts it and does not answer waited until its caller's deadline (504), although it may be repeated and another peer would serve it.

Such a request now has an attempt timeout at the peer, twice that at an upstream, since the peer may need one itself. The repeat counts towards the retry budget, and the peer is left out for a while.

--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -244,6 +244,10 @@
 	return x.ctx.Err() == nil && (!ok || time.Now().Before(deadline))
 }
 
+// hopTimeoutFactor is the attempt timeout of a peer as a multiple of the target latency. The peer may need its own timeout for
+// a first upstream.
+const hopTimeoutFactor = 2 * attemptTimeoutFactor
+
 // maxRefusalBytes bounds the body of a peer's refusal.
 const maxRefusalBytes = 16 << 10
 
@@ -257,7 +261,9 @@
 		return errors.Mark(err, upstream.ErrNotSent)
 	}
 	limit := max(minUpstreamConnections, hops.MaxConnections/max(1, hops.Peers.Count()))
-	response, err := hops.Sender.Send(x.ctx, relay.Target{Address: peer.Address, MaxConnections: limit}, req)
+	ctx, stopTimer := op.attemptContext(x.ctx, x, hopTimeoutFactor)
+	defer stopTimer()
+	response, err := hops.Sender.Send(ctx, relay.Target{Address: peer.Address, MaxConnections: limit}, req)
 	if err != nil {
 		switch {
 		case errors.Is(err, relay.ErrConnectionLimit):
@@ -265,7 +271,7 @@
 		case !errors.Is(err, upstream.ErrNotSent) && x.hasTime():
 			hops.Peers.Avoid(peer)
 		}
-		return err
+		return op.attemptError(ctx, err)
 	}
 	defer response.Close()
 	switch result := hop.Result(response.Header.Get(hop.HeaderResult)); {
@@ -283,12 +289,11 @@
 	hops.Peers.Served(op.service.Name)
 	x.progress.begun = true
 	if op.route.Stream && response.Status == http.StatusOK {
-		err = op.forwardStream(x, response, func() {})
+		err = op.forwardStream(x, response, stopTimer)
 	} else {
 		err = op.forwardBuffered(x, response)
 	}
-	countResponseError(err)
-	return err
+	return op.attemptError(ctx, err)
 }
 
 // refusedByPeer reads a refusal. One with status 503 may be due to that peer only.
