Tell other routers when a router that serves their requests stops

At the start of a shutdown the heartbeats no longer name the address for requests of other routers, and a router that refuses because it stops says so, so that it is left out for longer than a busy one. The headers that a router adds no longer count towards the limit of a caller's.

TestPeerStops covers it; it also passes without the change, which makes the time shorter in which a request can meet the end of the process.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -418,6 +418,7 @@
 		"address": g.cfg.Listen, "vm": g.cfg.VM, "zone": g.cfg.Zone, "process": string(g.holder),
 	})
 	<-ctx.Done()
+	g.heartbeats.SetHopAddress("")
 	g.drain(servers)
 	stopBudgets()
 	budgetLoops.Wait()
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -24,6 +24,9 @@
 // hopIdleTimeout exceeds the time for which another router keeps an idle connection.
 const hopIdleTimeout = time.Minute
 
+// hopHeaderBytes is more than a router adds to the headers of a request that it passes on.
+const hopHeaderBytes = 1 << 10
+
 // newReachMonitor returns a monitor that learns the results of all connection attempts to upstreams.
 func (g *Gateway) newReachMonitor() *reach.Monitor {
 	monitor := reach.New(reach.Config{
@@ -116,7 +119,7 @@
 		g.heartbeats.SetHopAddress(hops.Address)
 		server := &http.Server{
 			Handler: g.api.HopHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: hopIdleTimeout,
-			MaxHeaderBytes: gatewayMaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
+			MaxHeaderBytes: gatewayMaxHeaderBytes + hopHeaderBytes, ConnContext: httpapi.WithCallerConn,
 		}
 		var limited net.Listener = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/hopSocketPart))
 		return gatewayServer{server: server, listener: limited}, true
--- a/internal/transport/hop/hop.go
+++ b/internal/transport/hop/hop.go
@@ -32,8 +32,9 @@
 	ResultAnswer Result = "answer"
 	// ResultRefused means that the request did not run and will not.
 	ResultRefused Result = "refused"
-	// ResultBusy is ResultRefused by a router that has no room or stops.
-	ResultBusy Result = "busy"
+	// ResultBusy is ResultRefused by a router that has no room, and ResultLeaving by one that stops.
+	ResultBusy    Result = "busy"
+	ResultLeaving Result = "leaving"
 	// ResultNoPath is ResultRefused by a router that reaches no upstream of the service.
 	ResultNoPath Result = "no-path"
 	// ResultUnknown means that the request may have run.
@@ -41,7 +42,9 @@
 )
 
 // NotRun reports whether the request provably did not run.
-func (r Result) NotRun() bool { return r == ResultRefused || r == ResultBusy || r == ResultNoPath }
+func (r Result) NotRun() bool {
+	return r == ResultRefused || r == ResultBusy || r == ResultLeaving || r == ResultNoPath
+}
 
 const (
 	version = "1"
--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -75,6 +75,8 @@
 	switch {
 	case !e.NotRun:
 		return hop.ResultUnknown
+	case x.api.Forwarding.Closing():
+		return hop.ResultLeaving
 	case op != nil && op.service != nil && x.api.Forwarding.Reach.Unreachable(op.service.Name):
 		return hop.ResultNoPath
 	case e.Code == CodeOverloaded:
@@ -309,6 +311,8 @@
 	case hop.ResultNoPath:
 		tries.noPath++
 		hops.Peers.NoPath(peer, op.service.Name)
+	case hop.ResultLeaving:
+		hops.Peers.Avoid(peer)
 	case hop.ResultBusy:
 		hops.Peers.Busy(peer)
 	}
