Tell callers to come back after two seconds when no router reaches an upstream

When the upstreams of a service are down for all, callers were told to come back after 0.3 s and used up their repeats while the upstreams started again. The retry time is now 2 s, as when all are ejected.

--- a/internal/transport/httpapi/forward_end.go
+++ b/internal/transport/httpapi/forward_end.go
@@ -41,8 +41,11 @@
 func (op *forwardOp) notRunError(x *exchange, err error) *APIError {
 	var none *routing.NoUpstreamError
 	retryAfter := upstreamsFullRetryAfter
-	if errors.As(err, &none) {
+	switch {
+	case errors.As(err, &none):
 		retryAfter = none.RetryAfter
+	case errors.Is(err, errNoPath):
+		retryAfter = noPathRetryAfter
 	}
 	return refusal(http.StatusServiceUnavailable, CodeUpstreamUnavailable,
 		"no upstream took the request").withRetryAfter(retryAfter)
--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -133,6 +133,9 @@
 	return op.finishPassOn(x, &tries)
 }
 
+// noPathRetryAfter is sent to the caller when neither this router nor a peer reaches an upstream. A restart takes seconds.
+const noPathRetryAfter = 2 * time.Second
+
 // errNoPath reports that this router reaches no upstream of the service.
 var errNoPath = errors.New("this router reaches no upstream of the service")
 
@@ -180,7 +183,7 @@
 	op.cause = tries.cause
 	after := tries.retryAfter
 	if after == 0 {
-		after = upstreamsFullRetryAfter
+		after = noPathRetryAfter
 	}
 	return x.contextErrorOr(refusal(http.StatusServiceUnavailable, CodeUpstreamUnavailable,
 		"no router reaches an upstream that takes the request").withRetryAfter(after))
