Do not take crashes of most upstreams for a partition

Two upstreams that failed without a sign of a path between were enough to conclude that none can be reached. When 0.7 of the upstreams of a service crash, two such failures are common. The router then broke off streams that others of its upstreams could have continued, and returned only after two upstreams in a row had accepted connections, which takes long when most are down.

Five upstreams (or all of fewer) must fail now, four of which are tried at once after a first failure, unless an upstream sends something within 0.1 s. One failed attempt is no longer enough while another service is concluded: the same checks are made for that service. Before a crash is recorded, up to four other upstreams are tried, since one of them may have crashed too.

--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -8,15 +8,24 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
-	// addressesToConclude is the number of upstreams that must have failed before a service counts as unreachable. One
-	// that has ended, or stands still, is no sign of a partition.
-	addressesToConclude = 2
-	// checksToReturn is the number of upstreams that checks must reach in a row before requests are sent to them again. In
-	// some partitions a part of the connection attempts succeeds.
+	// addressesToConclude is the number of upstreams that must have failed before a service counts as unreachable. Some may
+	// have ended, or stand still, without a partition.
+	addressesToConclude = 5
+	// confirmations is the number of upstreams that are tried at once after a first failure.
+	confirmations = addressesToConclude - 1
+	// confirmDelay is the time after a failure in which other upstreams usually send something.
+	confirmDelay = 100 * time.Millisecond
+	// checksToReturn is the number of connections that must be opened within returnWindow before requests are sent to upstreams
+	// again. In some partitions a part of the connection attempts succeeds.
 	checksToReturn = 2
+	returnWindow   = 2 * time.Second
+	// checksAtOnce is the number of upstreams of an unreachable service that are tried at once.
+	checksAtOnce = 2
 	// silenceToCheck is how long all requests to a service may wait before a connection is opened to tell a partition from
 	// slow upstreams. Requests on connections that died with the path show no failure for longer.
 	silenceToCheck = 800 * time.Millisecond
@@ -67,13 +76,17 @@
 type service struct {
 	// provenAt is when the last connection was opened, or the last byte received.
 	provenAt time.Time
-	// failed holds the addresses to which connection attempts have failed since provenAt.
-	failed map[string]struct{}
+	// failed holds the addresses to which connection attempts have failed since provenAt, the first at failedAt.
+	failed   map[string]struct{}
+	failedAt time.Time
 	// unreachableSince is zero while the service is reachable.
 	unreachableSince time.Time
-	// reached holds the addresses that were reached since, without a failure between.
-	reached  map[string]struct{}
-	checking bool
+	// reached holds when addresses were reached since, unless the last attempt failed, and returns counts the connections
+	// opened since returnsFrom.
+	reached     map[string]time.Time
+	returns     int
+	returnsFrom time.Time
+	checking    bool
 	// waiting is the number of requests at upstreams, and waitingSince when it last rose from 0.
 	waiting      int
 	waitingSince time.Time
@@ -88,7 +101,7 @@
 func (m *Monitor) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{failed: make(map[string]struct{}), reached: make(map[string]struct{})}
+		s = &service{failed: make(map[string]struct{}), reached: make(map[string]time.Time)}
 		m.services[name] = s
 	}
 	return s
@@ -189,8 +202,11 @@
 	unreachable := !s.unreachableSince.IsZero()
 	switch {
 	case err == nil && unreachable:
-		s.reached[address] = struct{}{}
-		if len(s.reached) < m.enough(name, checksToReturn) {
+		s.reached[address] = now
+		if now.Sub(s.returnsFrom) > returnWindow {
+			s.returns, s.returnsFrom = 0, now
+		}
+		if s.returns++; s.returns < checksToReturn {
 			return Change{}, false
 		}
 		change := Change{Service: name, Failed: len(s.failed), For: now.Sub(s.unreachableSince)}
@@ -201,23 +217,26 @@
 		s.prove(now)
 		return Change{}, false
 	case unreachable:
-		clear(s.reached)
+		if _, ok := s.reached[address]; ok {
+			delete(s.reached, address)
+			s.returns = 0
+		}
 		s.failed[address] = struct{}{}
 		return Change{}, false
 	case !began.After(s.provenAt):
 		// The path worked after the attempt began.
 		return Change{}, false
 	}
-	s.failed[address] = struct{}{}
-	needed := m.enough(name, addressesToConclude)
-	if m.anyUnreachable() {
-		needed = 1
+	if len(s.failed) == 0 {
+		s.failedAt = now
 	}
-	if len(s.failed) < needed {
+	s.failed[address] = struct{}{}
+	if len(s.failed) < m.enough(name, addressesToConclude) {
 		return Change{}, false
 	}
 	s.unreachableSince = now
 	clear(s.reached)
+	s.returns = 0
 	change := Change{Service: name, Unreachable: true, Failed: len(s.failed)}
 	if !s.provenAt.IsZero() {
 		change.For = now.Sub(s.provenAt)
@@ -228,15 +247,6 @@
 // enough returns n, or the number of upstreams if the service has fewer.
 func (m *Monitor) enough(name string, n int) int { return max(1, min(n, len(m.cfg.Upstreams(name)))) }
 
-func (m *Monitor) anyUnreachable() bool {
-	for _, s := range m.services {
-		if !s.unreachableSince.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // Run checks unreachable services until the context ends.
 func (m *Monitor) Run(ctx context.Context) {
 	ticker := time.NewTicker(checkInterval)
@@ -247,15 +257,22 @@
 			return
 		case <-ticker.C:
 		}
-		for _, name := range m.toCheck() {
-			go m.check(ctx, name)
+		for _, c := range m.toCheck() {
+			go m.check(ctx, c)
 		}
 	}
 }
 
-// toCheck returns the services to check now, and marks them as being checked: unreachable ones, those that are silent and,
-// while a service is unreachable, those that have shown no path since. A partition mostly concerns all services.
-func (m *Monitor) toCheck() (names []string) {
+// checks are connection attempts to make at once.
+type checks struct {
+	service   string
+	addresses []string
+}
+
+// toCheck returns the checks to make now, and marks their services as being checked: unreachable ones; those of which an
+// attempt has failed, and that have shown no path since; silent ones; and, while a service is unreachable, those that have
+// shown no path since then. A partition mostly concerns all services.
+func (m *Monitor) toCheck() (all []checks) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.cfg.Now()
@@ -267,42 +284,66 @@
 	}
 	for _, name := range m.cfg.Services() {
 		s := m.service(name)
-		silent := s.unreachableSince.IsZero() && s.isSilent(now)
-		if s.checking || !silent && s.unreachableSince.IsZero() && !s.provenAt.Before(since) {
+		n := 0
+		switch {
+		case s.checking:
 			continue
-		}
-		if silent {
+		case !s.unreachableSince.IsZero():
+			n = checksAtOnce
+		case len(s.failed) > 0 && now.Sub(s.failedAt) >= confirmDelay, s.provenAt.Before(since):
+			n = confirmations
+		case s.isSilent(now):
 			s.noteSilence(now)
+			n = 1
+		default:
+			continue
+		}
+		addresses := m.addressesToCheck(s, name, n)
+		if len(addresses) == 0 {
+			// The service has no upstreams.
+			s.unreachableSince = time.Time{}
+			continue
 		}
 		s.checking = true
-		names = append(names, name)
+		all = append(all, checks{name, addresses})
 	}
-	return names
+	return all
 }
 
-// check opens connections to upstreams of a service: to return to an unreachable one as many as that needs, unless one
-// fails, else until one succeeds or the service is unreachable.
-func (m *Monitor) check(ctx context.Context, name string) {
-	defer func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.service(name).checking = false
-	}()
-	returning := m.Unreachable(name)
-	for range max(checksToReturn, addressesToConclude) {
-		address, ok := m.nextToCheck(name)
-		if !ok {
-			return
+// addressesToCheck returns up to n upstreams at random: first those that were reached last, and last those that failed.
+func (m *Monitor) addressesToCheck(s *service, name string, n int) []string {
+	addresses := slices.Clone(m.cfg.Upstreams(name))
+	for i := range addresses {
+		j := i + m.choose(len(addresses)-i)
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	}
+	rank := func(address string) int {
+		if _, ok := s.reached[address]; ok {
+			return 0
 		}
-		failed := m.cfg.Check(ctx, name, address) != nil
-		if failed == returning || m.Unreachable(name) != returning {
-			return
+		if _, ok := s.failed[address]; ok && s.unreachableSince.IsZero() {
+			return 2
 		}
+		return 1
+	}
+	slices.SortStableFunc(addresses, func(a, b string) int { return rank(a) - rank(b) })
+	return addresses[:min(n, len(addresses))]
+}
+
+// check makes connection attempts, which report their results.
+func (m *Monitor) check(ctx context.Context, c checks) {
+	var attempts conc.WaitGroup
+	for _, address := range c.addresses {
+		attempts.Go(func() { _ = m.cfg.Check(ctx, c.service, address) })
 	}
+	attempts.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.service(c.service).checking = false
 }
 
-// Confirm reports whether the router reaches no upstream of the service, after a connection attempt at one of them failed. It
-// tries another one.
+// Confirm reports whether the router probably reaches no upstream of the service, after a connection attempt at one of them
+// failed. It tries others until one can be reached.
 func (m *Monitor) Confirm(ctx context.Context, name, failed string) bool {
 	if m == nil {
 		return false
@@ -311,7 +352,14 @@
 	if len(others) == 0 {
 		return m.anyOtherUnreachable(name)
 	}
-	return m.cfg.Check(ctx, name, others[m.choose(len(others))]) != nil && m.Unreachable(name)
+	for range min(confirmations, len(others)) {
+		i := m.choose(len(others))
+		if m.cfg.Check(ctx, name, others[i]) == nil {
+			return false
+		}
+		others = slices.Delete(others, i, i+1)
+	}
+	return true
 }
 
 // anyOtherUnreachable reports whether another service is unreachable.
@@ -332,29 +380,3 @@
 	}
 	return m.cfg.Choose(n)
 }
-
-// nextToCheck returns an upstream that has not been tried since the last change. A service without upstreams counts as reachable again.
-func (m *Monitor) nextToCheck(name string) (address string, ok bool) {
-	addresses := m.cfg.Upstreams(name)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.service(name)
-	if len(addresses) == 0 {
-		s.unreachableSince = time.Time{}
-		return "", false
-	}
-	tried := s.failed
-	if !s.unreachableSince.IsZero() {
-		tried = s.reached
-	}
-	var candidates []string
-	for _, a := range addresses {
-		if _, ok := tried[a]; !ok {
-			candidates = append(candidates, a)
-		}
-	}
-	if len(candidates) == 0 {
-		candidates = addresses
-	}
-	return candidates[m.choose(len(candidates))], true
-}
