Cancel the attempt of a peer only if the retry budget has a retry

The attempt timeout at a peer was at most half of the time that was left, as at an upstream, so that both timeouts ended together, and without a retry in the budget the request was given up with 502 although the peer might still have answered.

The timeout at a peer is at most three quarters of the time that is left, and takes effect only if a retry could be taken from the budget.

--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,8 +112,7 @@
 		return op.finishFailed(x, errors.CombineErrors(cause, errNoPath))
 	}
 	x.beginPassOn()
-	retry := x.api.Forwarding.Retry(op.service.Name)
-	tries := hopTries{cause: errors.CombineErrors(errNoPath, cause)}
+	tries := hopTries{retry: x.api.Forwarding.Retry(op.service.Name), cause: errors.CombineErrors(errNoPath, cause)}
 	for len(tries.addresses) < maxHopTries && x.hasTime() && !callerHasLeft(x.httpReq.Context()) {
 		peer, ok := hops.Peers.Pick(op.service.Name, tries.addresses)
 		if !ok {
@@ -123,7 +123,7 @@
 		if !again {
 			return e
 		}
-		if tries.lost && !(x.idempotent && op.mayHaveRunCount < op.route.MaxAttempts && retry.TryRetry()) {
+		if tries.lost && !(x.idempotent && op.mayHaveRunCount < op.route.MaxAttempts && (tries.retryTaken.Swap(false) || tries.retry.TryRetry())) {
 			return op.finishFailed(x, tries.cause)
 		}
 	}
@@ -148,6 +148,9 @@
 	lost       bool
 	retryAfter time.Duration
 	cause      error
+	retry      RetryBudget
+	// retryTaken is set once a peer's time has ended and a retry was taken from the budget for it.
+	retryTaken atomic.Bool
 }
 
 // refused notes a refusal of a peer that states a time to retry.
@@ -249,8 +252,25 @@
 	return x.ctx.Err() == nil && (!ok || time.Now().Before(deadline))
 }
 
-// hopTimeoutFactor is the attempt timeout of a peer as a multiple of the target latency. The peer may need its own timeout for
-// a first upstream.
+// hopContext is attemptContext for a peer, which may need its own attempt timeout for a first upstream. The timeout takes
+// effect only if the budget has a retry.
+func (op *forwardOp) hopContext(x *exchange, tries *hopTries) (context.Context, func()) {
+	deadline, ok := x.ctx.Deadline()
+	if !ok || !x.idempotent || op.mayHaveRunCount+1 >= op.route.MaxAttempts || op.route.TargetLatency <= 0 {
+		return x.ctx, func() {}
+	}
+	timeout := min(hopTimeoutFactor*op.route.TargetLatency, time.Until(deadline)*3/4)
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	timer := time.AfterFunc(timeout, func() {
+		if tries.retry.TryRetry() {
+			tries.retryTaken.Store(true)
+			cancel(errAttemptTimeout)
+		}
+	})
+	return ctx, func() { timer.Stop() }
+}
+
+// hopTimeoutFactor is the attempt timeout of a peer as a multiple of the target latency.
 const hopTimeoutFactor = 2 * attemptTimeoutFactor
 
 // maxRefusalBytes bounds the body of a peer's refusal.
@@ -266,7 +286,7 @@
 		return errors.Mark(err, upstream.ErrNotSent)
 	}
 	limit := max(minUpstreamConnections, hops.MaxConnections/max(1, hops.Peers.Count()))
-	ctx, stopTimer := op.attemptContext(x.ctx, x, hopTimeoutFactor)
+	ctx, stopTimer := op.hopContext(x, tries)
 	defer stopTimer()
 	response, err := hops.Sender.Send(ctx, relay.Target{Address: peer.Address, MaxConnections: limit}, req)
 	if err != nil {
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -47,7 +47,7 @@
 
 // send implements operation.
 func (op *forwardOp) send(ctx context.Context, x *exchange, _ upstream.Call, _ int) error {
-	ctx, stopTimer := op.attemptContext(ctx, x, attemptTimeoutFactor)
+	ctx, stopTimer := op.attemptContext(ctx, x)
 	defer stopTimer()
 	x.api.Forwarding.Reach.Begin(op.service.Name)
 	defer x.api.Forwarding.Reach.End(op.service.Name)
@@ -91,12 +91,12 @@
 }
 
 // attemptContext applies a timeout to the wait for the first event or the complete response of an attempt, if
-// another attempt is allowed. It is the target latency times a factor. The returned function stops the timer.
-func (op *forwardOp) attemptContext(ctx context.Context, x *exchange, factor time.Duration) (context.Context, func()) {
+// another attempt is allowed. The returned function stops the timer.
+func (op *forwardOp) attemptContext(ctx context.Context, x *exchange) (context.Context, func()) {
 	if !x.idempotent || op.mayHaveRunCount+1 >= op.route.MaxAttempts || op.route.TargetLatency <= 0 {
 		return ctx, func() {}
 	}
-	timeout := factor * op.route.TargetLatency
+	timeout := attemptTimeoutFactor * op.route.TargetLatency
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline)/2)
 	}
