--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,6 +76,8 @@
 	switch {
 	case !e.NotRun:
 		return hop.ResultUnknown
+	case x.api.Forwarding.Closing():
+		return hop.ResultLeaving
 	case op != nil && op.service != nil && x.api.Forwarding.Reach.Unreachable(op.service.Name):
 		return hop.ResultNoPath
 	case e.Code == CodeOverloaded:
@@ -109,8 +112,7 @@
 		return op.finishFailed(x, errors.CombineErrors(cause, errNoPath))
 	}
 	x.beginPassOn()
-	retry := x.api.Forwarding.Retry(op.service.Name)
-	tries := hopTries{cause: errors.CombineErrors(errNoPath, cause)}
+	tries := hopTries{retry: x.api.Forwarding.Retry(op.service.Name), cause: errors.CombineErrors(errNoPath, cause)}
 	for len(tries.addresses) < maxHopTries && x.hasTime() && !callerHasLeft(x.httpReq.Context()) {
 		peer, ok := hops.Peers.Pick(op.service.Name, tries.addresses)
 		if !ok {
@@ -121,7 +123,7 @@
 		if !again {
 			return e
 		}
-		if tries.lost && !(x.idempotent && op.mayHaveRunCount < op.route.MaxAttempts && retry.TryRetry()) {
+		if tries.lost && !(x.idempotent && op.mayHaveRunCount < op.route.MaxAttempts && (tries.retryTaken.Swap(false) || tries.retry.TryRetry())) {
 			return op.finishFailed(x, tries.cause)
 		}
 	}
@@ -131,6 +133,9 @@
 	return op.finishPassOn(x, &tries)
 }
 
+// noPathRetryAfter is sent to the caller when neither this router nor a peer reaches an upstream. A restart takes seconds.
+const noPathRetryAfter = 2 * time.Second
+
 // errNoPath reports that this router reaches no upstream of the service.
 var errNoPath = errors.New("this router reaches no upstream of the service")
 
@@ -143,6 +148,9 @@
 	lost       bool
 	retryAfter time.Duration
 	cause      error
+	retry      RetryBudget
+	// retryTaken is set once a peer's time has ended and a retry was taken from the budget for it.
+	retryTaken atomic.Bool
 }
 
 // refused notes a refusal of a peer that states a time to retry.
@@ -178,7 +186,7 @@
 	op.cause = tries.cause
 	after := tries.retryAfter
 	if after == 0 {
-		after = upstreamsFullRetryAfter
+		after = noPathRetryAfter
 	}
 	return x.contextErrorOr(refusal(http.StatusServiceUnavailable, CodeUpstreamUnavailable,
 		"no router reaches an upstream that takes the request").withRetryAfter(after))
@@ -244,6 +252,27 @@
 	return x.ctx.Err() == nil && (!ok || time.Now().Before(deadline))
 }
 
+// hopContext is attemptContext for a peer, which may need its own attempt timeout for a first upstream. The timeout takes
+// effect only if the budget has a retry.
+func (op *forwardOp) hopContext(x *exchange, tries *hopTries) (context.Context, func()) {
+	deadline, ok := x.ctx.Deadline()
+	if !ok || !x.idempotent || op.mayHaveRunCount+1 >= op.route.MaxAttempts || op.route.TargetLatency <= 0 {
+		return x.ctx, func() {}
+	}
+	timeout := min(hopTimeoutFactor*op.route.TargetLatency, time.Until(deadline)*3/4)
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	timer := time.AfterFunc(timeout, func() {
+		if tries.retry.TryRetry() {
+			tries.retryTaken.Store(true)
+			cancel(errAttemptTimeout)
+		}
+	})
+	return ctx, func() { timer.Stop() }
+}
+
+// hopTimeoutFactor is the attempt timeout of a peer as a multiple of the target latency.
+const hopTimeoutFactor = 2 * attemptTimeoutFactor
+
 // maxRefusalBytes bounds the body of a peer's refusal.
 const maxRefusalBytes = 16 << 10
 
@@ -257,7 +286,9 @@
 		return errors.Mark(err, upstream.ErrNotSent)
 	}
 	limit := max(minUpstreamConnections, hops.MaxConnections/max(1, hops.Peers.Count()))
-	response, err := hops.Sender.Send(x.ctx, relay.Target{Address: peer.Address, MaxConnections: limit}, req)
+	ctx, stopTimer := op.hopContext(x, tries)
+	defer stopTimer()
+	response, err := hops.Sender.Send(ctx, relay.Target{Address: peer.Address, MaxConnections: limit}, req)
 	if err != nil {
 		switch {
 		case errors.Is(err, relay.ErrConnectionLimit):
@@ -265,7 +296,7 @@
 		case !errors.Is(err, upstream.ErrNotSent) && x.hasTime():
 			hops.Peers.Avoid(peer)
 		}
-		return err
+		return op.attemptError(ctx, err)
 	}
 	defer response.Close()
 	switch result := hop.Result(response.Header.Get(hop.HeaderResult)); {
@@ -283,12 +314,11 @@
 	hops.Peers.Served(op.service.Name)
 	x.progress.begun = true
 	if op.route.Stream && response.Status == http.StatusOK {
-		err = op.forwardStream(x, response, func() {})
+		err = op.forwardStream(x, response, stopTimer)
 	} else {
 		err = op.forwardBuffered(x, response)
 	}
-	countResponseError(err)
-	return err
+	return op.attemptError(ctx, err)
 }
 
 // refusedByPeer reads a refusal. One with status 503 may be due to that peer only.
@@ -304,6 +334,8 @@
 	case hop.ResultNoPath:
 		tries.noPath++
 		hops.Peers.NoPath(peer, op.service.Name)
+	case hop.ResultLeaving:
+		hops.Peers.Avoid(peer)
 	case hop.ResultBusy:
 		hops.Peers.Busy(peer)
 	}
