Begin the last responses before the grace period is over

Callers whose requests were still in progress at the end of a planned stop got their last responses less than 0.2 s before the process is killed, and a caller that had not sent its request whole kept the process beyond that time.

The phases add up to more than the margin of 900 ms: with a store that does not answer, the shares take 700 ms to be returned in vain, and the last responses may take 300 ms. The return of the shares now ends in time for the last responses and 100 ms for the exit; with a store that answers, nothing changes.

Ruled out: a longer margin, which would end all requests sooner.

--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -85,8 +85,11 @@
 	// keepAliveGrace is the minimum time that the process continues after refuseDelay, for callers that reuse an
 	// open connection once more.
 	keepAliveGrace = 300 * time.Millisecond
-	// shutdownMargin is left at the end of the grace period for returning the unspent tokens of the shares.
+	// shutdownMargin is left at the end of the grace period for returning the unspent tokens of the shares and for
+	// the last responses.
 	shutdownMargin = 900 * time.Millisecond
+	// exitMargin is left at the very end of the grace period for the process to exit by itself.
+	exitMargin = 100 * time.Millisecond
 	// closeTimeout limits the time for the last responses: to requests that arrived while the shares were returned, and to
 	// those that were still in progress then. They must be written before their connections are closed.
 	closeTimeout = 300 * time.Millisecond
@@ -128,8 +131,8 @@
 }
 
 // drain stops accepting requests and waits until the open ones have finished or the grace period is nearly
-// over.
-func (g *Gateway) drain() {
+// over. It returns the time at which the last responses must begin.
+func (g *Gateway) drain() (lastResponses time.Time) {
 	start := time.Now()
 	obs.EventStopping.Log(g.logger, nil)
 	g.draining.Store(true)
@@ -143,4 +146,5 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.cfg.GracePeriod-shutdownMargin))
 	defer cancel()
 	g.api.WaitIdle(ctx)
+	return start.Add(g.cfg.GracePeriod - closeTimeout - exitMargin)
 }
