Answer forwarded requests whose handler panics

A panic while a forwarded request was handled closed the caller's connection without an answer, although nothing of a response had been written. If the request held a reservation, recording its outcome panicked again, because only the own fleet has the resolver of unknown outcomes: the request then counted as open until the process ended, and a planned stop waited for it for the whole grace period.

Such a request is settled as one that may have run, and gets a 502 if no status has been chosen yet. Responses that have begun are aborted as before. Requests of the own fleet are unchanged.

No panic of a forwarded request is known; this was found by reading.

--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -350,7 +350,9 @@
 			"request_id": x.id, "panic": cause, "stack": string(debug.Stack()),
 		})
 		x.endAfterPanic()
-		defer panic(http.ErrAbortHandler)
+		if !x.repliedAfterPanic() {
+			defer panic(http.ErrAbortHandler)
+		}
 	}
 	if x.ticket != nil {
 		x.ticket.Done()
@@ -375,5 +377,9 @@
 		x.releaseReservation()
 		return
 	}
+	if op, ok := x.op.(*forwardOp); ok {
+		op.settle(x, outcomeUnknown)
+		return
+	}
 	x.markUnknown(errors.New("request handler panicked"))
 }
--- a/internal/transport/httpapi/forward_end.go
+++ b/internal/transport/httpapi/forward_end.go
@@ -115,3 +115,15 @@
 	x.w.WriteHeader(e.Status)
 	_, _ = x.w.Write(errorJSON(e))
 }
+
+// repliedAfterPanic responds to a forwarded request that panicked before a part of its response was written. It returns
+// false if it cannot.
+func (x *exchange) repliedAfterPanic() bool {
+	op, ok := x.op.(*forwardOp)
+	if !ok || op.status != 0 {
+		return false
+	}
+	x.replyForwardError(op, failure(http.StatusBadGateway, CodeOutcomeUnknown, "the router failed; the request may have run"))
+	op.logResult(x)
+	return true
+}
