Spare requests that were read together with the one before

Callers that send several requests at once on one connection could lose one in a planned stop: its context was canceled before its handler began, so it ended as if its caller had left.

A connection counted as idle from the end of a response, although the next request could already be in the server's read buffer. When CloseIdle moved the read deadline before that handler had marked the connection as busy, the server's background read failed, which cancels the request. With the 200 ms of a planned stop, that takes a process that gets no processor time at this point.

A connection is now idle only while the server reads for a request. Requests in the read buffer need no read.

--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -84,7 +84,7 @@
 	if kept, ok := c.(*keptConn); ok && state == http.StateIdle {
 		kept.mu.Lock()
 		defer kept.mu.Unlock()
-		kept.idle, kept.idleSince = true, time.Now()
+		kept.responded, kept.idleSince = true, time.Now()
 	}
 }
 
@@ -105,7 +105,9 @@
 	conns *KeptConns
 
 	mu sync.Mutex
-	// idle is true from the end of a response until data arrives, and idleSince its begin.
+	// responded is true from the end of a response until data arrives or the next request is handled.
+	responded bool
+	// idle is true while the server waits for the first data of a request. idleSince is the time of the last response.
 	idle      bool
 	idleSince time.Time
 	// ending is true if the read deadline has been moved, so that the server stops waiting for a request.
@@ -127,11 +129,20 @@
 func (c *keptConn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = false
+	c.idle, c.responded = false, false
+}
+
+// beginRead notes that the server waits for a request. A request that it has read together with the one before needs no read;
+// while that is handled, the server reads a single byte to notice that the caller leaves.
+func (c *keptConn) beginRead(length int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = c.idle || c.responded && length > 1
 }
 
 // Read implements net.Conn.
 func (c *keptConn) Read(p []byte) (int, error) {
+	c.beginRead(len(p))
 	for {
 		n, err := c.Conn.Read(p)
 		if !c.continues(n, err) {
@@ -146,13 +157,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.idle = false
+		c.idle, c.responded = false, false
 	}
 	expired := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 	if !c.ending || n == 0 && !expired || expired && !netopt.HasUnread(c.Conn) {
 		return false
 	}
-	c.ending, c.idle = false, false
+	c.ending, c.idle, c.responded = false, false, false
 	_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed, which the next read reports
 	return expired
 }
