Test a request that crosses CloseIdle and a reset with unsent data

Two lines of KeptConns could be removed without a failing test: the second read after a deadline that CloseIdle has moved, and the exception of connections that must be reset from the orderly close with unsent data.

--- a/internal/transport/httpapi/kept_read_test.go
+++ b/internal/transport/httpapi/kept_read_test.go
@@ -8,12 +8,41 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 )
 
+// Guards against a request that arrives just after its connection was found idle, and is dropped unread.
+func TestRequestAfterEndIfIdleIsRead(t *testing.T) {
+	is := is.New(t)
+	l, err := netopt.Listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	var k KeptConns
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	c, err := k.Listener(l).Accept()
+	is.NoErr(err)
+	defer c.Close()
+	k.CloseIdle(0)
+	_, err = io.WriteString(caller, "GET")
+	is.NoErr(err)
+	for !netopt.HasUnread(c) {
+		time.Sleep(time.Millisecond)
+	}
+	buffer := make([]byte, 8)
+	n, err := c.Read(buffer)
+	is.NoErr(err)
+	is.Equal(string(buffer[:n]), "GET")
+}
+
 // Guards against a request that is canceled as its connection counts as idle, because the server has read it together with
 // the one before and its handler has not begun.
 func TestCloseIdleSparesRequestsReadTogether(t *testing.T) {
@@ -69,3 +98,25 @@
 	is.True(handled.Load() > 0)
 	is.Equal(canceled.Load(), int64(0))
 }
+
+// Guards against a truncated response without a length that looks complete to a slow caller, because its connection is closed
+// in an orderly way.
+func TestAbortedResponseIsResetWhileUnsent(t *testing.T) {
+	is := is.New(t)
+	var k KeptConns
+	listener := startKept(t, &k, func(w http.ResponseWriter, r *http.Request) {
+		resetCallerConn(r.Context())
+		_, _ = w.Write(make([]byte, 128<<10))
+		panic(http.ErrAbortHandler)
+	})
+	c, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.(*net.TCPConn).SetReadBuffer(8 << 10))
+	_, err = io.WriteString(c, "GET / HTTP/1.0\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	n, err := io.Copy(io.Discard, c)
+	t.Logf("%d bytes, %v", n, err)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
