Test a body that is on its way while idle connections are closed

Since a connection is idle only while the server reads for a request, no test failed without the call of setBusy. It is needed for a request whose head was read together with the request before: reading its body would count as waiting.

--- a/internal/transport/httpapi/kept_read_test.go
+++ b/internal/transport/httpapi/kept_read_test.go
@@ -99,6 +99,37 @@
 	is.Equal(canceled.Load(), int64(0))
 }
 
+// Guards against a request whose body is cut off as its connection counts as idle, because the server has read its head
+// together with the request before.
+func TestCloseIdleSparesBodyOnItsWay(t *testing.T) {
+	is := is.New(t)
+	var k KeptConns
+	listener := startKept(t, &k, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(w, r.Body); err != nil {
+			t.Errorf("body: %v", err)
+		}
+	})
+	c, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\no")
+	is.NoErr(err)
+	for range 10 {
+		k.CloseIdle(10 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, err = io.WriteString(c, "k")
+	is.NoErr(err)
+	reader := bufio.NewReader(c)
+	for _, want := range []string{"", "ok"} {
+		resp, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), want)
+	}
+}
+
 // Guards against a truncated response without a length that looks complete to a slow caller, because its connection is closed
 // in an orderly way.
 func TestAbortedResponseIsResetWhileUnsent(t *testing.T) {
