Share the slots of brittle upstreams among the routers

Callers saw a service go down for seconds, again and again: its upstreams are brittle at times, and say so. Each can turn away a few requests a second for want of room; with more, of all routers together, its process ends. What it would have run comes to the others, which fall next.

Cause: nothing read the statement. Each router chose the upstreams by its estimate of the load, which is not exact, and found out by rejections that they are full; in a burst all routers did so at once, and sent what one upstream had turned away to the next one.

Now the routers own the running slots of brittle upstreams, as they own the permits of request limits, so that all together send no more than can run. Slots of others are used while a recent report shows that they are free. A budget of rejections, which the routers report to each other, is the second line, and what a brittle upstream has turned away goes only where there is proven room. Ruled out: budgets of rejections alone (below one for each router where routers are many), windows that grow until a rejection (all routers find it in the same burst). An upstream that names no limit is used as before.

--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -221,6 +221,10 @@
 	ChangeQuarantined
 	ChangeRequestLimit
 	ChangePaused
+	ChangeBrittle
+	ChangeNotBrittle
+	ChangeRejectionBudgetUsed
+	ChangeRejectionLimitMalformed
 )
 
 // Change describes an event at an upstream that is reported to the operator.
@@ -230,10 +234,12 @@
 	// Fingerprint is set for ChangeQuarantined.
 	Fingerprint Fingerprint
 	// PerSecond and Previous are set for ChangeRequestLimit: the limit in requests per second, and the one before; 0
-	// means none.
+	// means none. PerSecond is also set for ChangeBrittle and ChangeRejectionBudgetUsed: the limit in rejections per second.
 	PerSecond, Previous float64
-	// Pause is set for ChangePaused.
+	// Pause is set for ChangePaused and ChangeRejectionBudgetUsed.
 	Pause time.Duration
+	// Text is set for ChangeRejectionLimitMalformed.
+	Text string
 	// Reported is true if another router observed the change.
 	Reported bool
 }
--- a/internal/coordination/routing/notify.go
+++ b/internal/coordination/routing/notify.go
@@ -30,6 +30,19 @@
 			obs.UpstreamPausesTotal.Add(1)
 			fields["pause_ms"] = c.Pause.Milliseconds()
 			obs.EventUpstreamPaused.Log(logger, fields)
+		case ChangeBrittle:
+			fields["per_second"], fields["reported"] = c.PerSecond, c.Reported
+			obs.EventUpstreamBrittle.Log(logger, fields)
+		case ChangeNotBrittle:
+			fields["reported"] = c.Reported
+			obs.EventUpstreamNotBrittle.Log(logger, fields)
+		case ChangeRejectionBudgetUsed:
+			obs.RejectionBudgetsUsedTotal.Add(1)
+			fields["per_second"], fields["pause_ms"] = c.PerSecond, c.Pause.Milliseconds()
+			obs.EventRejectionBudgetUsed.Log(logger, fields)
+		case ChangeRejectionLimitMalformed:
+			fields["text"] = c.Text
+			obs.EventRejectionLimitMalformed.Log(logger, fields)
 		}
 	}
 }
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -168,6 +168,9 @@
 	byName map[string]*upstreamState
 	// limits holds the request limits by upstream. They outlive the upstream's removal from the configuration.
 	limits map[string]*requestLimit
+	// brittle holds what is known of brittle upstreams; they outlive it too. namedBrittle counts those that name a limit.
+	brittle      map[string]*brittleness
+	namedBrittle int
 	// notices holds what upstreams have said about themselves. They outlive the upstream's removal too.
 	notices     map[string]*notice
 	pools       map[string]*pool
@@ -186,7 +189,7 @@
 	cfg = cfg.withDefaults()
 	return &Router{
 		cfg: cfg, byName: make(map[string]*upstreamState), limits: make(map[string]*requestLimit),
-		notices: make(map[string]*notice), pools: make(map[string]*pool),
+		brittle: make(map[string]*brittleness), notices: make(map[string]*notice), pools: make(map[string]*pool),
 		prefix: newPrefixIndex(cfg.MaxPrefixBlocks), byCacheID: make(map[cacheID]*upstreamState),
 		cachedBlocks: make(map[cacheID]int),
 	}
@@ -210,6 +213,7 @@
 	now := r.cfg.Now()
 	r.pruneLimits(now)
 	r.pruneNotices(now)
+	r.pruneBrittle(now)
 	for _, s := range r.byName {
 		s.inConfig = false
 	}
@@ -219,7 +223,7 @@
 		if s == nil {
 			s = &upstreamState{
 				attempts: make(map[*Attempt]struct{}), nameHash: xxhash.Sum64String(u.Name), limit: r.limitOf(u.Name),
-				notice: r.noticeOf(u.Name),
+				notice: r.noticeOf(u.Name), brittle: r.brittleOf(u.Name),
 			}
 			r.byName[u.Name] = s
 			r.assignCacheID(s)
@@ -363,7 +367,7 @@
 	if preferred := r.preferredUpstream(req, all, now); preferred != nil {
 		r.cachedBlocks[preferred.cacheID] = max(r.cachedBlocks[preferred.cacheID], req.SharedBlocks)
 	}
-	routers := max(1, r.cfg.Routers())
+	routers, brittle := max(1, r.cfg.Routers()), r.shareBrittle(all, position, now)
 	lowest := 0.0
 	pauseLeft, allPaused := time.Duration(math.MaxInt64), true
 	// The scan starts at random, so that upstreams with equal scores get equal numbers of requests.
@@ -389,6 +393,12 @@
 			none.RetryAfter = min(none.RetryAfter, max(wait, minLimitRetryAfter))
 			continue
 		}
+		if brittle {
+			if wait := r.brittleWait(s, req, position, now); wait > 0 {
+				none.RetryAfter = min(none.RetryAfter, max(wait, minLimitRetryAfter))
+				continue
+			}
+		}
 		if s.limit.active() && now.Sub(s.limit.observedAt) > limitProbeAfter {
 			return s, nil
 		}
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -110,7 +110,11 @@
 	suspects    int
 	limit       *requestLimit
 	notice      *notice
-	attempts    map[*Attempt]struct{}
+	brittle     *brittleness
+	// isBrittle and ownSlots are set by shareBrittle.
+	isBrittle bool
+	ownSlots  int
+	attempts  map[*Attempt]struct{}
 
 	report     Report
 	measuredAt time.Time
@@ -257,6 +261,9 @@
 	}
 	s.report, s.measuredAt = rep, measured
 	s.netSinceReport = s.netWindow.sumSince(measured, now)
+	if s.brittle.named {
+		s.noteRoom(now)
+	}
 	r.endExcessEjections()
 }
 
@@ -270,6 +277,7 @@
 	*s.notice = notice{}
 	s.slowStartAt = now
 	r.setRequestLimit(s.upstream.Name, 0, now, false)
+	r.setBrittle(s.upstream.Name, false, 0, now, false)
 	r.assignCacheID(s)
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -299,6 +299,9 @@
 // capacity returns how many concurrent requests of an admission pool this router may have.
 func (g *Gateway) capacity(pool string) int {
 	total := g.routing.Capacity(httpapi.ParsePoolName(pool))
+	if own, brittle := g.routing.OwnCapacity(httpapi.ParsePoolName(pool)); brittle {
+		return min(total, own)
+	}
 	return min(total, max(gatewayMinCapacity, total*gatewayCapacityFactor/g.heartbeats.Routers()))
 }
 
@@ -392,6 +395,7 @@
 	loops.Go(func() { g.origins.Run(background) })
 	loops.Go(func() { exchangeWithPeers(background, g.peers, crashReports(g.crashes)) })
 	loops.Go(func() { exchangeWithPeers(background, g.peers, limitReports(g.routing)) })
+	loops.Go(func() { exchangeWithPeers(background, g.peers, brittleReports(g.routing)) })
 	budgets, stopBudgets := context.WithCancel(background)
 	defer stopBudgets()
 	var budgetLoops conc.WaitGroup
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -21,7 +21,7 @@
 	EventPartReleased = register(1506, logrus.InfoLevel, "quarantine of a part ended",
 		"An upstream has answered a request with this part, or none came for a long time. No action.")
 	EventReportLost = register(1508, logrus.InfoLevel, "report to other routers did not reach some of them",
-		"The field \"method\" says which: of a crash or of a request limit. They get it with a later report. No action.")
+		"The field \"method\" says which: of a crash, of a request limit or of a brittle upstream. They get it with a later report. No action.")
 	EventRequestLimitChanged = register(1509, logrus.InfoLevel, "upstream changed its request limit",
 		"It accepts at most \"per_second\" requests a second from all routers together; 0 means that it names no limit any more. "+
 			"If most upstreams of a service name limits, it lacks capacity.")
@@ -30,6 +30,16 @@
 			"upstreams of a service do so, callers are refused until the first pause ends: the service lacks capacity.")
 	EventPauseMalformed = register(1511, logrus.WarnLevel, "upstream asks for a pause that is no sound number",
 		"The field \"text\" has what it sent. The pause is ignored. Repair the upstream.")
+	EventUpstreamBrittle = register(1512, logrus.WarnLevel, "upstream is brittle",
+		"It falls over if all routers together make it turn away more than \"per_second\" requests in a second for want of room. "+
+			"Until it ends, the routers share its slots and refuse what has no room. If this repeats, the service lacks capacity.")
+	EventUpstreamNotBrittle = register(1513, logrus.InfoLevel, "upstream is no longer brittle",
+		"It names no rejection limit any more. No action.")
+	EventRejectionBudgetUsed = register(1514, logrus.WarnLevel, "rejection budget for a brittle upstream is used up",
+		"For \"pause_ms\" this router sends it only requests for which it is known to have room. If this repeats, the service "+
+			"lacks capacity, or the upstream runs fewer requests than it states.")
+	EventRejectionLimitMalformed = register(1515, logrus.WarnLevel, "upstream names a rejection limit that is no sound number",
+		"The field \"text\" has what it sent. The limit is ignored. Repair the upstream. Logged once for each upstream.")
 	EventPartTrial = register(1507, logrus.InfoLevel, "request with a quarantined part is let through",
 		"If its upstream crashes, the quarantine is renewed and lasts longer (1505). No action.")
 )
@@ -49,9 +59,15 @@
 	RequestsToLimitedTotal   = newMetric("requests_to_limited_upstreams_total")
 	// UpstreamPausesTotal counts the pauses that upstreams have asked for, and PausesMalformedTotal those that were
 	// ignored because they are no sound number.
-	UpstreamPausesTotal      = newMetric("upstream_pauses_total")
-	PausesMalformedTotal     = newMetric("upstream_pauses_malformed_total")
-	RequestsQuarantinedTotal = newMetric("requests_quarantined_total")
+	UpstreamPausesTotal  = newMetric("upstream_pauses_total")
+	PausesMalformedTotal = newMetric("upstream_pauses_malformed_total")
+	// BrittleRejectionsTotal counts this router's requests that brittle upstreams rejected, RejectionBudgetsUsedTotal how
+	// often its budget of such rejections was used up, and RejectionLimitsMalformedTotal the limits that were ignored
+	// because they are no sound number.
+	BrittleRejectionsTotal        = newMetric("brittle_rejections_total")
+	RejectionBudgetsUsedTotal     = newMetric("rejection_budgets_used_total")
+	RejectionLimitsMalformedTotal = newMetric("rejection_limits_malformed_total")
+	RequestsQuarantinedTotal      = newMetric("requests_quarantined_total")
 	// PartsQuarantinedTotal counts quarantines of a part of requests, CrashesObservedTotal the requests of this
 	// router that were running when their upstream crashed.
 	PartsQuarantinedTotal = newMetric("parts_quarantined_total")
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -106,6 +106,12 @@
 	// RequestLimit reports the limit in requests per second, or 0 if the response names none. ran is false if the
 	// upstream did not run the request.
 	RequestLimit(perSecond float64, ran bool)
+	// RejectionLimit reports the number of rejections in a second that the upstream bears, or nil if the response names
+	// none. RejectionLimitMalformed reports one that is no sound number.
+	RejectionLimit(limit *float64, ran bool)
+	RejectionLimitMalformed(text string)
+	// Rejected reports that the upstream turned the request away for want of room.
+	Rejected()
 	// Leaving reports that the process of the upstream leaves.
 	Leaving()
 	// Pause reports how long the upstream wants no requests from this router.
@@ -115,6 +121,14 @@
 // reportNotice passes on what an upstream says about itself.
 func (x *exchange) reportNotice(reporter NoticeReporter, n upstream.Notice) {
 	reporter.RequestLimit(n.RequestLimit, n.Ran)
+	if n.RejectionLimitErr != nil {
+		reporter.RejectionLimitMalformed(n.RejectionLimitErr.Error())
+	} else {
+		reporter.RejectionLimit(n.RejectionLimit, n.Ran)
+	}
+	if n.Rejected {
+		reporter.Rejected()
+	}
 	if n.Leaving {
 		reporter.Leaving()
 	}
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -146,6 +146,13 @@
 	RequestLimit float64
 	// Ran is false if the upstream refused the request.
 	Ran bool
+	// RejectionLimit is the number of requests that it can turn away in a second for want of room; with more, from all
+	// routers together, its process ends. It is nil if the upstream names none. RejectionLimitErr is set if what it
+	// names is no sound number.
+	RejectionLimit    *float64
+	RejectionLimitErr error
+	// Rejected is true if the upstream turned the request away for want of room.
+	Rejected bool
 	// Leaving is true if the upstream's process leaves.
 	Leaving bool
 	// Pause is how long the upstream wants no requests from this router. PauseErr is set if what it asks for is no
@@ -194,6 +201,19 @@
 	return limit
 }
 
+// ParseRejectionLimit parses the number of rejections in a second that a brittle upstream bears. It returns nil for an empty
+// text, and fails if the text is not a number, negative, or above routing.MaxRejectionLimit.
+func ParseRejectionLimit(text string) (*float64, error) {
+	if text = strings.TrimSpace(text); text == "" {
+		return nil, nil
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(limit >= 0) || limit > routing.MaxRejectionLimit {
+		return nil, errors.Newf("%.60q is not a number of rejections from 0 to %g", text, routing.MaxRejectionLimit)
+	}
+	return &limit, nil
+}
+
 // Completion is a complete, non-streamed chat completion. Body is forwarded to the caller unchanged.
 type Completion struct {
 	Body  []byte
