Settle a request that may have run when a peer refuses its repeat

A request had run at an upstream whose answer was lost, and was then passed on to a peer that refused it for good, as with 402. The caller got 502, and the reservation was neither settled nor released.

Such a request now ends as one whose last attempt failed.

--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -212,6 +212,10 @@
 		_ = x.request.AttemptNotRun(n) // the attempt is the last one
 		obs.HopsRefusedTotal.Add(1)
 		op.cause = err
+		if op.mayHaveRun {
+			op.passedOn = false
+			return op.finishFailed(x, err), false
+		}
 		return final.error, false
 	case provablyNotRun(err):
 		_ = x.request.AttemptNotRun(n)
