Do not count interim responses as answers to other requests

A sound upstream that sent four or more interim responses (1xx) before its answer lost it: the caller got 502, though the upstream had run the request and answered it.

The bound of four responses for one request, which guards against answers to other requests, counted interim responses too. They have a bound of 64 of their own now.

TestInterimResponsesPrecedeTheAnswer failed before with "only responses to other requests received", and passes with -race.

--- a/internal/transport/relay/end_test.go
+++ b/internal/transport/relay/end_test.go
@@ -81,3 +81,21 @@
 		cancel()
 	}
 }
+
+// Guards against an answer that is dropped because its upstream sent many interim responses before it, and against an
+// upstream that never sends anything else.
+func TestInterimResponsesPrecedeTheAnswer(t *testing.T) {
+	is := is.New(t)
+	interim := maxInterimResponses
+	address, _ := startServer(t, func(c net.Conn, request string) {
+		_, _ = io.WriteString(c, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", interim)+responseTo(requestIDOf(request), "whole"))
+	})
+	p := newPool(t)
+	body, err := send(p, address, "a")
+	is.NoErr(err)
+	is.Equal(body, "whole")
+
+	interim++
+	_, err = send(p, address, "b")
+	is.True(errors.Is(err, upstream.ErrMismatch))
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -39,9 +39,10 @@
 	// idleTimeoutMargin is subtracted from the upstream's own idle timeout, so that no request is sent on a
 	// connection that the upstream is about to close.
 	idleTimeoutMargin = time.Second
-	// maxResponses is the number of responses read for one request, including skipped responses to other
-	// requests and interim 1xx responses.
-	maxResponses = 4
+	// maxResponses is the number of responses read for one request, including skipped responses to other requests, and
+	// maxInterimResponses that of interim 1xx responses, which a sound upstream may send while it works.
+	maxResponses        = 4
+	maxInterimResponses = 64
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 	readBufferBytes    = 8 << 10
@@ -189,7 +190,7 @@
 	}
 	// An upstream may respond before it has read the whole request, so a response is read even after a failed
 	// write.
-	for range maxResponses {
+	for responses, interim := 0, 0; responses < maxResponses && interim <= maxInterimResponses; {
 		c.head.begin()
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
 		c.head.limited = false
@@ -197,8 +198,10 @@
 			return nil, errors.Mark(errors.CombineErrors(err, writeErr), upstream.ErrIncomplete)
 		}
 		if resp.StatusCode < http.StatusOK {
+			interim++
 			continue
 		}
+		responses++
 		if id := responseID(resp.Header); id == req.ID {
 			return resp, nil
 		}
@@ -208,7 +211,7 @@
 			return nil, errors.Mark(errors.New("response to another request"), upstream.ErrMismatch)
 		}
 	}
-	return nil, errors.Mark(errors.New("only responses to other requests received"), upstream.ErrMismatch)
+	return nil, errors.Mark(errors.New("only interim responses and responses to other requests received"), upstream.ErrMismatch)
 }
 
 // isFramed reports whether the body of a response has a length or chunks, or is none.
