Do not break off whole streams whose end is not marked

Cause: took only a length or the last chunk for the end of a stream, because the connections of a process that ends are closed like that of a whole response. Such a stream was broken off on a route that may not be resumed; on others it was asked for its rest elsewhere and broken off if that answer had no marked end either, or failed. Its upstream counted as failing. The class: the absence of a proof was taken for a failure.

Change: what feared is the end of the process, so that is checked: the upstream must accept a connection 50 ms after the end. A faulty upstream that lives may cut its response short, so where the stream may be resumed another one is still asked for the rest. If it brings an event, the first one has failed; if not, however its answer ends, the stream is whole.

Tests that were wrong: TestStreamOfUpstreamsWithoutMarkedEnds demanded that a whole stream is broken off, TestUnframedResponses that none looks complete; they demand the opposite now. TestStreamWithoutMarkedEndIsNotComplete says that the process has ended, but its servers lived: they end now, and a reset is added; servers that live and cut streams short have TestEndWithoutMarkIsCheckedAtAnotherUpstream, with the same demand where the stream may be resumed. On other routes such a part cannot be told from a whole stream, and reaches the caller as one (docs/design-platform.md). The soak's servers cut unframed streams between events by a reset or the end of their process, and send them event by event.

Ruled out: the stop itself.

--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -6,8 +6,9 @@
 var (
 	EventRequestServed = register(1610, logrus.InfoLevel, "request succeeded",
 		"The upstream's response was delivered. \"passed_on\" says that the router \"upstream\" served it, \"from_router\" that another router passed it on. The field \"first_ms\" is the time to its first byte. "+
-			"\"out_of_order\" counts events of a stream that did not follow the one before; \"unproven_end\" says that a stream "+
-			"ended with the upstream's connection and had neither a length nor chunks. \"resumed_after\" is the last event that a "+
+			"\"out_of_order\" counts events of a stream that did not follow the one before; \"unmarked_end\" says that a stream "+
+			"ended with the upstream's connection and had neither a length nor chunks, \"unproven_end\" that the upstream may "+
+			"have ended too. \"resumed_after\" is the last event that a "+
 			"caller has of the stream that it takes up again.")
 	EventRequestFailed = register(1611, logrus.WarnLevel, "request failed",
 		"The fields \"code\" and \"cause\" say why; docs/OPERATIONS.md explains their values. \"resumed_after\" is as in 1610.")
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -39,10 +39,12 @@
 	// that a later attempt has replaced.
 	MismatchedResponsesTotal = newMetric("mismatched_answers_total")
 	// StreamEventsOutOfOrderTotal counts events of forwarded streams that did not follow the one before, and
-	// StreamEndsUnprovenTotal the responses of such streams that had neither a length nor chunks and ended with their
-	// connections.
+	// StreamEndsUnprovenTotal the responses of such streams that had neither a length nor chunks, ended with their
+	// connections and are not whole as far as is known. StreamEndsUnmarkedTotal counts those that ended in the same way at
+	// upstreams that live.
 	StreamEventsOutOfOrderTotal = newMetric("stream_events_out_of_order_total")
 	StreamEndsUnprovenTotal     = newMetric("stream_ends_unproven_total")
+	StreamEndsUnmarkedTotal     = newMetric("stream_ends_unmarked_total")
 	ChargedTokensTotal          = newMetric("charged_tokens_total")
 	// OutcomeUnknownTotal counts requests that may have run, but whose response was lost.
 	OutcomeUnknownTotal = newMetric("outcome_unknown_total")
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -25,6 +25,8 @@
 	Send(ctx context.Context, t relay.Target, req relay.Request) (*relay.Response, error)
 	// RefusesConnections reports whether the process at an address has ended: its host refuses connections.
 	RefusesConnections(ctx context.Context, t relay.Target) bool
+	// Connect opens a connection, which is kept for the next request.
+	Connect(ctx context.Context, t relay.Target) error
 }
 
 // LoadReporter is an Attempt that accepts reports about its upstream. Not every Attempt implements it.
@@ -131,6 +133,7 @@
 	defer x.finish()
 	op := &forwardOp{}
 	defer op.keepErrorResponse(nil)
+	defer op.endUnconfirmed(routing.ResultAbandoned)
 	defer op.endOrigin(x)
 	x.op = op
 	e := x.beginForward(op)
@@ -260,8 +263,11 @@
 	outOfOrder int
 	// unflushed is true while events may be in the buffer of the caller's connection.
 	unflushed bool
-	// unprovenEnd is true if the last response of the stream ended with its connection.
-	unprovenEnd bool
+	// unmarkedEnd is true if the last end of the stream was that of a connection, and unprovenEnd if its upstream may have ended
+	// too.
+	unmarkedEnd, unprovenEnd bool
+	// unconfirmed is nil unless another upstream is asked for the rest of a stream that has ended without a mark.
+	unconfirmed *unconfirmedEnd
 	// abortConnection is true when the caller's connection must be closed, because the stream is incomplete.
 	abortConnection bool
 	// mayHaveRun is true when an upstream may have started the request.
--- a/internal/transport/httpapi/forward_end.go
+++ b/internal/transport/httpapi/forward_end.go
@@ -16,6 +16,10 @@
 func (op *forwardOp) finishFailed(x *exchange, err error) *APIError {
 	op.cause = err
 	switch {
+	case op.isWholeAfter(err):
+		op.settleWith(x, outcomeComplete, x.request.SettleLastRun)
+		op.completeStream(x)
+		return errReplied
 	case op.committed:
 		op.abortConnection = true
 		op.settle(x, outcomeUnknown)
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -63,6 +63,8 @@
 	}
 	if op.unprovenEnd {
 		fields["unproven_end"] = true
+	} else if op.unmarkedEnd {
+		fields["unmarked_end"] = true
 	}
 	obs.RequestLatency.Record(now.Sub(x.startedAt))
 	if op.status >= 200 && op.status < 300 && !op.abortConnection {
--- a/internal/transport/httpapi/forward_panic_test.go
+++ b/internal/transport/httpapi/forward_panic_test.go
@@ -25,6 +25,8 @@
 
 func (panickingForwarder) RefusesConnections(context.Context, relay.Target) bool { return false }
 
+func (panickingForwarder) Connect(context.Context, relay.Target) error { return nil }
+
 // promptCodec is a HeaderCodec whose requests have a prompt.
 type promptCodec struct{}
 
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -28,10 +28,6 @@
 // errResumeFailed reports a response that does not continue the stream of which the caller already has events.
 var errResumeFailed = errors.New("response does not continue the stream")
 
-// errUnprovenEnd reports a stream that ended with the upstream's connection and had neither a length nor chunks. The connection
-// of an upstream whose process ends is closed in the same way.
-var errUnprovenEnd = errors.New("the end of the stream is not proven")
-
 // saysNotRun reports whether callers take a status for the statement that the request has not run and will not.
 func saysNotRun(status int) bool {
 	switch status {
@@ -232,6 +228,7 @@
 		if !comment {
 			op.events++
 			op.lastEventID = id
+			op.endUnconfirmed(routing.ResultFailed)
 			x.noteEvent()
 			if !op.passedOn {
 				x.api.Forwarding.Reach.Received(op.service.Name)
@@ -310,28 +307,6 @@
 	return nil
 }
 
-// endStream ends the stream with the response, if it is proven that the response has all of the stream.
-func (op *forwardOp) endStream(x *exchange, response *relay.Response) error {
-	op.unprovenEnd = !response.Framed
-	if op.unprovenEnd {
-		obs.StreamEndsUnprovenTotal.Add(1)
-		return errors.Mark(errors.WithStack(errUnprovenEnd), upstream.ErrIncomplete)
-	}
-	if op.order.nextHasBegun {
-		return op.orderError(errors.Wrapf(errEventOrder, "end of the stream instead of event %d", op.order.next))
-	}
-	if !op.committed {
-		op.commitHeader(x, response)
-	}
-	op.settle(x, outcomeComplete)
-	x.noteAnswer()
-	x.setWriteDeadline() // that of the last event may have passed
-	if op.endsByClose(x) {
-		op.finishUnframed(x, nil)
-	}
-	return nil
-}
-
 // orderError counts an event, or an end of a stream, that does not follow the event before it.
 func (op *forwardOp) orderError(err error) error {
 	obs.StreamEventsOutOfOrderTotal.Add(1)
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -105,6 +105,8 @@
 	case x.failedOver:
 		// Another engine continued the stream, so the chosen one counts as crashed.
 		attempt.Done(routing.ResultCrashed)
+	case errors.Is(err, errUnmarkedEnd):
+		// The result depends on what another upstream has of the stream.
 	case err != nil && x.stopped():
 		attempt.Done(routing.ResultAbandoned)
 	default:
