Ask idle connections whether an upstream lives, before a new one is opened

Each stream without a marked end opened a connection to its upstream, which the users count as dear. A process that ends closes all of its connections, so one that is idle and open shows the same (TestLivesAsksIdleConnections: a second connection was opened before).

--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -25,8 +25,8 @@
 	Send(ctx context.Context, t relay.Target, req relay.Request) (*relay.Response, error)
 	// RefusesConnections reports whether the process at an address has ended: its host refuses connections.
 	RefusesConnections(ctx context.Context, t relay.Target) bool
-	// Connect opens a connection, which is kept for the next request.
-	Connect(ctx context.Context, t relay.Target) error
+	// Lives reports whether the process at an address serves: it keeps connections open, or accepts them.
+	Lives(ctx context.Context, t relay.Target) bool
 }
 
 // LoadReporter is an Attempt that accepts reports about its upstream. Not every Attempt implements it.
--- a/internal/transport/httpapi/forward_panic_test.go
+++ b/internal/transport/httpapi/forward_panic_test.go
@@ -25,7 +25,7 @@
 
 func (panickingForwarder) RefusesConnections(context.Context, relay.Target) bool { return false }
 
-func (panickingForwarder) Connect(context.Context, relay.Target) error { return nil }
+func (panickingForwarder) Lives(context.Context, relay.Target) bool { return true }
 
 // promptCodec is a HeaderCodec whose requests have a prompt.
 type promptCodec struct{}
--- a/internal/transport/httpapi/forward_stream_end.go
+++ b/internal/transport/httpapi/forward_stream_end.go
@@ -76,7 +76,7 @@
 	return errors.Mark(errors.WithStack(errUnprovenEnd), upstream.ErrIncomplete)
 }
 
-// upstreamLives reports whether the upstream accepts connections after the end of its response.
+// upstreamLives reports whether the process of the upstream serves after the end of its response.
 func (op *forwardOp) upstreamLives(x *exchange) bool {
 	if op.passedOn {
 		return false // other routers mark the ends of their responses
@@ -85,7 +85,7 @@
 	// The stream may be whole although the time of the request ends now.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), endProbeTimeout)
 	defer cancel()
-	return x.api.Forwarding.Forwarder.Connect(ctx, op.relayTarget(x)) == nil
+	return x.api.Forwarding.Forwarder.Lives(ctx, op.relayTarget(x))
 }
 
 // isWholeAfter reports whether the stream is whole although the attempt to get its rest elsewhere has failed.
--- a/internal/transport/relay/idle.go
+++ b/internal/transport/relay/idle.go
@@ -1,6 +1,21 @@
 package relay
 
-import "time"
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
+)
+
+// Lives reports whether the process at an address serves: it has not closed an idle connection, or accepts a new one, which
+// is kept for the next request.
+func (p *Pool) Lives(ctx context.Context, t Target) bool {
+	p.mu.Lock()
+	open := slices.ContainsFunc(p.idle[t.Address], func(c *conn) bool { return netopt.IsReusable(c.Conn) })
+	p.mu.Unlock()
+	return open || p.Connect(ctx, t) == nil
+}
 
 // CloseIdle closes the idle connections to the given addresses. They may be dead without a sign of it after a partition.
 func (p *Pool) CloseIdle(addresses []string) {
--- a/internal/transport/relay/reuse_test.go
+++ b/internal/transport/relay/reuse_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 )
 
 // startCopyingServer refuses the first request with each ID and serves all others. Where the next answer on a connection is
@@ -137,6 +139,50 @@
 	is.Equal(connections(), int64(2))
 }
 
+// Guards against a new connection for each check whether an upstream lives, and against a process that has ended and counts as
+// one that lives because connections to it are idle.
+func TestLivesAsksIdleConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	p, ctx, target := newPool(t), context.Background(), Target{Address: l.Addr().String()}
+	is.True(p.Lives(ctx, target)) // opens a connection
+	first := <-accepted
+	is.True(p.Lives(ctx, target))
+	select {
+	case <-accepted:
+		t.Error("a second connection was opened")
+	case <-time.After(50 * time.Millisecond):
+	}
+	_ = first.Close()
+	is.True(eventually(func() bool { return !netopt.IsReusable(p.idle[target.Address][0].Conn) }))
+	is.True(p.Lives(ctx, target)) // accepts a new one
+	_ = l.Close()
+	_ = (<-accepted).Close()
+	is.True(eventually(func() bool { return !p.Lives(ctx, target) }))
+}
+
+// eventually reports whether the condition holds within a second.
+func eventually(holds func() bool) bool {
+	for range 100 {
+		if holds() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
 // BenchmarkAcquire takes and returns a connection that has carried half of the IDs that it may carry.
 func BenchmarkAcquire(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
