Report responses that were written and not delivered

A router logged "request succeeded" (1610) for an answer that its caller never got whole, and no line told so: the write had reached the kernel only. Line 1618 and responses_undelivered_total name such responses now: a write failed, or bytes were not acknowledged when the connection ended. TestUndeliveredResponsesAreReported.

--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
@@ -49,6 +50,7 @@
 		}
 		if s.server == callers {
 			limited = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
+			g.callers.OnUndelivered = g.noteUndelivered
 			g.callers.Attach(callers)
 			listener = g.callers.Listener(limited)
 		}
@@ -57,6 +59,15 @@
 	return servers, limited, nil
 }
 
+func (g *Gateway) noteUndelivered(u httpapi.UndeliveredResponse) {
+	obs.ResponsesUndeliveredTotal.Add(1)
+	fields := logrus.Fields{"request_id": u.RequestID, "unacknowledged": u.Unacknowledged}
+	if u.Err != nil {
+		fields["error"] = u.Err.Error()
+	}
+	obs.EventResponseUndelivered.Log(g.logger, fields)
+}
+
 // newInternalServer returns a server for requests whose responses are ready at once.
 func newInternalServer(handler http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -24,10 +24,16 @@
 	EventHopUnauthorized = register(1617, logrus.WarnLevel, "request at the address for routers refused",
 		"It carries no proof that a router of the fleet passed it on, or the proof is older than a minute. Check who reaches the address, "+
 			"the key of the fleet and the clocks.")
+	EventResponseUndelivered = register(1618, logrus.WarnLevel, "response not delivered",
+		"The connection of a caller ended before all of a response that 1610 reports had reached it: \"unacknowledged\" bytes were on "+
+			"their way, or a write failed with \"error\". The caller may have left; around a stop of the router, look for 1001 and 1002.")
 	EventLinesDropped = register(1613, logrus.WarnLevel, "log lines dropped",
 		"The log lines exceeded the rate limit, or their reader was too slow. The counters are still complete.")
 )
 
+// ResponsesUndeliveredTotal counts whole responses whose caller's connection ended before it had all of them.
+var ResponsesUndeliveredTotal = newMetric("responses_undelivered_total")
+
 var (
 	// HopsSentTotal counts requests that were sent to another router, because no upstream could be reached. HopsRefusedTotal
 	// counts those of them that did not run there, and HopsLostTotal those whose outcome the other router did not tell.
--- a/internal/transport/httpapi/forward_log.go
+++ b/internal/transport/httpapi/forward_log.go
@@ -69,6 +69,7 @@
 	obs.RequestLatency.Record(now.Sub(x.startedAt))
 	if op.status >= 200 && op.status < 300 && !op.abortConnection {
 		obs.EventRequestServed.Log(x.api.Logger, fields)
+		noteWritten(x.httpReq.Context(), x.id)
 	} else {
 		obs.EventRequestFailed.Log(x.api.Logger, fields)
 	}
--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -20,12 +20,33 @@
 // safe way: SetKeepAlivesEnabled and Shutdown also close a connection whose next request has arrived, or has been read,
 // until its head is parsed. Its zero value is ready to use.
 type KeptConns struct {
+	// OnUndelivered is called when a connection ends and its last response, of which the handler has written everything, has
+	// not reached the caller. It may be nil, and is set before the first use.
+	OnUndelivered func(UndeliveredResponse)
+
 	closing atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*keptConn]struct{}
 }
 
+// UndeliveredResponse is a response that was written and has not reached its caller.
+type UndeliveredResponse struct {
+	RequestID string
+	// Unacknowledged is the number of bytes that the caller's host had not acknowledged, and Err the error of the last write.
+	Unacknowledged int
+	Err            error
+}
+
+// noteWritten records that the handler has written all of its response.
+func noteWritten(ctx context.Context, requestID string) {
+	if c, ok := ctx.Value(keptConnKey{}).(*keptConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.written = requestID
+	}
+}
+
 // keptConnKey is the key of a keptConn in the context of its requests.
 type keptConnKey struct{}
 
@@ -126,6 +147,31 @@
 	ending bool
 	// reset is true if a close shall drop what is not sent, and closed once Close has been called.
 	reset, closed bool
+	// written is the ID of the request whose response was written last, and writeErr the error of the last write.
+	written  string
+	writeErr error
+}
+
+// Write implements net.Conn.
+func (c *keptConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// reportUndelivered reports the last response if a part of it has not reached the caller.
+func (c *keptConn) reportUndelivered(unacknowledged int) {
+	c.mu.Lock()
+	u := UndeliveredResponse{RequestID: c.written, Unacknowledged: unacknowledged, Err: c.writeErr}
+	c.written = ""
+	c.mu.Unlock()
+	if report := c.conns.OnUndelivered; report != nil && u.RequestID != "" && (u.Unacknowledged > 0 || u.Err != nil) {
+		report(u)
+	}
 }
 
 // endIfIdle only moves the read deadline: the goroutine that reads the connection decides whether it ends.
@@ -157,6 +203,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.responded, c.handled, c.incompleteSince = false, false, true, time.Time{}
+	c.written = ""
 }
 
 // beginRead notes that the server waits for a request. A request that it has read together with the one before needs no read;
@@ -212,11 +259,13 @@
 	c.conns.mu.Lock()
 	delete(c.conns.conns, c)
 	c.conns.mu.Unlock()
+	unsent := netopt.Unsent(c.Conn)
 	c.mu.Lock()
-	lingers := !c.closed && !c.reset && netopt.Unsent(c.Conn) > 0
+	lingers := !c.closed && !c.reset && unsent > 0
 	c.closed = true
 	c.mu.Unlock()
 	if !lingers || c.CloseWrite() != nil {
+		c.reportUndelivered(unsent)
 		return c.Conn.Close()
 	}
 	go c.linger()
@@ -226,6 +275,7 @@
 // linger discards what the caller sends until the response is sent, and closes the connection.
 func (c *keptConn) linger() {
 	defer c.Conn.Close()
+	defer func() { c.reportUndelivered(netopt.Unsent(c.Conn)) }()
 	for end := time.Now().Add(lingerTimeout); netopt.Unsent(c.Conn) > 0 && time.Now().Before(end); {
 		if c.SetReadDeadline(time.Now().Add(lingerPollInterval)) != nil {
 			return
--- a/internal/transport/httpapi/kept_conns_test.go
+++ b/internal/transport/httpapi/kept_conns_test.go
@@ -168,3 +168,46 @@
 	}
 	is.True(!canceled.Load())
 }
+
+// Guards against a response that counts as delivered although its caller lacks a part of it, and against one that counts as
+// undelivered because its caller reads slowly or leaves when it has everything.
+func TestUndeliveredResponsesAreReported(t *testing.T) {
+	const size = 16 << 20 // more than the buffers of both ends hold
+	for name, c := range map[string]struct {
+		size int
+		read func(net.Conn)
+		want bool
+	}{
+		"whole":              {10, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, false},
+		"large":              {size, func(c net.Conn) { time.Sleep(200 * time.Millisecond); _, _ = io.Copy(io.Discard, c) }, false},
+		"caller leaves":      {size, func(c net.Conn) { _, _ = io.CopyN(io.Discard, c, 1000) }, true},
+		"caller resets":      {size, func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }, true},
+		"leaves at the end":  {10, func(c net.Conn) { _, _ = io.ReadAtLeast(c, make([]byte, 1000), 11) }, false},
+		"stops its own side": {10, func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite(); _, _ = io.Copy(io.Discard, c) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reported := make(chan UndeliveredResponse, 2)
+			k := KeptConns{OnUndelivered: func(u UndeliveredResponse) { reported <- u }}
+			listener := startKept(t, &k, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Connection", "close")
+				_, _ = io.WriteString(w, strings.Repeat("x", c.size))
+				noteWritten(r.Context(), "r1")
+			})
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			c.read(conn)
+			_ = conn.Close()
+			select {
+			case u := <-reported:
+				is.Equal(u.RequestID, "r1")
+				is.True(c.want)
+			case <-time.After(time.Second):
+				is.True(!c.want)
+			}
+		})
+	}
+}
