Do not let the end of a whole stream wait for a silent upstream

Callers saw, with: all events of a stream without a marked end, and the end only at their deadline, if the upstream that was asked for the rest did not answer. The last attempt of a request has no timeout of its own, because its caller has nothing else to wait for; here the stream was whole as far as was known.

Change: such an attempt waits for two target latencies, half of the time left at most. That it ends so counts neither for nor against the upstream.

--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -87,12 +87,18 @@
 }
 
 // attemptContext applies a timeout to the wait for the first event or the complete response of an attempt, if
-// another attempt is allowed. The returned function stops the timer.
+// another attempt is allowed or the stream is whole as far as is known. The returned function stops the timer.
 func (op *forwardOp) attemptContext(ctx context.Context, x *exchange) (context.Context, func()) {
-	if !x.idempotent || op.mayHaveRunCount+1 >= op.route.MaxAttempts || op.route.TargetLatency <= 0 {
+	timeout := attemptTimeoutFactor * op.route.TargetLatency
+	switch {
+	case op.unconfirmed != nil:
+		timeout = restTimeoutFactor * op.route.TargetLatency
+	case !x.idempotent || op.mayHaveRunCount+1 >= op.route.MaxAttempts:
+		return ctx, func() {}
+	}
+	if timeout <= 0 {
 		return ctx, func() {}
 	}
-	timeout := attemptTimeoutFactor * op.route.TargetLatency
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline)/2)
 	}
@@ -105,6 +111,10 @@
 // requests that run at busy upstreams a second time.
 const attemptTimeoutFactor = 4
 
+// restTimeoutFactor is the same for an attempt to get the rest of a stream that is whole as far as is known. Its caller waits for
+// nothing but the end.
+const restTimeoutFactor = 2
+
 // attemptError counts a dropped response. It marks the error of an attempt that timed out with
 // errAttemptTimeout, unless the attempt provably did not run.
 func (op *forwardOp) attemptError(ctx context.Context, err error) error {
@@ -351,6 +361,8 @@
 // a crash, as the function routingResult would, because connections are reset for other reasons too.
 func (op *forwardOp) routingResult(err error) routing.Result {
 	switch {
+	case op.unconfirmed != nil && errors.Is(err, errAttemptTimeout):
+		return routing.ResultAbandoned
 	case errors.IsAny(err, errUpstreamServerError, errUnprovenRefusal, errResumeFailed, errEventOrder):
 		return routing.ResultError
 	case errors.Is(err, relay.ErrConnectionLimit):
