Do not end a stream as whole when another upstream has shown an event further on

TestRestThatCannotBePassedOnIsNoEnd failed for "event is missing"; the other two cases, an event that has begun, were right.

An end that has no mark is not counted as a failure of its upstream in upstream_failures_total either.

--- a/internal/transport/httpapi/event_order.go
+++ b/internal/transport/httpapi/event_order.go
@@ -58,6 +58,12 @@
 	return nil
 }
 
+// isAhead reports whether an ID is that of an event behind those that were accepted.
+func (o *eventOrder) isAhead(id string) bool {
+	n, err := strconv.ParseUint(id, 10, 63)
+	return err == nil && n >= o.next
+}
+
 // statusLine begins the head of a response.
 const statusLine = "HTTP/1."
 
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -225,6 +225,9 @@
 		comment := isComment(event)
 		if !comment {
 			if err := op.order.acceptFrom(response.Framed, event, id); err != nil {
+				if op.order.isAhead(id) {
+					op.endUnconfirmed(routing.ResultFailed) // the stream has another event
+				}
 				return op.orderError(err)
 			}
 		}
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -98,7 +98,7 @@
 			x.calls = x.calls[:len(x.calls)-1]
 		}
 	}
-	if err != nil && x.ctx.Err() == nil {
+	if err != nil && x.ctx.Err() == nil && !errors.Is(err, errUnmarkedEnd) {
 		obs.UpstreamFailuresTotal.Add(1)
 	}
 	switch {
