Make the priorities 0 to 9 separate levels in admission and load shedding

Cause: the priorities 1 and above formed one admission class and two shedding levels, and load shedding looked at the route's priority before the team's was known.

Change: package admission has eleven levels: the class interactive, the class service with the priorities 1 to 9, and the class queued. The own fleet's classes keep their order, waits and queue limits. A level whose requests are refused earns its credit as a waiting one does, because the queue of more urgent levels is always longer than the 400 ms that a request may wait, and a less urgent level was served nothing at all in a burst. Credit is not used while a smaller fraction of a more urgent, waiting level is served. The shedder counts the arrivals by priority and gives each its own range. The request's priority is decided right after the route and the entry are found.

Ruled out: strict order in the shedder, which refuses a level wholly before the next one is touched; an existing test wants all levels to contribute.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -1,5 +1,5 @@
-// Package admission decides when a request may be dispatched. It orders requests by class, divides capacity
-// fairly between teams, enforces the limits of entries and teams, and refuses requests early, with an
+// Package admission decides when a request may be dispatched. It orders requests by class and, within the class service, by
+// priority, divides capacity fairly between teams, enforces the limits of entries and teams, and refuses requests early, with an
 // estimated retry time, when the queue is too long. Each router runs one Controller; the HTTP API asks it
 // before a request is sent.
 //
@@ -28,6 +28,9 @@
 	Entry record.EntryKey
 	Team  string
 	Class catalogue.Class
+	// Priority tells the requests of the class service apart: 1, the most urgent, to 9. Values below 1 count as 1 and values
+	// above 9 as 9. It has no effect on other classes.
+	Priority int
 	// Tokens is the largest number of tokens that the request may use.
 	Tokens int64
 	// Limits are the fleet-wide limits of the entry.
@@ -166,16 +169,27 @@
 func New(cfg Config) *Controller {
 	c := &Controller{
 		cfg:      cfg.withDefaults(),
-		maxWait:  [classCount]time.Duration{maxWaitInteractive, maxWaitService, maxWaitQueued},
 		pools:    make(map[string]*pool),
 		limiters: make(map[Scope]*limiter),
 	}
+	c.setMaxWait(catalogue.ClassInteractive, maxWaitInteractive)
+	c.setMaxWait(catalogue.ClassService, maxWaitService)
+	c.setMaxWait(catalogue.ClassQueued, maxWaitQueued)
 	for class, wait := range cfg.MaxWait {
-		c.maxWait[classIndex(class)] = wait
+		c.setMaxWait(class, wait)
 	}
 	return c
 }
 
+// setMaxWait sets the longest accepted wait of all levels of a class.
+func (c *Controller) setMaxWait(class catalogue.Class, wait time.Duration) {
+	for index := range c.maxWait {
+		if classAt(index) == class {
+			c.maxWait[index] = wait
+		}
+	}
+}
+
 type ticketState uint8
 
 const (
@@ -192,7 +206,8 @@
 	entry, team *limiter
 	entryKey    record.EntryKey
 	teamName    string
-	class       int
+	// class is the index of the level.
+	class int
 	// cost is the number of tokens that the request may use, at least 1.
 	cost       int64
 	state      ticketState
@@ -237,6 +252,7 @@
 		obs.RateLimitedTotal.Add(1)
 		return nil, err
 	}
+	t.pool.arrivedRates[t.class].add(t.cost, now)
 	if t.pool.waiting() == 0 && c.eligible(t, now) && t.pool.inFlight < c.slots(t.pool, t.class) {
 		c.markAdmitted(t, now)
 		return t, nil
@@ -254,7 +270,7 @@
 
 func (c *Controller) newTicket(req Request, now time.Time) *Ticket {
 	t := &Ticket{
-		controller: c, pool: c.pool(req.Pool), class: classIndex(req.Class),
+		controller: c, pool: c.pool(req.Pool), class: level(req.Class, req.Priority),
 		entryKey: req.Entry, teamName: req.Team, cost: max(1, req.Tokens),
 	}
 	t.entry = c.limiter(Scope{Kind: ScopeEntry, Name: req.Entry.Name}, req.Limits, now)
--- a/internal/coordination/admission/pool.go
+++ b/internal/coordination/admission/pool.go
@@ -8,14 +8,19 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
-// Classes in the order in which they are served.
+// Levels in the order in which they are served. Level 0 is the class interactive, levels 1 to 9 are the priorities of the
+// class service, and the last level is the class queued.
 const (
-	indexInteractive = iota
-	indexService
-	indexQueued
-	classCount
+	indexInteractive = 0
+	indexService     = 1
+	indexQueued      = indexService + maxPriority
+	classCount       = indexQueued + 1
 )
 
+// maxPriority is the least urgent priority of the class service.
+const maxPriority = 9
+
+// classIndex returns the most urgent level of a class.
 func classIndex(c catalogue.Class) int {
 	switch c {
 	case catalogue.ClassInteractive:
@@ -27,11 +32,24 @@
 	}
 }
 
-// classAt is the inverse of classIndex.
+// level returns the level of a request.
+func level(c catalogue.Class, priority int) int {
+	if c != catalogue.ClassService {
+		return classIndex(c)
+	}
+	return min(max(priority, indexService), maxPriority)
+}
+
+// classAt returns the class that a level belongs to.
 func classAt(index int) catalogue.Class {
-	return [classCount]catalogue.Class{
-		catalogue.ClassInteractive, catalogue.ClassService, catalogue.ClassQueued,
-	}[index]
+	switch index {
+	case indexInteractive:
+		return catalogue.ClassInteractive
+	case indexQueued:
+		return catalogue.ClassQueued
+	default:
+		return catalogue.ClassService
+	}
 }
 
 // pool holds the requests that compete for the same upstreams.
@@ -47,10 +65,25 @@
 	// completedRate and admittedRates measure tokens per second.
 	completedRate rateMeter
 	admittedRates [classCount]rateMeter
+	// arrivedRates measures the tokens per second of all requests of a level, including refused ones.
+	arrivedRates [classCount]rateMeter
+	// refusals are the last refusals by level for want of capacity. Those of the class queued are not noted, because it
+	// accepts long waits.
+	refusals [classCount]lastRefusal
 	// capacity is the value that Config.Capacity last returned, at least 1; math.MaxInt without that function.
 	capacity int
 }
 
+// lastRefusal is when a request of a level was last refused for want of capacity, and its cost.
+type lastRefusal struct {
+	at   time.Time
+	cost int64
+}
+
+// refusedLevelTTL is how long a level goes on earning credit after a refusal. It is longer than the time in which a small
+// router serves a request of a higher level.
+const refusedLevelTTL = 5 * time.Second
+
 func (c *Controller) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
@@ -100,10 +133,11 @@
 	}
 	eligible := func(t *Ticket) bool { return c.eligible(t, now) }
 	for p.count > 0 && p.inFlight < c.slots(p, indexInteractive) {
-		t, onCredit := p.pickNext(eligible, c.slots(p, indexQueued))
+		t, onCredit := p.pickNext(eligible, c.slots(p, indexQueued), now)
 		if t == nil {
 			return
 		}
+		p.dropOldRefusals(now)
 		p.updateCredit(t, onCredit, c.cfg.LowerClassFraction)
 		c.countDequeued(t)
 		c.markAdmitted(t, now)
@@ -116,9 +150,9 @@
 // pickNext removes and returns the next request: first one of a lower class with enough credit, then one in
 // class order. It also returns whether the request was chosen for its class's credit. queuedSlots limits only
 // the queued requests that are chosen in class order.
-func (p *pool) pickNext(eligible func(*Ticket) bool, queuedSlots int) (t *Ticket, onCredit bool) {
+func (p *pool) pickNext(eligible func(*Ticket) bool, queuedSlots int, now time.Time) (t *Ticket, onCredit bool) {
 	for class := indexQueued; class > indexInteractive; class-- {
-		if !p.hasCredit(class) {
+		if !p.hasCredit(class) || !p.mayOvertake(class, now) {
 			continue
 		}
 		if t := p.classes[class].pop(eligible); t != nil {
@@ -142,8 +176,40 @@
 	return q.count > 0 && p.credit[class]*float64(q.count) >= float64(q.tokens)
 }
 
+// mayOvertake reports whether the credit of a level may be used. It may not while a smaller fraction of the waiting
+// requests of a more urgent priority is served: LowerClassFraction can be all that a level with few requests asks for, and
+// its served fraction would then be above that of more urgent ones. The class queued has no such rule, because its requests
+// are waited for and not refused.
+func (p *pool) mayOvertake(class int, now time.Time) bool {
+	if class == indexQueued {
+		return true
+	}
+	served, known := p.servedFraction(class, now)
+	if !known {
+		return true
+	}
+	for higher := range class {
+		if p.classes[higher].count == 0 {
+			continue
+		}
+		if fraction, known := p.servedFraction(higher, now); known && fraction < served {
+			return false
+		}
+	}
+	return true
+}
+
+// servedFraction returns the fraction of the tokens of a level that was admitted recently.
+func (p *pool) servedFraction(class int, now time.Time) (fraction float64, known bool) {
+	arrived := p.arrivedRates[class].perSecond(now)
+	if arrived <= 0 {
+		return 0, false
+	}
+	return p.admittedRates[class].perSecond(now) / arrived, true
+}
+
 // updateCredit subtracts an admitted request from the credit of its class and adds a fraction of it to the
-// credit of each lower class that waits. A request that was admitted in class order does not make the credit
+// credit of each lower class that waits or of which a request was refused recently. A request that was admitted in class order does not make the credit
 // negative.
 func (p *pool) updateCredit(t *Ticket, onCredit bool, fraction float64) {
 	credit := &p.credit[t.class]
@@ -154,14 +220,36 @@
 	}
 	for class := range p.classes {
 		switch {
-		case p.classes[class].count == 0:
+		case p.classes[class].count == 0 && p.refusals[class].at.IsZero():
 			p.credit[class] = 0
 		case class > t.class:
 			p.credit[class] += float64(t.cost) * fraction
+			if p.classes[class].count == 0 {
+				p.credit[class] = min(p.credit[class], maxIdleCredit*float64(p.refusals[class].cost))
+			}
+		}
+	}
+}
+
+// maxIdleCredit bounds the credit of a level without waiting requests, in requests.
+const maxIdleCredit = 2
+
+// dropOldRefusals forgets refusals older than refusedLevelTTL.
+func (p *pool) dropOldRefusals(now time.Time) {
+	for class := range p.refusals {
+		if r := &p.refusals[class]; !r.at.IsZero() && now.Sub(r.at) > refusedLevelTTL {
+			*r = lastRefusal{}
 		}
 	}
 }
 
+// coveredByCredit reports whether the credit that a level has earned while its requests were refused covers the request.
+// Without it, a level whose requests may wait only for a short time would be starved: the queue of the higher levels is
+// always longer than that.
+func (p *pool) coveredByCredit(t *Ticket, now time.Time) bool {
+	return p.classes[t.class].count == 0 && p.credit[t.class] >= float64(t.cost) && p.mayOvertake(t.class, now)
+}
+
 // minRetryAfter keeps callers from retrying faster than the queue drains.
 const minRetryAfter = 100 * time.Millisecond
 
@@ -173,17 +261,24 @@
 		return err
 	}
 	wait := t.pool.estimateWait(t, now, c.cfg.LowerClassFraction)
-	if c.waiting < c.queueLimit(t.class) && wait <= c.maxWait[t.class] {
+	if c.waiting < c.queueLimit(t.class) && (wait <= c.maxWait[t.class] || t.pool.coveredByCredit(t, now)) {
 		return nil
 	}
+	if t.class != indexQueued {
+		t.pool.refusals[t.class] = lastRefusal{at: now, cost: t.cost}
+	}
 	obs.OverloadedTotal.Add(1)
 	return &OverloadedError{Class: classAt(t.class), Wait: wait, RetryAfter: c.retryAfter(t, now)}
 }
 
-// queueLimit returns the number of waiting requests from which a class is refused. It leaves room for higher
-// classes, so that a filling queue refuses the lowest class first and no waiting request has to be dropped.
+// queueLimit returns the number of waiting requests from which a level is refused. It leaves room for higher
+// levels, so that a filling queue refuses the lowest level first and no waiting request has to be dropped: a tenth from the
+// level of the class service on, rising to a fifth for the class queued.
 func (c *Controller) queueLimit(class int) int {
-	return c.cfg.MaxQueue - c.cfg.MaxQueue*class/10
+	if class == indexInteractive {
+		return c.cfg.MaxQueue
+	}
+	return c.cfg.MaxQueue - c.cfg.MaxQueue/10 - c.cfg.MaxQueue*(class-indexService)/(10*(indexQueued-indexService))
 }
 
 // retryAfter returns the estimated time until the queue is short enough to accept the request, if no other
--- a/internal/coordination/overload/shedder.go
+++ b/internal/coordination/overload/shedder.go
@@ -44,9 +44,14 @@
 	maxRefused = 0.9
 	// busyRefused is the refused ratio above which the router is not ready for new connections.
 	busyRefused = 0.3
-	// priorityLevels is the number of priorities: 0, the most urgent, to 2. Less urgent ones are refused
+	// priorityLevels is the number of priorities: 0, the most urgent, to 9. Less urgent ones are refused
 	// first.
-	priorityLevels = 3
+	priorityLevels = 10
+	// mostUrgentStart and refusalRange give every priority a range of its own in the refused ratio, see refusedFraction.
+	mostUrgentStart = 0.4
+	refusalRange    = 0.5
+	// arrivalWindow is the time constant of the numbers of requests by priority.
+	arrivalWindow = time.Second
 )
 
 // Shedder decides which requests are refused. It is safe for concurrent use.
@@ -54,8 +59,10 @@
 	cfg Config
 
 	mu sync.Mutex
-	// refusedRatio is the fraction of the least urgent requests that is refused.
+	// refusedRatio decides, with the arrivals, which fraction of each priority is refused.
 	refusedRatio float64
+	// arrivals are the numbers of recent requests by priority.
+	arrivals [priorityLevels]float64
 	// highestLag and sinceAdjust cover the time since the last change of refusedRatio.
 	highestLag  time.Duration
 	sinceAdjust time.Duration
@@ -89,6 +96,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.highestLag = max(s.highestLag, elapsed-SampleInterval)
+	remaining := max(0, 1-elapsed.Seconds()/arrivalWindow.Seconds())
+	for priority := range s.arrivals {
+		s.arrivals[priority] *= remaining
+	}
 	s.averageLinkUse += (linkUse - s.averageLinkUse) * min(1, elapsed.Seconds()/linkAverageTime.Seconds())
 	if s.sinceAdjust += elapsed; s.sinceAdjust < adjustInterval {
 		return s.refusedRatio, false
@@ -108,13 +119,29 @@
 func (s *Shedder) ShouldRefuse(priority int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	priority = clampPriority(priority)
+	s.arrivals[priority]++
 	if s.refusedRatio == 0 {
 		return false
 	}
-	// start is the refused ratio at which requests of this priority begin to be refused. From there the
-	// fraction that is refused rises linearly from 0 to 1, which it would reach at a refused ratio of 1.
-	start := float64(priorityLevels-1-min(max(priority, 0), priorityLevels-1)) / (2 * priorityLevels)
-	return s.cfg.Rand() < (s.refusedRatio-start)/(1-start)
+	return s.cfg.Rand() < s.refusedFraction(priority)
+}
+
+func clampPriority(priority int) int { return min(max(priority, 0), priorityLevels-1) }
+
+// refusedFraction returns the fraction of the requests of a priority that is refused. It rises linearly from 0 to maxRefused
+// while the refused ratio rises by refusalRange. It begins to rise later the more of the requests are less urgent, at
+// mostUrgentStart if nearly all are.
+func (s *Shedder) refusedFraction(priority int) float64 {
+	total, lessUrgent := 0.0, 0.0
+	for other, n := range s.arrivals {
+		total += n
+		if other > priority {
+			lessUrgent += n
+		}
+	}
+	start := mostUrgentStart * lessUrgent / max(1, total)
+	return min(maxRefused, max(0, (s.refusedRatio-start)*maxRefused/refusalRange))
 }
 
 // Busy reports whether new connections should go to other routers.
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -46,8 +46,10 @@
 	body     []byte
 	// requestHash covers entry, method, path and body.
 	requestHash [sha256.Size]byte
-	op          operation
-	routingReq  routing.Request
+	// priority is the priority of a forwarded request, from 0 to 9, and 0 for other requests.
+	priority   int
+	op         operation
+	routingReq routing.Request
 	// maxCost is the upper bound of the request's cost, in tokens. It is what gets reserved.
 	maxCost    int64
 	idempotent bool
@@ -234,7 +236,7 @@
 func (x *exchange) admit() *APIError {
 	ticket, err := x.api.Admission.Admit(x.ctx, admission.Request{
 		Entry: x.entry.Key, Team: x.entry.Team, Class: x.entry.Class, Tokens: x.maxCost, Limits: x.entry.Limits,
-		Pool: PoolName(x.routingReq.Model, x.routingReq.Service),
+		Pool: PoolName(x.routingReq.Model, x.routingReq.Service), Priority: x.priority,
 	})
 	if err != nil {
 		return x.contextErrorOr(admissionError(err))
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -171,11 +171,15 @@
 	if e := x.findRoute(op); e != nil {
 		return e
 	}
+	x.priority = clampPriority(op.route.Priority)
+	if x.entry.Priority != nil {
+		x.priority = clampPriority(*x.entry.Priority)
+	}
 	if x.hop == nil && x.api.Forwarding.Busy() {
 		// When the caller reconnects, it may reach another router.
 		x.w.Header().Set("Connection", "close")
 	}
-	if x.api.Forwarding.ShouldShed(op.route.Priority) {
+	if x.api.Forwarding.ShouldShed(x.priority) {
 		return refusal(http.StatusServiceUnavailable, CodeOverloaded,
 			"the router is too busy").withRetryAfter(otherRouterRetryAfter)
 	}
@@ -230,10 +234,9 @@
 
 // forwardOp is a request that is forwarded to an upstream with its method, URI and body unchanged.
 type forwardOp struct {
-	route    *catalogue.Route
-	service  *catalogue.Service
-	caller   CallerInfo
-	priority int
+	route   *catalogue.Route
+	service *catalogue.Service
+	caller  CallerInfo
 	// configAge is Forwarding.ConfigAge at the arrival of the request.
 	configAge time.Duration
 	// mayHaveRunCount counts the failed attempts that may have run, refusals those that the upstream refused,
@@ -300,12 +303,8 @@
 // following steps need.
 func (op *forwardOp) prepare(x *exchange) {
 	op.order = eventOrderAfter(op.caller.LastEventID, op.route.Resumable)
-	op.priority = op.route.Priority
-	if x.entry.Priority != nil {
-		op.priority = *x.entry.Priority
-	}
 	x.idempotent = op.route.Idempotent || op.route.Stream && op.route.Resumable
-	x.routingReq = routing.Request{Class: classForPriority(op.priority)}
+	x.routingReq = routing.Request{Class: classForPriority(x.priority)}
 	op.useService(x, op.route.Pick(rand.Float64()))
 	x.entryWithClass = *x.entry
 	x.entryWithClass.Class = x.routingReq.Class
@@ -330,7 +329,7 @@
 	}
 }
 
-// classForPriority maps a priority to an admission class.
+// classForPriority maps a priority to an admission class. The class service has levels for the priorities from 1 on.
 func classForPriority(priority int) catalogue.Class {
 	switch priority {
 	case 0:
--- a/internal/transport/httpapi/forward_request.go
+++ b/internal/transport/httpapi/forward_request.go
@@ -12,7 +12,7 @@
 // relayRequest builds the request for the chosen upstream.
 func (op *forwardOp) relayRequest(x *exchange) relay.Request {
 	header := endToEndHeaders(x.httpReq.Header)
-	out := OutgoingInfo{Instance: x.attempt.Upstream().Instance, Team: x.entry.Team, Priority: clampPriority(op.priority)}
+	out := OutgoingInfo{Instance: x.attempt.Upstream().Instance, Team: x.entry.Team, Priority: x.priority}
 	if deadline, ok := x.ctx.Deadline(); ok {
 		out.Remaining = time.Until(deadline)
 	}
