Divide the capacity of a service among the routers by their demand

Cause: each router could send max(24, 4/N) of a service's capacity, times the burst factor of 1.25. 78 routers together sent a service with 30 slots up to 2,340 requests, which waited there until all were late.

Change: new package capacityshare. Each router publishes its demand by service in its heartbeat (key 12): requests in flight, waiting, and those refused times their mean duration, smoothed. Each computes the parts from the same records: a tenth of the capacity divided equally, the rest by demand, times 1.25. A missing or malformed demand counts as the mean of the others; an old one holds for 10 s and then drifts to the mean in 30 s. Beyond its part a router uses its share of the slots that recent load reports show as free (without reports, those that no demand asks for). Fleets of up to 12 routers keep the previous rule as a lower bound; it fades out up to 24. Gateway.capacity keeps a computed value for 10 ms, which saves a pass over all upstreams per request. The counter demands_malformed_total counts demands that cannot be used.

Ruled out: dividing the parts below one slot by turns, as for brittle upstreams: a request of an idle router would wait for its turn. A part is at least 1, so 78 evenly loaded routers may send 78 requests to 30 slots.

The requests that are still late waited up to 400 ms at their router.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -211,6 +211,7 @@
 	// cost is the number of tokens that the request may use, at least 1.
 	cost       int64
 	state      ticketState
+	admittedAt time.Time
 	onAdmitted func()
 }
 
@@ -335,6 +336,24 @@
 	return s
 }
 
+// Demand returns the number of concurrent requests of each pool that callers ask this router for: those in flight, those
+// that wait, and the mean number that the requests refused for want of capacity in the time elapsed, since the last call,
+// would have added.
+func (c *Controller) Demand(elapsed time.Duration) map[string]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	demand := make(map[string]float64, len(c.pools))
+	for name, p := range c.pools {
+		n := float64(p.inFlight + p.count)
+		if elapsed > 0 {
+			n += float64(p.refusedSinceDemand) / elapsed.Seconds() * p.meanSeconds.value
+		}
+		p.refusedSinceDemand = 0
+		demand[name] = n
+	}
+	return demand
+}
+
 func (c *Controller) enqueue(t *Ticket) {
 	t.pool.classes[t.class].push(t)
 	t.pool.count++
@@ -351,6 +370,7 @@
 // markAdmitted gives the request a slot and charges it to its limits. release frees the slot.
 func (c *Controller) markAdmitted(t *Ticket, now time.Time) {
 	t.state = stateAdmitted
+	t.admittedAt = now
 	t.pool.inFlight++
 	t.pool.admittedRates[t.class].add(t.cost, now)
 	t.eachLimiter(func(l *limiter) { l.take(t.cost, now) })
@@ -358,6 +378,7 @@
 
 func (c *Controller) release(t *Ticket, now time.Time) {
 	t.pool.inFlight--
+	t.pool.meanSeconds.add(now.Sub(t.admittedAt).Seconds())
 	t.pool.completedRate.add(t.cost, now)
 	t.eachLimiter(func(l *limiter) { l.inFlight-- })
 }
--- a/internal/coordination/admission/limits.go
+++ b/internal/coordination/admission/limits.go
@@ -256,3 +256,17 @@
 	weight := 1 - math.Exp(-age.Seconds()/rateWindow.Seconds())
 	return r.sum / (rateWindow.Seconds() * weight)
 }
+
+// averageWeight is the weight of the newest value in an average.
+const averageWeight = 0.05
+
+// average is an exponentially weighted mean of values.
+type average struct {
+	value float64
+	count int
+}
+
+func (a *average) add(v float64) {
+	a.count++
+	a.value += (v - a.value) * max(averageWeight, 1/float64(a.count))
+}
--- a/internal/coordination/admission/pool.go
+++ b/internal/coordination/admission/pool.go
@@ -70,6 +70,10 @@
 	// refusals are the last refusals by level for want of capacity. Those of the class queued are not noted, because it
 	// accepts long waits.
 	refusals [classCount]lastRefusal
+	// meanSeconds is the mean time from admission to the end of a request.
+	meanSeconds average
+	// refusedSinceDemand counts the requests refused for want of capacity since the last call of Controller.Demand.
+	refusedSinceDemand int
 	// capacity is the value that Config.Capacity last returned, at least 1; math.MaxInt without that function.
 	capacity int
 }
@@ -267,6 +271,7 @@
 	if t.class != indexQueued {
 		t.pool.refusals[t.class] = lastRefusal{at: now, cost: t.cost}
 	}
+	t.pool.refusedSinceDemand++
 	obs.OverloadedTotal.Add(1)
 	return &OverloadedError{Class: classAt(t.class), Wait: wait, RetryAfter: c.retryAfter(t, now)}
 }
--- /dev/null
+++ b/internal/coordination/capacityshare/fleet_test.go
@@ -0,0 +1,180 @@
+package capacityshare_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/capacityshare"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+)
+
+const (
+	simSlots   = 30 // 5 upstreams of 6 slots
+	simWork    = 60 * time.Millisecond
+	simTarget  = 300 * time.Millisecond
+	simMaxWait = 400 * time.Millisecond
+	simTime    = 16 * time.Second
+)
+
+// simRequest is a request of the simulation.
+type simRequest struct {
+	arrivedAt time.Time
+	router    *simRouter
+	ticket    *admission.Ticket
+}
+
+type simRouter struct {
+	admission *admission.Controller
+	divider   *capacityshare.Divider
+	meter     capacityshare.Meter
+	published capacityshare.Member
+	sentAt    time.Time
+	own       int
+	// free and reportedAt are those of the last response.
+	free       int
+	reportedAt time.Time
+}
+
+// simResult counts the requests after the warm-up, and longest is the longest queue at the upstreams.
+type simResult struct{ offered, inTarget, late, refused, longest int }
+
+// simulate runs routers before one service with a common queue for simTime. rates are the arrivals per second of each router.
+// If previous is true, each router has the part that it had before demands were exchanged. From awayFrom on the store is
+// away for 9 s.
+func simulate(previous bool, rates []float64, warmUp, awayFrom time.Duration) (res simResult) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	now, routers := start, make([]*simRouter, len(rates))
+	interval := max(500*time.Millisecond, time.Duration(len(rates))*20*time.Millisecond)
+	var queue []*simRequest
+	running := make(map[*simRequest]time.Time)
+	for i := range routers {
+		r := &simRouter{divider: capacityshare.New(fmt.Sprint(i))}
+		cfg := admission.Config{Now: func() time.Time { return now }, BurstFactor: 1, MaxWait: map[catalogue.Class]time.Duration{catalogue.ClassService: simMaxWait}}
+		cfg.Capacity = func(string) int {
+			free := capacityshare.Free{Own: r.own, Slots: r.free, Known: now.Sub(r.reportedAt) <= 500*time.Millisecond}
+			return r.divider.Capacity("s", simSlots, free)
+		}
+		if previous {
+			cfg.BurstFactor = 1.25
+			cfg.Capacity = func(string) int { return min(simSlots, max(24, simSlots*4/len(rates))) }
+		}
+		r.admission, routers[i] = admission.New(cfg), r
+	}
+	for now = start; now.Sub(start) < simTime; now = now.Add(time.Millisecond) {
+		ms := int(now.Sub(start).Milliseconds())
+		counted := 0
+		if now.Sub(start) >= warmUp {
+			counted = 1
+		}
+		away := awayFrom > 0 && now.Sub(start) >= awayFrom && now.Sub(start) < awayFrom+9*time.Second
+		for req, end := range running {
+			if end.After(now) {
+				continue
+			}
+			delete(running, req)
+			req.router.own--
+			req.router.free, req.router.reportedAt = max(0, simSlots-len(running)-len(queue)), now
+			if now.Sub(req.arrivedAt) <= simTarget {
+				res.inTarget += counted
+			} else {
+				res.late += counted
+			}
+			req.ticket.Done()
+		}
+		for i, r := range routers {
+			if ms%100 == i%100 {
+				r.meter.Sample(r.admission.Demand(100*time.Millisecond), 100*time.Millisecond)
+			}
+			if !away && now.Sub(r.sentAt) >= interval {
+				r.published = capacityshare.Member{VM: fmt.Sprint(i), Demand: capacityshare.Encode(r.meter.Demand())}
+				r.sentAt = now.Add(-time.Duration(rng.IntN(100)) * time.Millisecond)
+			}
+			if ms%500 == i*6%500 {
+				members := make([]capacityshare.Member, len(routers))
+				for k, other := range routers {
+					members[k] = other.published
+					members[k].Age = now.Sub(other.sentAt)
+				}
+				r.divider.Update(members, len(routers))
+			}
+			r.admission.Advance()
+			for n := rates[i] / 1000; rng.Float64() < n; n-- {
+				req := &simRequest{arrivedAt: now, router: r}
+				admitted := func() {
+					r.own++
+					r.free--
+					queue = append(queue, req)
+				}
+				res.offered += counted
+				ticket, err := r.admission.AdmitAsync(admission.Request{Team: "t", Class: catalogue.ClassService, Pool: "s"}, admitted)
+				if req.ticket = ticket; err != nil {
+					res.refused += counted
+				} else if ticket.Admitted() {
+					admitted()
+				}
+			}
+		}
+		for len(queue) > 0 && len(running) < simSlots {
+			running[queue[0]] = now.Add(time.Duration((0.5 + rng.Float64()) * float64(simWork)))
+			queue = queue[1:]
+		}
+		res.longest = max(res.longest, len(queue)*counted)
+	}
+	return res
+}
+
+// unevenRates returns arrivals per second with the given sum, distributed like callers over a hash.
+func unevenRates(routers int, sum float64) []float64 {
+	rng := rand.New(rand.NewPCG(3, 4))
+	rates, total := make([]float64, routers), 0.0
+	for i := range rates {
+		rates[i] = math.Exp(rng.NormFloat64())
+		total += rates[i]
+	}
+	for i := range rates {
+		rates[i] *= sum / total
+	}
+	return rates
+}
+
+// Guards against routers that together send a small service far more than its slots, and against ones that leave slots free
+// while callers are refused. The service has 5 upstreams of 6 slots and serves 500 requests per second.
+func TestPartsFollowDemand(t *testing.T) {
+	one := make([]float64, 78)
+	one[17] = 450
+	tests := []struct {
+		name             string
+		rates            []float64
+		warmUp, awayFrom time.Duration
+		// minInTarget is the least fraction of what the service can serve, or is asked for, that is served in the target.
+		minInTarget float64
+	}{
+		{"78 routers, uneven hash, 1.3 times the capacity", unevenRates(78, 650), 4 * time.Second, 0, 0.4},
+		{"78 routers, uneven hash, 0.6 times the capacity", unevenRates(78, 300), 4 * time.Second, 0, 0.97},
+		{"78 routers, all callers at one, 0.9 times the capacity", one, 0, 0, 0.95},
+		{"78 routers, store away for 9 s, 1.3 times the capacity", unevenRates(78, 650), 4 * time.Second, 6 * time.Second, 0.4},
+		{"8 routers, uneven hash, 1.3 times the capacity", unevenRates(8, 650), 4 * time.Second, 0, 0},
+		{"8 routers, uneven hash, 0.8 times the capacity", unevenRates(8, 400), 4 * time.Second, 0, 0.97},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			before := simulate(true, tt.rates, tt.warmUp, tt.awayFrom)
+			after := simulate(false, tt.rates, tt.warmUp, tt.awayFrom)
+			t.Logf("before %+v", before)
+			t.Logf("after  %+v", after)
+			possible := min(float64(after.offered), 500*(simTime-tt.warmUp).Seconds())
+			is.True(float64(after.inTarget) >= tt.minInTarget*possible)
+			is.True(float64(after.inTarget) >= 0.97*float64(before.inTarget))
+			is.True(float64(after.inTarget+after.late) >= 0.97*float64(before.inTarget+before.late))
+		})
+	}
+}
--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -48,6 +48,9 @@
 	HopAddress string `cbor:"10,keyasint,omitempty"`
 	// Unreachable is what Config.Unreachable returned for this heartbeat.
 	Unreachable []string `cbor:"11,keyasint,omitempty"`
+	// Demand is what Config.Demand returned for this heartbeat. Any CBOR item is accepted here, so that a malformed demand
+	// does not make the record malformed.
+	Demand cbor.RawMessage `cbor:"12,keyasint,omitempty"`
 }
 
 // Config configures a Monitor.
@@ -77,6 +80,8 @@
 	OnNotice func(notice []byte)
 	// Unreachable returns the services of which the router reaches no upstream. It may be nil.
 	Unreachable func() []string
+	// Demand returns this router's demand for the other routers, as one CBOR item. It may be nil.
+	Demand func() []byte
 	// QueryAge asks the other routers for the age of the heartbeat at an offset.
 	QueryAge func(ctx context.Context, offset uint64) []AgeBounds
 	Logger   logrus.FieldLogger
@@ -223,6 +228,9 @@
 	if m.cfg.Unreachable != nil {
 		record.Unreachable = m.cfg.Unreachable()
 	}
+	if m.cfg.Demand != nil {
+		record.Demand = m.cfg.Demand()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastSent = record
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/capacityshare"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/overload"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
@@ -126,11 +127,16 @@
 	// hopPool holds the connections to other routers for requests that are passed on.
 	hopPool *relay.Pool
 	reach   *reach.Monitor
-	api     *httpapi.API
-	retries retryBudgets
-	shedder *overload.Shedder
-	started time.Time
-	ready   atomic.Bool
+	// demand is this router's demand for the capacity of the upstreams, divider its part of it, and capacities the last values
+	// of capacity.
+	demand     capacityshare.Meter
+	divider    *capacityshare.Divider
+	capacities capacityCache
+	api        *httpapi.API
+	retries    retryBudgets
+	shedder    *overload.Shedder
+	started    time.Time
+	ready      atomic.Bool
 	// draining is set at the start of the shutdown, and closing when new requests are refused.
 	draining atomic.Bool
 	closing  atomic.Bool
@@ -190,6 +196,7 @@
 	g := &Gateway{
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
 		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
+		divider: capacityshare.New(cfg.VM),
 	}
 	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
@@ -209,6 +216,7 @@
 		Notice:         func() []byte { return encodeVerdicts(logger, g.crashes) },
 		OnNotice:       func(notice []byte) { mergeVerdicts(logger, g.crashes, notice) },
 		Unreachable:    g.reach.UnreachableServices,
+		Demand:         func() []byte { return capacityshare.Encode(g.demand.Demand()) },
 		QueryAge:       func(ctx context.Context, offset uint64) []heartbeat.AgeBounds { return g.peers.queryAges(ctx, offset) },
 		Now:            time.Now, Logger: logger,
 	})
@@ -240,7 +248,7 @@
 	})
 	g.peers.registerHandlers(g.budget, g.crashes, g.routing)
 	g.peers.registerOriginHandler(g.origins)
-	g.admission = admission.New(admission.Config{Now: time.Now, Capacity: g.capacity, MaxWait: gatewayMaxWait})
+	g.admission = admission.New(admission.Config{Now: time.Now, Capacity: g.capacity, MaxWait: gatewayMaxWait, BurstFactor: 1})
 	g.api = g.newAPI()
 	return g, nil
 }
@@ -303,23 +311,6 @@
 	return names
 }
 
-// gatewayCapacityFactor multiplies a router's equal quota of the capacity: load balancers do not distribute
-// callers evenly, and upstreams queue or refuse requests above their capacity.
-const gatewayCapacityFactor = 4
-
-// capacity returns how many concurrent requests of an admission pool this router may have.
-func (g *Gateway) capacity(pool string) int {
-	total := g.routing.Capacity(httpapi.ParsePoolName(pool))
-	if own, brittle := g.routing.OwnCapacity(httpapi.ParsePoolName(pool)); brittle {
-		return min(total, own)
-	}
-	return min(total, max(gatewayMinCapacity, total*gatewayCapacityFactor/g.heartbeats.Routers()))
-}
-
-// gatewayMinCapacity lets a router with the traffic of a few large callers use most of a small service. If
-// several routers do so, the upstreams queue or refuse the excess.
-const gatewayMinCapacity = 24
-
 // retryBudgets holds one retry budget per service.
 type retryBudgets struct {
 	cfg       routing.WindowConfig
@@ -417,6 +408,7 @@
 	budgetLoops.Go(func() { g.budget.Run(budgets) })
 	loops.Go(func() { every(background, updateInterval, g.admission.Advance) })
 	loops.Go(func() { g.sampleLoad(background) })
+	loops.Go(func() { g.shareCapacity(background) })
 	loops.Go(func() { every(background, time.Second, g.pool.CloseExpired) })
 	loops.Go(func() { every(background, time.Second, g.hopPool.CloseExpired) })
 	loops.Go(func() { g.reach.Run(background) })
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -52,6 +52,8 @@
 	ConfigRecordsSkipped = newMetric("config_records_skipped_total")
 	// UpstreamRecordsSkipped counts malformed records of upstreams, once per version of a record.
 	UpstreamRecordsSkipped = newMetric("upstream_records_skipped_total")
+	// DemandsMalformedTotal counts readings of a malformed demand in another router's heartbeat.
+	DemandsMalformedTotal = newMetric("demands_malformed_total")
 	// UpstreamFailuresTotal counts failed attempts, except those that ended with the caller's connection or the
 	// deadline.
 	UpstreamFailuresTotal = newMetric("upstream_failures_total")
