Control the use of a full link by what admitted requests will need

Cause: while the measured use of the link was above 0.7, the refused ratio rose by 0.2 per 100 ms, and it fell by 0.03 per 100 ms. Refusals went on for seconds after a burst, and hundreds of requests were refused that the link could have carried.

Change: overload.Link. Each admitted request adds its body and the measured mean of its other bytes to a backlog, which shrinks at 0.8 of the bandwidth, less what bodies of refused requests take anyway. A request is refused while the backlog is above a limit that falls with its priority (250 ms of the link for priority 0), whatever its own size. Each refusal earns its priority a twentieth of a request, so that none is starved. Such a refusal says that the link is full, has the short Retry-After and closes the connection. The Shedder refuses for the link only if the measured use is well above the intended one, by a ratio without a memory of its own. Event 1628 tells when a link is full, link_refusals_total counts the refusals.

Ruled out: a controller on the measured use alone, which acts after the requests that it has admitted already fill the link; counting the size of the request itself against the limit, which refuses large ones first.

--- a/internal/coordination/overload/shedder.go
+++ b/internal/coordination/overload/shedder.go
@@ -16,8 +16,8 @@
 	// 0 means the default. The default is longer than the pauses of a process under a CPU quota that is
 	// enforced in periods of 100 ms.
 	MaxLag time.Duration
-	// MaxLinkUse is the fraction of the link's bandwidth above which the process counts as overloaded; 0
-	// means the default.
+	// MaxLinkUse is the fraction of the link's bandwidth that requests may fill, see Link; 0 means the default. If the measured
+	// use is well above it, the Shedder refuses requests too.
 	MaxLinkUse float64
 	// Rand returns a number from 0 to 1; nil means a random source.
 	Rand func() float64
@@ -28,7 +28,7 @@
 	DefaultMaxLag = 130 * time.Millisecond
 	// DefaultMaxLinkUse leaves room for traffic that the counters do not see: packet headers and
 	// retransmissions.
-	DefaultMaxLinkUse = 0.7
+	DefaultMaxLinkUse = 0.8
 )
 
 const (
@@ -36,7 +36,11 @@
 	SampleInterval = 20 * time.Millisecond
 	// adjustInterval is the time between two changes of the refused ratio.
 	adjustInterval = 100 * time.Millisecond
-	// raiseStep and lowerStep are the changes of the refused ratio per adjustInterval. The ratio rises to its
+	// linkTolerance is the use of the link above MaxLinkUse from which the refused ratio rises, and linkRatioRange the use in
+	// which it rises to its limit.
+	linkTolerance  = 0.06
+	linkRatioRange = 0.12
+	// raiseStep and lowerStep are the changes of the refused ratio for late timers per adjustInterval. The ratio rises to its
 	// limit within half a second and falls to 0 within three.
 	raiseStep = 0.2
 	lowerStep = 0.03
@@ -59,8 +63,11 @@
 	cfg Config
 
 	mu sync.Mutex
-	// refusedRatio decides, with the arrivals, which fraction of each priority is refused.
+	// refusedRatio decides, with the arrivals, which fraction of each priority is refused. It is the larger one of lagRatio and
+	// that of the link.
 	refusedRatio float64
+	// lagRatio is the ratio for late timers.
+	lagRatio float64
 	// arrivals are the numbers of recent requests by priority.
 	arrivals [priorityLevels]float64
 	// highestLag and sinceAdjust cover the time since the last change of refusedRatio.
@@ -71,8 +78,8 @@
 }
 
 // linkAverageTime is the time constant for averaging the use of the link. Shorter bursts are buffered in the
-// network.
-const linkAverageTime = 200 * time.Millisecond
+// network, and Link admits bursts of half that length.
+const linkAverageTime = 500 * time.Millisecond
 
 // New returns a Shedder that refuses nothing yet.
 func New(cfg Config) *Shedder {
@@ -105,15 +112,22 @@
 		return s.refusedRatio, false
 	}
 	before := s.refusedRatio
-	if s.highestLag > s.cfg.MaxLag || s.averageLinkUse > s.cfg.MaxLinkUse {
-		s.refusedRatio = min(maxRefused, s.refusedRatio+raiseStep)
+	if s.highestLag > s.cfg.MaxLag {
+		s.lagRatio = min(maxRefused, s.lagRatio+raiseStep)
 	} else {
-		s.refusedRatio = max(0, s.refusedRatio-lowerStep)
+		s.lagRatio = max(0, s.lagRatio-lowerStep)
 	}
+	s.refusedRatio = max(s.lagRatio, s.linkRatio())
 	s.highestLag, s.sinceAdjust = 0, 0
 	return s.refusedRatio, (before == 0) != (s.refusedRatio == 0)
 }
 
+// linkRatio returns the refused ratio for a link that is fuller than Link intends, because of traffic that it does not know.
+// It follows the measured use without a memory of its own, so that it ends with its cause.
+func (s *Shedder) linkRatio() float64 {
+	return maxRefused * min(1, max(0, (s.averageLinkUse-s.cfg.MaxLinkUse-linkTolerance)/linkRatioRange))
+}
+
 // ShouldRefuse reports whether a request of the given priority is refused; 0 is the most urgent. Less urgent
 // requests are refused first.
 func (s *Shedder) ShouldRefuse(priority int) bool {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -135,6 +135,7 @@
 	api        *httpapi.API
 	retries    retryBudgets
 	shedder    *overload.Shedder
+	link       *overload.Link
 	started    time.Time
 	ready      atomic.Bool
 	// draining is set at the start of the shutdown, and closing when new requests are refused.
@@ -196,7 +197,7 @@
 	g := &Gateway{
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
 		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
-		divider: capacityshare.New(cfg.VM),
+		divider: capacityshare.New(cfg.VM), link: overload.NewLink(overload.LinkConfig{Bandwidth: cfg.LinkBandwidth}),
 	}
 	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
@@ -349,7 +350,8 @@
 		Quarantine: g.crashes, Origins: g.origins,
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
-			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse, Busy: g.shedder.Busy,
+			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse,
+			LinkFull: g.link.ShouldRefuse, Busy: func() bool { return g.shedder.Busy() || g.link.Busy() },
 			Reach: g.reach, Hops: g.newHops(),
 		},
 		Requests: request.NewTable(request.Config{
@@ -454,6 +456,9 @@
 				"refused": refusedRatio, "lag_ms": (elapsed - overload.SampleInterval).Milliseconds(), "link": linkUse, "open": g.api.InProgress(),
 			})
 		}
+		if full, changed := g.link.Sample(elapsed, in-lastIn, out-lastOut); changed {
+			obs.EventLinkFullChanged.Log(g.logger, logrus.Fields{"full": full, "link": linkUse, "open": g.api.InProgress()})
+		}
 		last, lastIn, lastOut = now, in, out
 	}
 }
--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -27,6 +27,9 @@
 	EventResponseUndelivered = register(1618, logrus.WarnLevel, "response not delivered",
 		"The connection of a caller ended before all of a response that 1610 reports had reached it: \"unacknowledged\" bytes were on "+
 			"their way, or a write failed with \"error\". The caller may have left; around a stop of the router, look for 1001 and 1002.")
+	EventLinkFullChanged = register(1628, logrus.WarnLevel, "network link full or no longer full",
+		"What the admitted requests need fills the network link (\"full\"). Others are refused, and their callers use other routers. "+
+			"\"link\" is the fraction of the bandwidth in use. Add routers if it lasts, or spread the callers.")
 	EventLinesDropped = register(1613, logrus.WarnLevel, "log lines dropped",
 		"The log lines exceeded the rate limit, or their reader was too slow. The counters are still complete.")
 )
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -54,6 +54,8 @@
 	UpstreamRecordsSkipped = newMetric("upstream_records_skipped_total")
 	// DemandsMalformedTotal counts readings of a malformed demand in another router's heartbeat.
 	DemandsMalformedTotal = newMetric("demands_malformed_total")
+	// LinkRefusalsTotal counts requests that were refused because the router's network link is full.
+	LinkRefusalsTotal = newMetric("link_refusals_total")
 	// UpstreamFailuresTotal counts failed attempts, except those that ended with the caller's connection or the
 	// deadline.
 	UpstreamFailuresTotal = newMetric("upstream_failures_total")
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -94,6 +94,9 @@
 	Closing func() bool
 	// ShouldShed reports whether load shedding refuses a request of the given priority.
 	ShouldShed func(priority int) bool
+	// LinkFull reports whether the network link cannot carry a request of the given priority and length of the body, which is
+	// negative if it is unknown. It may be nil.
+	LinkFull func(priority int, body int64) bool
 	// Busy reports whether callers should reconnect, to reach another router.
 	Busy func() bool
 	// Reach is told what upstreams send. It may be nil.
@@ -183,6 +186,14 @@
 		return refusal(http.StatusServiceUnavailable, CodeOverloaded,
 			"the router is too busy").withRetryAfter(otherRouterRetryAfter)
 	}
+	if full := x.api.Forwarding.LinkFull; full != nil && full(x.priority, x.httpReq.ContentLength) {
+		obs.LinkRefusalsTotal.Add(1)
+		if x.hop == nil {
+			x.w.Header().Set("Connection", "close")
+		}
+		return refusal(http.StatusServiceUnavailable, CodeOverloaded,
+			"the router's network link is full").withRetryAfter(otherRouterRetryAfter)
+	}
 	timeout := op.route.Timeout
 	if caller.Timeout > 0 && (timeout <= 0 || caller.Timeout < timeout) {
 		timeout = caller.Timeout
