--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -351,7 +351,7 @@
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse,
-			LinkFull: g.link.ShouldRefuse, Busy: func() bool { return g.shedder.Busy() || g.link.Busy() },
+			LinkFull: g.link.ShouldRefuse, Busy: g.busy,
 			Reach: g.reach, Hops: g.newHops(),
 		},
 		Requests: request.NewTable(request.Config{
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -83,7 +83,7 @@
 // serveReady responds to the load balancer's readiness check with 200 if this router accepts new connections,
 // and with 503 otherwise.
 func (g *Gateway) serveReady(w http.ResponseWriter) {
-	if !g.ready.Load() || g.draining.Load() || g.shedder.Busy() {
+	if !g.ready.Load() || g.draining.Load() || g.busy() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
