Do not shed urgent requests after a short pause of the process

Cause: since each priority has a level of its own in load shedding, requests of priority 0 were refused at a router that gets no other ones as soon as one timer was late.

Change: priorities 0 and 1 are refused from the ratios 1/3 and 1/6 on, as before, or from a higher one if many requests are less urgent.

--- a/internal/coordination/overload/shedder.go
+++ b/internal/coordination/overload/shedder.go
@@ -51,9 +51,8 @@
 	// priorityLevels is the number of priorities: 0, the most urgent, to 9. Less urgent ones are refused
 	// first.
 	priorityLevels = 10
-	// mostUrgentStart and refusalRange give every priority a range of its own in the refused ratio, see refusedFraction.
+	// mostUrgentStart is the refused ratio from which a priority is refused if nearly all requests are less urgent.
 	mostUrgentStart = 0.4
-	refusalRange    = 0.5
 	// arrivalWindow is the time constant of the numbers of requests by priority.
 	arrivalWindow = time.Second
 )
@@ -143,9 +142,9 @@
 
 func clampPriority(priority int) int { return min(max(priority, 0), priorityLevels-1) }
 
-// refusedFraction returns the fraction of the requests of a priority that is refused. It rises linearly from 0 to maxRefused
-// while the refused ratio rises by refusalRange. It begins to rise later the more of the requests are less urgent, at
-// mostUrgentStart if nearly all are.
+// refusedFraction returns the fraction of the requests of a priority that is refused. It rises linearly from 0 to 1, which it
+// would reach at a refused ratio of 1, from a ratio on that is higher the more urgent the priority is, and the more of the
+// requests are less urgent.
 func (s *Shedder) refusedFraction(priority int) float64 {
 	total, lessUrgent := 0.0, 0.0
 	for other, n := range s.arrivals {
@@ -154,10 +153,14 @@
 			lessUrgent += n
 		}
 	}
-	start := mostUrgentStart * lessUrgent / max(1, total)
-	return min(maxRefused, max(0, (s.refusedRatio-start)*maxRefused/refusalRange))
+	start := max(refusalStart(priority), mostUrgentStart*lessUrgent/max(1, total))
+	return min(maxRefused, max(0, (s.refusedRatio-start)/(1-start)))
 }
 
+// refusalStart returns the refused ratio up to which no request of a priority is refused: a pause of the process raises the
+// ratio for a moment, which urgent requests should not notice.
+func refusalStart(priority int) float64 { return max(0, float64(2-priority)) / 6 }
+
 // Busy reports whether new connections should go to other routers.
 func (s *Shedder) Busy() bool {
 	s.mu.Lock()
