Keep the order of returning callers when their time limits differ

Cause: a refused caller with little time left got an early time to return, and the next one was counted from there, before callers refused earlier.

Change: the time of the next return never moves back.

--- a/internal/coordination/admission/pool.go
+++ b/internal/coordination/admission/pool.go
@@ -215,8 +215,8 @@
 }
 
 // updateCredit subtracts an admitted request from the credit of its class and adds a fraction of it to the
-// credit of each lower class that waits or of which a request was refused recently. A request that was admitted in class order does not make the credit
-// negative.
+// credit of each lower class that waits or of which a request was refused recently. A request that was admitted in
+// class order does not make the credit negative.
 func (p *pool) updateCredit(t *Ticket, onCredit bool, fraction float64) {
 	credit := &p.credit[t.class]
 	if onCredit {
@@ -310,9 +310,13 @@
 	if latest := now.Add(time.Duration(maxReturnFraction * float64(t.timeLeft))); at.After(latest) {
 		at = latest
 	}
-	p.nextReturn = at
+	next := at
 	if rate := p.drainRate(t, now); rate > 0 {
-		p.nextReturn = at.Add(time.Duration(p.meanTokens.value / rate * float64(time.Second)))
+		next = at.Add(time.Duration(p.meanTokens.value / rate * float64(time.Second)))
+	}
+	// A caller with little time left returns earlier, and does not draw those after it forward.
+	if next.After(p.nextReturn) {
+		p.nextReturn = next
 	}
 	return max(at.Sub(now), time.Millisecond)
 }
