Accept no connections while the link receives too much

Refusing does not help such a link: the bodies have been sent when the refusal arrives, and they delay the responses of the log, peers and upstreams. Load shedding looks at what is sent, which refusals do reduce.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -136,6 +136,7 @@
 	retries    retryBudgets
 	shedder    *overload.Shedder
 	link       *overload.Link
+	inbound    *overload.Inbound
 	started    time.Time
 	ready      atomic.Bool
 	// draining is set at the start of the shutdown, and closing when new requests are refused.
@@ -198,6 +199,7 @@
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
 		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
 		divider: capacityshare.New(cfg.VM), link: overload.NewLink(overload.LinkConfig{Bandwidth: cfg.LinkBandwidth}),
+		inbound: overload.NewInbound(cfg.LinkBandwidth, time.Now),
 	}
 	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
@@ -449,7 +451,7 @@
 		now, in, out := time.Now(), netopt.Traffic.In.Load(), netopt.Traffic.Out.Load()
 		elapsed, linkUse := now.Sub(last), 0.0
 		if g.cfg.LinkBandwidth > 0 {
-			linkUse = float64(max(in-lastIn, out-lastOut)) / elapsed.Seconds() / g.cfg.LinkBandwidth
+			linkUse = float64(out-lastOut) / elapsed.Seconds() / g.cfg.LinkBandwidth
 		}
 		if refusedRatio, changed := g.shedder.Sample(elapsed, linkUse); changed {
 			obs.EventLoadSheddingChanged.Log(g.logger, logrus.Fields{
@@ -459,6 +461,7 @@
 		if full, changed := g.link.Sample(elapsed, in-lastIn, out-lastOut); changed {
 			obs.EventLinkFullChanged.Log(g.logger, logrus.Fields{"full": full, "link": linkUse, "open": g.api.InProgress()})
 		}
+		g.inbound.Sample(elapsed, in-lastIn)
 		last, lastIn, lastOut = now, in, out
 	}
 }
--- a/internal/daemon/gateway_capacity.go
+++ b/internal/daemon/gateway_capacity.go
@@ -35,7 +35,7 @@
 }
 
 // busy reports whether new connections should go to other routers.
-func (g *Gateway) busy() bool { return g.shedder.Busy() || g.link.Busy() }
+func (g *Gateway) busy() bool { return g.shedder.Busy() || g.link.Busy() || g.inbound.Busy() }
 
 // capacityCache keeps computed capacities for capacityTTL.
 type capacityCache struct {
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -50,6 +50,12 @@
 		}
 		if s.server == callers {
 			limited = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
+			limited.Hold = g.inbound.Full
+			if n := g.inbound.AcceptQueue(); n > 0 {
+				if err := limited.SetAcceptQueue(n); err != nil {
+					return nil, nil, err
+				}
+			}
 			g.callers.OnUndelivered = g.noteUndelivered
 			g.callers.Attach(callers)
 			listener = g.callers.Listener(limited)
--- a/internal/transport/netopt/closed_test.go
+++ b/internal/transport/netopt/closed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +96,36 @@
 	is.NoErr(l.Close())
 	is.Equal(l.Queued(), 0)
 }
+
+// Guards against connections that are accepted while the router takes no more, and against a listener that cannot be closed
+// meanwhile.
+func TestLimitedListenerHolds(t *testing.T) {
+	is := is.New(t)
+	inner, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	l := LimitConnections(inner, 10)
+	is.NoErr(l.SetAcceptQueue(2))
+	var hold atomic.Bool
+	hold.Store(true)
+	l.Hold = hold.Load
+	accepted := make(chan error, 2)
+	go func() {
+		for range 2 {
+			_, err := l.Accept()
+			accepted <- err
+		}
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	select {
+	case <-accepted:
+		t.Fatal("connection accepted")
+	case <-time.After(50 * time.Millisecond):
+	}
+	hold.Store(false)
+	is.NoErr(<-accepted)
+	hold.Store(true)
+	is.NoErr(l.Close())
+	is.True(<-accepted != nil)
+}
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -119,18 +119,31 @@
 // LimitedListener is the listener that LimitConnections returns.
 type LimitedListener struct {
 	net.Listener
+	// Hold pauses Accept while it returns true. It may be nil, and is set before the first call of Accept.
+	Hold      func() bool
 	slots     chan struct{}
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
-// Accept implements net.Listener. It waits while limit connections are open.
+// holdPollInterval is the time between two calls of LimitedListener.Hold.
+const holdPollInterval = 10 * time.Millisecond
+
+// Accept implements net.Listener. It waits while limit connections are open, or while Hold returns true.
 func (l *LimitedListener) Accept() (net.Conn, error) {
 	select {
 	case l.slots <- struct{}{}:
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
+	for l.Hold != nil && l.Hold() {
+		select {
+		case <-time.After(holdPollInterval):
+		case <-l.closed:
+			<-l.slots
+			return nil, net.ErrClosed
+		}
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
 		<-l.slots
@@ -149,6 +162,22 @@
 	return l.Listener.Close()
 }
 
+// SetAcceptQueue sets the number of connections that the kernel accepts before Accept returns them. It has no effect on a
+// listener without a file descriptor.
+func (l *LimitedListener) SetAcceptQueue(n int) error {
+	sys, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "set accept queue")
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), n) })
+	return errors.Wrap(errors.CombineErrors(err, listenErr), "set accept queue")
+}
+
 // Open returns the number of open connections. A call of Accept in progress counts as one.
 func (l *LimitedListener) Open() int { return len(l.slots) }
 
