Limit the calls to the log to a router's part of the fleet's rate

The store takes 1,500 writes and 6,000 reads per second from all routers together and answers 429 above that. Routers call whenever they need to: 552 writes of 33 routers were refused in 4 s, most of them during a rolling restart.

Package callrate puts a limiter in front of a keyedlog.Log. Each router takes the rate divided by the number of live routers, a hundredth until it knows the number, and more while calls wait and the log refuses none. A 429 halves the rate, but not below the part. If refusals at the part last 2 s, the number of routers is too low and the part is reduced. Waiting calls are made by priority, which can change while a call waits; one call in eight is the oldest one if it has waited for a second, so that reports are not starved. A call waits for at most half of the time until its deadline and then fails with keyedlog.ErrRateLimited. A process that ends may use the rate of its next two seconds.

--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -48,6 +48,25 @@
 		"The process ended without returning its share. The field \"stranded\" is the part that may be unused.")
 )
 
+// Events of the rate limit of the keyed log.
+var (
+	EventLogCallsDelayed = register(1840, logrus.InfoLevel, "calls to the log wait for its rate limit",
+		"This router has used its part of platform.writes_per_s or platform.reads_per_s; \"kind\" says which. The field "+
+			"\"calls\" counts the calls since the last line, \"part\" is the router's part and \"per_second\" what it may use. At "+
+			"most one line per second and kind. See docs/operations/log.md.")
+	EventLogCallsRefused = register(1841, logrus.WarnLevel, "log refuses calls because of its rate limit",
+		"All routers together call more often than the log accepts. This router makes fewer calls now, \"per_second\" at "+
+			"most. If it lasts, the limits in the settings exceed those of the log. See docs/operations/log.md.")
+)
+
+// Counters of calls to the keyed log that its rate limit affects: calls that waited, those of them that were given up,
+// and calls that the log refused.
+var (
+	LogCallsDelayedTotal = newMetric("log_calls_delayed_total")
+	LogCallsGivenUpTotal = newMetric("log_calls_given_up_total")
+	LogCallsRefusedTotal = newMetric("log_calls_refused_total")
+)
+
 // ShareConflictsTotal counts appends that failed because another VM had appended first.
 var ShareConflictsTotal = newMetric("share_conflicts_total")
 
--- a/internal/protocol/keyedlog/keyedlog.go
+++ b/internal/protocol/keyedlog/keyedlog.go
@@ -23,6 +23,9 @@
 	ErrTrimmed = errors.New("records have expired")
 	// ErrUnavailable reports a call that was not executed.
 	ErrUnavailable = errors.New("log is unavailable")
+	// ErrRateLimited reports a call that was not executed because all routers together call more often than the log
+	// accepts. It is no outage: the log serves other calls. Such an error is also marked ErrUnavailable, see RateLimited.
+	ErrRateLimited = errors.New("rate limit of the log is reached")
 	// ErrFenced reports an append whose epoch is lower than the producer's highest one, or whose sequence
 	// number is not the next one. Nothing was appended.
 	ErrFenced = errors.New("producer is fenced")
@@ -30,6 +33,11 @@
 	ErrOutcomeUnknown = errors.New("outcome of the append is unknown")
 )
 
+// RateLimited marks an error as ErrRateLimited, and as ErrUnavailable, since the call was not executed.
+func RateLimited(err error) error {
+	return errors.Mark(errors.Mark(err, ErrUnavailable), ErrRateLimited)
+}
+
 // AnyOffset is the expected offset of an unconditional append.
 const AnyOffset = math.MaxUint64
 
