Use the rate limit of the platform's log, and do not take it for an outage

Heartbeats, configuration and upstreams come after calls for which callers wait, then raises of shares, reports and records of stream origins. Calls of the shutdown come first.

A 429 of the store is keyedlog.ErrRateLimited. Package prepaid no longer counts it as an outage of the log, and the refusal of a request that waited in vain names what was met: the rate limit, other routers that wrote first, or no response of the log. Before, all three were "share used up and the log does not respond".

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -358,6 +358,16 @@
 	return m.live
 }
 
+// fleetSettleTime is the time after the start of a process until it has read the first heartbeats of routers that started
+// at the same time.
+const fleetSettleTime = 3 * time.Second
+
+// FleetSize returns the number of live routers as Routers does. known is false until the heartbeats were read and
+// fleetSettleTime has passed.
+func (m *Monitor) FleetSize() (routers int, known bool) {
+	return m.Routers(), m.replica.Loaded() && m.cfg.Now().Sub(m.started) >= fleetSettleTime
+}
+
 // Position returns the index of this router, in order of VM names, among those that may send requests: the live ones and
 // those that have been silent for less than silentRetention. known is false before any heartbeat was read.
 func (m *Monitor) Position() (index, routers int, known bool) {
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,6 +36,9 @@
 	Policy  Policy
 	// Heartbeats measures the heartbeat gaps of this VM's processes.
 	Heartbeats Heartbeats
+	// LogRateLimited reports whether calls to the log wait for its rate limit or were refused because of it. It may be
+	// nil.
+	LogRateLimited func() bool
 	// Peers borrows from other VMs. It may be nil.
 	Peers Peers
 	// Interval is the mean time between two checks for spending to report.
@@ -86,6 +90,8 @@
 
 	// syncMu is held during a sync. It is locked before mu.
 	syncMu sync.Mutex
+	// closing is true during a sync of Close.
+	closing atomic.Bool
 
 	mu         sync.Mutex
 	accounts   map[string]*account
@@ -101,6 +107,8 @@
 	failing bool
 	// lastReservation is when a request last reserved from a budget of the stream, or waited for it.
 	lastReservation time.Time
+	// rateLimitedAt is when a sync last failed because of the rate limit of the log.
+	rateLimitedAt time.Time
 	// unresolved is set while an append with unknown outcome may still take effect.
 	unresolved *unresolvedAppend
 	// producer orders the reports of this VM's processes. epochAcquired is true once its epoch
--- a/internal/coordination/prepaid/report.go
+++ b/internal/coordination/prepaid/report.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/callrate"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 )
 
@@ -126,6 +127,9 @@
 	if records == nil {
 		return nil
 	}
+	if !p.closing.Load() {
+		ctx = callrate.WithPriority(ctx, func() callrate.Priority { return p.priority(callrate.Report) })
+	}
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
 	defer cancel()
 	batch, err := p.encode(records)
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -14,6 +14,9 @@
 var (
 	errLogUnresponsive = errors.New("share used up and the log does not respond")
 	errHeldByOthers    = errors.New("rest of the budget is held by other routers")
+	// errRateLimited and errLogBusy are causes while the log responds.
+	errRateLimited = errors.New("share used up and the rate limit of calls to the log is reached")
+	errLogBusy     = errors.New("share used up and could not be raised in time, because other routers wrote to the log first")
 )
 
 const (
@@ -66,14 +69,32 @@
 			p.borrowForWaiter(req.Entry.Name, w)
 		case <-ctx.Done():
 			if p.cancelWait(req.Entry.Name, w) {
-				p.noteTimeout(req.Entry.Name, req.Amount)
-				return res, &budget.UnavailableError{RetryAfter: retryAfterLogDown, Cause: errLogUnresponsive}
+				cause := p.timeoutCause(w)
+				p.noteTimeout(req.Entry.Name, req.Amount, cause)
+				return res, &budget.UnavailableError{RetryAfter: retryAfterLogDown, Cause: cause}
 			}
 			return res, <-w.done
 		}
 	}
 }
 
+// timeoutCause is why a waiter was not answered in time.
+func (p *partition) timeoutCause(w *waiter) error {
+	// LogRateLimited may lock what is held while partition.priority is called, so p.mu must not be held here.
+	limited := p.cfg.LogRateLimited != nil && p.cfg.LogRateLimited()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.failing:
+		return errLogUnresponsive
+	case limited, p.rateLimitedAt.After(w.since):
+		return errRateLimited
+	case p.lastResponse.After(w.since):
+		return errLogBusy
+	}
+	return errLogUnresponsive
+}
+
 // borrowDelay is how long a request waits for the log before other VMs are asked.
 const borrowDelay = 40 * time.Millisecond
 
--- a/internal/coordination/prepaid/sync.go
+++ b/internal/coordination/prepaid/sync.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/callrate"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/follow"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
@@ -64,6 +65,11 @@
 func (p *partition) sync(ctx context.Context, returnUnused bool) error {
 	p.syncMu.Lock()
 	defer p.syncMu.Unlock()
+	// The calls of Close have the priority of its context.
+	p.closing.Store(returnUnused)
+	if !returnUnused {
+		ctx = callrate.WithPriority(ctx, func() callrate.Priority { return p.priority(callrate.ShareRaise) })
+	}
 	if err := p.sendReport(ctx); err != nil {
 		return err
 	}
@@ -102,6 +108,18 @@
 	return nil
 }
 
+// priority is the priority of a call: callrate.Caller while a caller waits for a larger share, else the given one.
+func (p *partition) priority(otherwise callrate.Priority) callrate.Priority {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.accounts {
+		if len(a.waiters) > 0 {
+			return callrate.Caller
+		}
+	}
+	return otherwise
+}
+
 // recordAgeLimit is the age from which the records of the other VMs are read again. The caller holds
 // p.mu.
 func (p *partition) recordAgeLimit() time.Duration {
@@ -319,10 +337,15 @@
 }
 
 // noteOutage logs the first failed sync since the last successful read or append. The cause is usually an
-// outage of the log, but may also be a fenced report or an encoding error.
+// outage of the log, but may also be a fenced report or an encoding error. A call that the rate limit of the log did not
+// allow is no outage.
 func (p *partition) noteOutage(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if errors.Is(err, keyedlog.ErrRateLimited) {
+		p.rateLimitedAt = p.cfg.Now()
+		return
+	}
 	if p.failing || errors.Is(err, context.Canceled) {
 		return
 	}
--- a/internal/coordination/prepaid/unreachable.go
+++ b/internal/coordination/prepaid/unreachable.go
@@ -38,8 +38,8 @@
 }
 
 // noteTimeout is noteUnreachable for a request that has waited in vain for the log.
-func (p *partition) noteTimeout(entry string, amount int64) {
+func (p *partition) noteTimeout(entry string, amount int64, cause error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noteUnreachable(p.account(entry), amount, errLogUnresponsive)
+	p.noteUnreachable(p.account(entry), amount, cause)
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/admission"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/callrate"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/overload"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
@@ -66,6 +67,9 @@
 	RetryWindow time.Duration
 	// ConfigApplyTimeout is the time within which a new configuration must become active.
 	ConfigApplyTimeout time.Duration
+	// LogWritesPerSecond and LogReadsPerSecond are the calls per second that the log accepts from all routers together; 0
+	// means no limit.
+	LogWritesPerSecond, LogReadsPerSecond float64
 }
 
 // Defaults of GatewayConfig.
@@ -108,6 +112,7 @@
 	config     *replica.Replica
 	upstreams  *replica.Replica
 	heartbeats *heartbeat.Monitor
+	logCalls   *callrate.Limiter
 	peers      *gatewayPeers
 	buffers    *membuf.Limiter
 	// rebuildMu is held while the snapshot is rebuilt. It guards decoded.
@@ -194,16 +199,21 @@
 	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
+	g.logCalls = callrate.New(callrate.Config{
+		WritesPerSecond: cfg.LogWritesPerSecond, ReadsPerSecond: cfg.LogReadsPerSecond,
+		FleetSize: func() (int, bool) { return g.heartbeats.FleetSize() }, Now: time.Now, Logger: logger,
+	})
+	controlLog := g.logCalls.Wrap(deps.Log, callrate.Control, callrate.Control)
 	g.config = replica.New(replica.Config{
-		Log: deps.Log, Stream: deps.ConfigStream, Wait: configLongPoll, Now: time.Now, OnChange: g.rebuild, Logger: logger,
+		Log: controlLog, Stream: deps.ConfigStream, Wait: configLongPoll, Now: time.Now, OnChange: g.rebuild, Logger: logger,
 	})
 	g.upstreams = replica.New(replica.Config{
-		Log: deps.Log, Stream: deps.UpstreamStream, Interval: minUpstreamReadInterval, IntervalFunc: g.upstreamReadInterval, RemovalGrace: upstreamRemovalGrace, Now: time.Now,
+		Log: controlLog, Stream: deps.UpstreamStream, Interval: minUpstreamReadInterval, IntervalFunc: g.upstreamReadInterval, RemovalGrace: upstreamRemovalGrace, Now: time.Now,
 		OnChange: g.rebuild, Logger: logger,
 	})
 	policy := prepaid.DefaultPolicy()
 	g.heartbeats = heartbeat.New(heartbeat.Config{
-		Log: deps.Log, Stream: heartbeatStream, VM: cfg.VM, Interval: heartbeatInterval, MaxProvableGap: policy.FullShareAfter, Timestamp: readClocks,
+		Log: controlLog, Stream: heartbeatStream, VM: cfg.VM, Interval: heartbeatInterval, MaxProvableGap: policy.FullShareAfter, Timestamp: readClocks,
 		Self:           heartbeat.Record{Process: string(g.holder), Address: cfg.PeerListen, Zone: cfg.Zone},
 		HeartbeatUsage: func() (map[string]int64, func()) { return g.budget.HeartbeatUsage() },
 		Notice:         func() []byte { return encodeVerdicts(logger, g.crashes) },
@@ -219,8 +229,9 @@
 		Now: time.Now, VM: cfg.VM, Members: func() []string { return slices.Collect(maps.Keys(g.heartbeats.Addresses())) },
 		Notify: logQuarantine(logger),
 	})
+	// A caller waits for most reads of the origins.
 	g.origins = streamorigin.New(streamorigin.Config{
-		Log: deps.Log, Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, Listed: g.upstreamsBetween,
+		Log: g.logCalls.Wrap(deps.Log, callrate.StreamOrigin, callrate.Caller), Stream: streamOriginStream, VM: cfg.VM, Routers: g.heartbeats.Routers, Listed: g.upstreamsBetween,
 		QueryPeers:  func(ctx context.Context, hash uint64) []streamorigin.Origin { return g.peers.queryOrigins(ctx, hash) },
 		OnAnnounced: g.useAnnouncedVersions, Now: time.Now, Logger: logger,
 	})
@@ -228,7 +239,7 @@
 		Ratio: cfg.RetryRatio, Extra: cfg.RetryExtra, Length: cfg.RetryWindow, Routers: g.heartbeats.Routers, Now: time.Now,
 	}, byService: make(map[string]*routing.WindowRetryBudget)}
 	g.budget = prepaid.New(prepaid.Config{
-		Log: deps.Log, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaidTokens,
+		Log: g.logCalls.Wrap(deps.Log, callrate.ShareRaise, callrate.ShareRaise), LogRateLimited: g.logCalls.Delaying, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaidTokens,
 		ConfigStale: g.configStale, Entries: g.preallocatedEntries, Routers: g.heartbeats.Routers, Policy: policy, Interval: spendReportInterval,
 		Heartbeats: g.heartbeats, Peers: g.peers, Now: time.Now, Logger: logger,
 	})
@@ -430,7 +441,7 @@
 	budgetLoops.Wait()
 	beforeResponses, cancelReturn := context.WithDeadline(context.Background(), lastResponses)
 	defer cancelReturn()
-	returnCtx, cancel := context.WithTimeout(beforeResponses, shareReturnTimeout)
+	returnCtx, cancel := context.WithTimeout(callrate.WithPriority(beforeResponses, callrate.Always(callrate.Ending)), shareReturnTimeout)
 	defer cancel()
 	err = g.budget.Close(returnCtx)
 	g.heartbeats.Leave(returnCtx)
