Let a write call wait for the rate before the read that it depends on

ReserveWrite waits for the rate first; the first write with the returned context is made at once, and an unused permit is given back.

--- a/internal/coordination/callrate/limiter.go
+++ b/internal/coordination/callrate/limiter.go
@@ -151,6 +151,15 @@
 	return l.giveUp(ctx, kind, c)
 }
 
+// putBack gives back the token of a call that was not made.
+func (l *Limiter) putBack(kind Kind) {
+	if b := l.buckets[kind]; b != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		b.tokens++
+	}
+}
+
 // giveUp removes a waiting call and returns the error, or nil if the call was granted in the meantime.
 func (l *Limiter) giveUp(ctx context.Context, kind Kind, c *waitingCall) error {
 	l.mu.Lock()
--- a/internal/coordination/callrate/log.go
+++ b/internal/coordination/callrate/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
@@ -31,7 +32,29 @@
 	return &limitedLog{Log: log, limiter: l, writes: writes, reads: reads}
 }
 
+type permitKey struct{}
+
+// permit is a write call that the rate already allows.
+type permit struct{ used atomic.Bool }
+
+// ReserveWrite waits until the rate allows a write call. The first write call with the returned context does not wait, so
+// that a conditional append can follow its read at once. release must be called after that; it gives back an unused permit.
+func (l *limitedLog) ReserveWrite(ctx context.Context) (permitted context.Context, release func(), err error) {
+	if err := l.acquire(ctx, Write, l.writes); err != nil {
+		return nil, nil, err
+	}
+	p := &permit{}
+	return context.WithValue(ctx, permitKey{}, p), func() {
+		if p.used.CompareAndSwap(false, true) {
+			l.limiter.putBack(Write)
+		}
+	}, nil
+}
+
 func (l *limitedLog) acquire(ctx context.Context, kind Kind, otherwise Priority) error {
+	if p, ok := ctx.Value(permitKey{}).(*permit); ok && kind == Write && p.used.CompareAndSwap(false, true) {
+		return nil
+	}
 	priority, ok := ctx.Value(priorityKey{}).(func() Priority)
 	if !ok {
 		priority = Always(otherwise)
