Hold the shares of small budgets at few routers where the log limits the calls

With 78 routers and 24 budgets, each router raised a share of each budget at its start, fenced its predecessor in each of 24 streams, and reported its spending of each budget. That is more than 1,500 writes per second, and raises for which callers waited were refused with the others.

Where platform.writes_per_s or platform.reads_per_s limits the calls and more than 16 routers are live:

- A budget's shares are held by the routers that a rendezvous hash ranks first, in proportion to its part of all prepaid tokens, at least 4; a budget with half of them is held by all.
The others borrow for several requests at a time, keep unused loans for 10 s and write no records.
A router to which nobody lends for 0.3 s raises a share of its own.
- Holders raise shares at random times after the start, back off after conflicts in proportion to the holders, and reserve the write before the read.
They have a larger base limit, and count what they lend as demand.
- A process acquires its epoch in a stream before its first append there, or when it reads a record of its VM, not in all streams at its start.
Nothing is appended before the epoch is acquired and the stream has been read after that.
- 402 is not derived from what is left of such a budget, since loans may come back, but from 12 s in which no router could cover the request.

Which routers hold shares is a hint: shares are still granted by conditional appends only. Smaller fleets and fleets without the settings are unchanged, but for 3 s without unasked raises at the start of a small fleet with the settings.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -127,7 +127,16 @@
 	// borrowing is true while lenders are searched for. drainedAt is when a VM could last not lend what was asked.
 	borrowing bool
 	drainedAt map[string]time.Time
-	demand    demandMeter
+	// loansUnrecorded is true if only some VMs hold shares. The others do not record what they spend of loans, which counts
+	// as spent at the lenders then, also the part that may be repaid.
+	loansUnrecorded bool
+	// raiseAfter is the time before which the share is not raised while nothing waits for it, see mayRaiseUnasked.
+	raiseAfter time.Time
+	// lendShort is the most that another VM asked for in vain since the last record.
+	lendShort int64
+	// lastReservation is when a request last reserved from the budget, or waited for it.
+	lastReservation time.Time
+	demand          demandMeter
 	// meanRequest is a moving average of the upper bounds of requests.
 	meanRequest float64
 	waiters     []*waiter
@@ -193,12 +202,15 @@
 // lost for good.
 type totals struct {
 	spent, spentByRequests, stranded, inFlight, demand int64
+	// used is what is spent or lent and not stranded.
+	used int64
 }
 
 func (a *account) totals(now time.Time, freshness time.Duration) (t totals) {
 	for _, r := range a.others {
 		t.spent += r.Spent
 		t.spentByRequests += r.spentByRequests()
+		t.used += r.Spent - r.Stranded
 		if !r.Releasable {
 			t.stranded += r.Stranded
 		}
@@ -232,6 +244,9 @@
 
 // remainingGiven is remaining with totals that are known already.
 func (a *account) remainingGiven(prepaid int64, others totals) int64 {
+	if a.loansUnrecorded {
+		return prepaid - others.used - others.inFlight - (a.shareUsed() - a.stranded)
+	}
 	return prepaid - others.spentByRequests - others.inFlight - a.ownUsed()
 }
 
@@ -302,7 +317,7 @@
 	if unspent <= 0 {
 		return 0
 	}
-	fraction, scale := 1/float64(max(1, in.routers)), fleetScale(in.routers)
+	fraction, scale := 1/float64(max(1, in.holders)), fleetScale(in.routers)
 	ownDemand := a.demand.perSecond(in.now)
 	if totalDemand := ownDemand + float64(others.demand); totalDemand > 0 {
 		equal := p.EqualFraction / scale
@@ -335,7 +350,7 @@
 func (a *account) extraGrant(in planInput, others totals) int64 {
 	remaining := a.remainingGiven(in.prepaid, others)
 	return max(0, min(int64(extraGrantRequests*a.meanRequest),
-		remaining/int64(extraGrantDivisor*max(1, in.routers/extraGrantDivisor))))
+		remaining/int64(extraGrantDivisor*max(1, in.holders/extraGrantDivisor))))
 }
 
 // baseHeadroom is the unused part of the base limit that this VM should have.
@@ -356,8 +371,12 @@
 	now     time.Time
 	policy  Policy
 	routers int
-	process string
-	era     uint64
+	// holders is the number of VMs that hold shares, and holds true if this VM does. bulk is true if calls to the log are
+	// saved, and mayRaiseUnasked false while no share is raised for which nothing waits.
+	holders                      int
+	holds, bulk, mayRaiseUnasked bool
+	process                      string
+	era                          uint64
 	// mayRaise is false while shares that the log does not show may exist, see partition.mayRaise, and unknown is what
 	// they may be granted.
 	mayRaise bool
@@ -368,13 +387,18 @@
 func (a *account) plan(in planInput) (shareRecord, bool) {
 	used, waiting := a.shareUsed(), a.waitingTokens()
 	others := a.totals(in.now, in.policy.RecordFreshness)
-	target := a.targetHeadroom(in, others)
-	headroom := max(target, a.extraGrant(in, others))
+	target, headroom := int64(0), int64(0)
+	if in.holds {
+		target = a.targetHeadroom(in, others)
+		headroom = max(target, a.extraGrant(in, others), 2*a.lendShort)
+	} else if waiting = a.waitingWithoutLoan(); waiting > 0 {
+		headroom = a.extraGrant(in, others)
+	}
 	wanted := used + headroom + waiting
 	totalGranted, granted := a.totalGranted()+in.unknown, a.logged.Granted
 	switch {
-	case wanted > granted && !in.mayRaise:
-	case wanted > granted && (waiting > 0 || granted-used < target*2/3):
+	case wanted > granted && (!in.mayRaise || waiting+a.lendShort == 0 && !in.mayRaiseUnasked):
+	case wanted > granted && (waiting+a.lendShort > 0 || granted-used < target*2/3):
 		granted = min(wanted, granted+max(0, in.prepaid-totalGranted))
 	case wanted < granted && (granted-wanted > headroom*2/5 || totalGranted > in.prepaid):
 		granted = wanted
@@ -382,6 +406,13 @@
 	granted = max(granted, used)
 	// The part of a larger share that all processes may lose at once stays the same.
 	baseHeadroom := a.baseHeadroom(in.now, in.policy, int64(float64(target)/fleetScale(in.routers)))
+	switch {
+	case !in.bulk || !in.holds:
+	case in.holders < in.routers:
+		baseHeadroom = max(baseHeadroom, int64(lenderBaseRequests*a.meanRequest), 2*a.lendShort)
+	default:
+		baseHeadroom = max(baseHeadroom, int64(bulkBaseRequests*a.meanRequest))
+	}
 	baseLimit := min(granted, used+waiting+baseHeadroom)
 	if logged := a.logged.BaseLimit; logged <= granted && waiting == 0 &&
 		logged-used >= baseHeadroom/2 && logged-used <= baseHeadroom*3/2 {
@@ -414,6 +445,9 @@
 	switch {
 	case old.outdated(in.era):
 		return true
+	case !in.holds && old == (shareRecord{}) && next.Granted == 0 && next.Spent == 0:
+		// Only loans were spent, which count at their lenders. The records must not grow with routers times budgets.
+		return false
 	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.aboveBaseLimit(),
 		next.Releasable != old.Releasable:
 		return true
@@ -421,7 +455,7 @@
 		return false
 	}
 	unreported := float64(next.Spent - old.Spent + next.BorrowedSpent - old.BorrowedSpent)
-	threshold := max(a.meanRequest, float64(in.prepaid-old.Spent)/float64(reportDivisor*max(1, in.routers)))
+	threshold := max(a.meanRequest, float64(in.prepaid-old.Spent)/float64(reportDivisor*max(1, in.holders)))
 	return unreported >= threshold || in.now.Sub(a.loggedAt) > in.policy.maxReportDelay(in.routers)
 }
 
--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -80,7 +80,7 @@
 // lend lends tokens for a request of another VM: the amount, more if there is plenty, or what is
 // available if that is at least minLoan. It returns the lent amount. The answer to a repeated request is the same, and
 // nothing is lent for a request that arrives after its repayment.
-func (a *account) lend(id string, amount int64, gap time.Duration, p Policy, now time.Time) int64 {
+func (a *account) lend(id string, amount int64, gap time.Duration, p Policy, bulk bool, now time.Time) int64 {
 	if known := a.given[id]; known != nil {
 		return known.amount - known.repaid
 	}
@@ -89,6 +89,12 @@
 		return 0
 	}
 	lent := min(spendable, max(amount, min(lendFactor*amount, spendable/lendDivisor)))
+	if bulk {
+		// The borrower has asked for its next requests too. Loans that cover no request are too many.
+		if lent = min(spendable, amount); lent < min(amount, int64(a.meanRequest)) {
+			return 0
+		}
+	}
 	a.spent += lent
 	a.lent += lent
 	a.given[id] = &givenLoan{amount: lent, at: now}
@@ -117,9 +123,13 @@
 	maps.DeleteFunc(a.given, func(_ string, l *givenLoan) bool { return now.Sub(l.at) > givenRetention })
 }
 
-// repay removes the unused part of the latest loan and returns the loan with the total to repay.
-func (a *account) repay() (Loan, bool) {
-	unused := a.borrowed - a.spent - a.reserved
+// repay is repayAllBut with nothing to keep.
+func (a *account) repay() (Loan, bool) { return a.repayAllBut(0) }
+
+// repayAllBut removes the unused part of the latest loan, but for the tokens to keep, and returns the loan with the total
+// to repay.
+func (a *account) repayAllBut(keep int64) (Loan, bool) {
+	unused := a.borrowed - a.spent - a.reserved - keep
 	if unused <= 0 || len(a.loans) == 0 || len(a.waiters) > 0 {
 		return Loan{}, false
 	}
@@ -146,6 +156,7 @@
 // search. It reports whether the waiter may get a loan. The caller holds p.mu.
 func (p *partition) startBorrow(a *account, w *waiter) bool {
 	if w.borrowTried || p.cfg.Peers == nil {
+		w.borrowTried = true
 		return false
 	}
 	w.borrowTried, w.borrowing = true, true
@@ -168,8 +179,13 @@
 			amount += w.amount
 		}
 	}
-	amount += int64(borrowAhead.Seconds() * a.demand.perSecond(now))
+	ahead := int64(borrowAhead.Seconds() * a.demand.perSecond(now))
 	lenders := a.lenders(now)
+	if p.bulk() {
+		ahead = max(0, p.bulkAhead(a, now)-max(0, p.available(a)))
+		lenders = p.bulkLenders(a, lenders, amount+ahead, now)
+	}
+	amount += ahead
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		defer cancel()
@@ -193,6 +209,7 @@
 	a.borrowing = false
 	for _, w := range served {
 		w.borrowing = false
+		p.borrowAgainLater(a, w)
 	}
 	now := p.cfg.Now()
 	a.noteDrained(drained, now)
@@ -211,7 +228,9 @@
 	} else {
 		// The next read may find a larger share.
 		p.answerWaiters(a, prepaid, time.Time{}, now)
-		p.wake()
+		if len(a.waiters) > 0 || !p.bulk() {
+			p.wake()
+		}
 	}
 	if slices.ContainsFunc(a.waiters, func(w *waiter) bool { return w.borrowing }) && !a.borrowing {
 		p.searchLenders(a)
@@ -234,7 +253,16 @@
 	}
 	now := p.cfg.Now()
 	a.forgetGiven(now)
-	lent := a.lend(id, amount, p.cfg.Heartbeats.Gap(), p.cfg.Policy, now)
+	lent := a.lend(id, amount, p.cfg.Heartbeats.Gap(), p.cfg.Policy, p.bulk(), now)
+	if routers := p.cfg.Routers(); p.bulk() {
+		if holders, _ := p.holders(entry, routers); holders < routers {
+			a.demand.add(lent, now) // the borrowers record no demand
+			if lent < amount {
+				a.lendShort = max(a.lendShort, amount-lent)
+				p.wake()
+			}
+		}
+	}
 	p.requestRefill(a)
 	return lent
 }
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -33,6 +33,10 @@
 	Entries func() []string
 	// Routers returns the number of live routers.
 	Routers func() int
+	// Holders returns the VMs that hold shares of an entry's budget, see HoldersOf; the others borrow from them. No VMs
+	// mean that all hold one. known is false while the routers are not known. The function may be nil: then all hold one,
+	// and calls to the log are not saved.
+	Holders func(entry string) (vms []string, known bool)
 	Policy  Policy
 	// Heartbeats measures the heartbeat gaps of this VM's processes.
 	Heartbeats Heartbeats
@@ -116,6 +120,8 @@
 	// two processes start with the same one. It is raised if the log refuses it or fences a report.
 	producer      keyedlog.Producer
 	epochAcquired bool
+	// everFenced is true once this process has acquired an epoch. Until then it has appended nothing.
+	everFenced bool
 	// pendingReport is a report without a response. It is sent again before anything else is appended.
 	pendingReport []plannedRecord
 	// mayBeAppended is true once the pending report may have taken effect.
@@ -134,7 +140,9 @@
 	since  time.Time
 	// borrowTried is true once a search for lenders was requested, and borrowing until it has ended.
 	borrowTried, borrowing bool
-	done                   chan error
+	// borrowAgain is true while a waiter to which nobody has lent enough waits for the next search.
+	borrowAgain bool
+	done        chan error
 }
 
 // New returns a manager. Requests wait until Run has read the log.
--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -182,6 +182,8 @@
 	// loans counts the requests for loans. repayments holds messages that may arrive again, and late.
 	loans      int
 	repayments []modelRepayment
+	// configure, if set, changes the configuration of each new process.
+	configure func(*Config)
 	// spent is what requests have used, reported or not. The requests of terminated processes count
 	// at their upper bounds.
 	spent int64
@@ -195,8 +197,10 @@
 
 const modelEntry = "team"
 
-func newModel(t *rapid.T) *model {
-	m := &model{t: t, now: time.Unix(1_000_000, 0), prepaid: 30_000, memory: keyedlog.NewMemory()}
+func newModel(t *rapid.T) *model { return newConfiguredModel(t, nil) }
+
+func newConfiguredModel(t *rapid.T, configure func(*Config)) *model {
+	m := &model{t: t, now: time.Unix(1_000_000, 0), prepaid: 30_000, memory: keyedlog.NewMemory(), configure: configure}
 	for i := range 3 {
 		vm := &modelVM{name: fmt.Sprintf("vm-%d", i), log: &modelLog{Memory: m.memory, lateAppends: &m.lateAppends},
 			heartbeats: &modelHeartbeats{model: m, provesGaps: true, lastGaps: make(map[string]modelGap), proven: make(chan struct{})}}
@@ -224,6 +228,9 @@
 		Prepaid: func(string) (int64, bool) { return m.prepaid, true }, Routers: func() int { return len(m.vms) },
 		Policy: DefaultPolicy(), Heartbeats: vm.heartbeats, Interval: time.Second, Now: func() time.Time { return m.now }, Logger: logger,
 	})
+	if m.configure != nil {
+		m.configure(&vm.m.cfg)
+	}
 }
 
 func (m *model) pick(name string) *modelVM {
@@ -302,9 +309,11 @@
 
 // Guards against overspending under crashes, lost and late appends, outages of the log, loans and
 // repayments in any order.
-func TestNeverOverspends(t *testing.T) {
+func TestNeverOverspends(t *testing.T) { checkNeverOverspends(t, nil) }
+
+func checkNeverOverspends(t *testing.T, configure func(*Config)) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
+		m := newConfiguredModel(t, configure)
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(*rapid.T) { m.check() },
 			"reserve": func(t *rapid.T) {
@@ -451,9 +460,11 @@
 
 // Guards against unspent tokens that no VM can reserve: after all faults have ended, and without a
 // crash, one VM can reserve all that is left.
-func TestNothingIsStrandedWithoutCrash(t *testing.T) {
+func TestNothingIsStrandedWithoutCrash(t *testing.T) { checkNothingIsStranded(t, nil) }
+
+func checkNothingIsStranded(t *testing.T, configure func(*Config)) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
+		m := newConfiguredModel(t, configure)
 		for range rapid.IntRange(0, 30).Draw(t, "steps") {
 			m.t = t
 			vm := m.pick("vm")
--- a/internal/coordination/prepaid/report.go
+++ b/internal/coordination/prepaid/report.go
@@ -45,7 +45,7 @@
 	for range maxEpochAttempts {
 		_, err := p.cfg.Log.AppendAs(ctx, p.stream, nil, p.producer)
 		if err == nil {
-			p.epochAcquired = true
+			p.epochAcquired, p.everFenced = true, true
 			return nil
 		}
 		if !errors.Is(err, keyedlog.ErrFenced) {
@@ -67,7 +67,7 @@
 	if len(records) == 0 {
 		return p.confirmIdle() && !returnUnused, nil
 	}
-	if raisesShare(records) || !p.coversWaiters(records) {
+	if raisesShare(records) || !p.coversWaiters(records) || !p.epochAcquired {
 		return false, nil
 	}
 	return true, p.report(ctx, records)
@@ -86,6 +86,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.confirmLimits()
+	if p.bulk() {
+		p.repayLoans()
+	}
 	for _, a := range p.accounts {
 		if len(a.waiters) > 0 {
 			return false
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -105,6 +105,7 @@
 	now := p.cfg.Now()
 	a := p.account(entry)
 	a.addToMean(amount)
+	a.lastReservation = now
 	if len(a.waiters) == 0 && p.available(a) >= amount && !a.overcommitted(prepaid) {
 		a.reserved += amount
 		p.lastReservation = now
@@ -121,6 +122,9 @@
 	w := &waiter{amount: amount, since: now, done: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
 	p.lastReservation = now
+	if _, holds := p.holders(entry, p.cfg.Routers()); !holds && p.startBorrow(a, w) {
+		return w, nil // a share is raised if nothing is lent
+	}
 	if p.logUnresponsive(now) {
 		p.startBorrow(a, w)
 	}
@@ -137,8 +141,9 @@
 	case !p.loaded:
 		return false
 	case now.Sub(p.lastResponse) < exhaustionTTL:
-		return a.remaining(prepaid, now, freshness) < amount || p.nowhereSpendable(a, amount, prepaid, now)
-	case !p.logUnresponsive(now) || p.cfg.ConfigStale != nil && p.cfg.ConfigStale():
+		// With unrecorded loans, some of what counts as spent may be repaid.
+		return !a.loansUnrecorded && a.remaining(prepaid, now, freshness) < amount || p.nowhereSpendable(a, amount, prepaid, now)
+	case a.loansUnrecorded || !p.logUnresponsive(now) || p.cfg.ConfigStale != nil && p.cfg.ConfigStale():
 		return false
 	}
 	others := a.totals(now, freshness)
@@ -153,11 +158,16 @@
 // nowhereSpendable reports whether no router can cover an amount, and none could for unspendableTime. The caller holds p.mu.
 func (p *partition) nowhereSpendable(a *account, amount, prepaid int64, now time.Time) bool {
 	tokens, known := a.spendable(prepaid, now, p.cfg.Policy.RecordFreshness)
-	if !known || tokens >= amount {
+	if !known || tokens >= amount || a.loansUnrecorded && a.coveredAt.IsZero() {
 		a.coveredAt = now
 		return false
 	}
-	return now.Sub(a.coveredAt) >= unspendableTime
+	limit := unspendableTime
+	if a.loansUnrecorded {
+		// Routers that hold no share do not record what they have borrowed.
+		limit += keepLoanTime
+	}
+	return now.Sub(a.coveredAt) >= limit
 }
 
 // requestRefill requests a sync when the unused part of the base limit is small. The caller holds
@@ -247,7 +257,7 @@
 			kept = append(kept, w)
 		case p.exhausted(a, w.amount, prepaid, now):
 			w.done <- budget.ErrExhausted
-		case p.startBorrow(a, w) || w.borrowing:
+		case p.startBorrow(a, w) || w.borrowing || w.borrowAgain:
 			kept = append(kept, w)
 		default:
 			a.deniedAt, a.deniedAmount = now, w.amount
--- a/internal/coordination/prepaid/sync.go
+++ b/internal/coordination/prepaid/sync.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -77,43 +79,92 @@
 		return err
 	}
 	for conflict := range maxConflictRetries {
+		err := p.readAndAppend(ctx, returnUnused)
+		if !errors.Is(err, keyedlog.ErrConflict) {
+			return err
+		}
+		obs.ShareConflictsTotal.Add(1)
+		if p.deferRaise() {
+			return nil
+		}
+		follow.Sleep(ctx, time.Duration(rand.Int64N(int64(p.conflictBackoff()<<conflict))))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	// Other VMs appended first each time; the next sync tries again.
+	p.wake()
+	return nil
+}
+
+// readAndAppend reads the stream, appends the records that are due and answers the waiters. It fails with
+// keyedlog.ErrConflict if another VM appended in between.
+func (p *partition) readAndAppend(ctx context.Context, returnUnused bool) error {
+	appendCtx, release := ctx, func() {}
+	defer func() { release() }()
+	reserver, reserves := p.cfg.Log.(writeReserver)
+	reserves = reserves && p.bulk() && !returnUnused
+	reserve := func() (err error) {
+		if appendCtx, release, err = reserver.ReserveWrite(ctx); err != nil {
+			appendCtx, release = ctx, func() {}
+			return err
+		}
+		reserves = false
+		return nil
+	}
+	if reserves && p.epochAcquired && p.priority(callrate.ShareRaise) == callrate.Caller {
+		if err := reserve(); err != nil {
+			return err
+		}
+	}
+	for {
 		readBegan := p.cfg.Now()
 		if err := p.read(ctx); err != nil {
 			return err
 		}
 		records, at := p.plan(returnUnused)
+		raises := raisesShare(records)
+		if len(records) > 0 && !p.epochAcquired || raises && reserves {
+			// Nothing may be appended before earlier processes are fenced, and a raise that waits for the rate of calls would
+			// come after those of others. The stream is read again after that.
+			p.restoreLimits()
+			if err := p.acquireEpoch(ctx); err != nil {
+				return err
+			}
+			if raises && reserves {
+				if err := reserve(); err != nil {
+					return err
+				}
+			}
+			continue
+		}
 		var err error
 		switch {
 		case len(records) == 0:
-		case raisesShare(records):
-			err = p.appendIfUnchanged(ctx, records, at)
+		case raises:
+			err = p.appendIfUnchanged(appendCtx, records, at)
 		default:
-			err = p.report(ctx, records)
+			err = p.report(appendCtx, records)
 		}
 		if err == nil {
 			p.answerAllWaiters(readBegan)
-			return nil
-		}
-		if !errors.Is(err, keyedlog.ErrConflict) {
-			return err
-		}
-		obs.ShareConflictsTotal.Add(1)
-		follow.Sleep(ctx, time.Duration(rand.Int64N(int64(conflictBackoff<<conflict))))
-		if ctx.Err() != nil {
-			return ctx.Err()
 		}
+		return err
 	}
-	// Other VMs appended first each time; the next sync tries again.
-	p.wake()
-	return nil
 }
 
-// priority is the priority of a call: callrate.Caller while a caller waits for a larger share, else the given one.
+// writeReserver is implemented by logs whose rate of calls is limited, see package callrate.
+type writeReserver interface {
+	ReserveWrite(ctx context.Context) (permitted context.Context, release func(), err error)
+}
+
+// priority is the priority of a call: callrate.Caller while a caller, here or at a VM that wants to borrow, waits for a
+// larger share, else the given one.
 func (p *partition) priority(otherwise callrate.Priority) callrate.Priority {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range p.accounts {
-		if len(a.waiters) > 0 {
+		if len(a.waiters) > 0 || a.lendShort > 0 {
 			return callrate.Caller
 		}
 	}
@@ -138,9 +189,13 @@
 
 // read applies the records that were appended since the last read.
 func (p *partition) read(ctx context.Context) error {
-	if err := p.acquireEpoch(ctx); err != nil {
-		return err
+	if p.cfg.Holders == nil || p.everFenced {
+		// Else a process acquires its first epoch once it is needed, see below and sync.
+		if err := p.acquireEpoch(ctx); err != nil {
+			return err
+		}
 	}
+	callCtx := ctx
 	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	p.mu.Lock()
@@ -151,29 +206,51 @@
 	if loaded && keyedlog.Era(next) == p.cfg.Log.CurrentEra() {
 		page, err = p.cfg.Log.Read(ctx, p.stream, next, 0)
 	}
+	var listing *keyedlog.Page
 	if errors.Is(err, keyedlog.ErrTrimmed) {
-		page, err = p.readNewest(ctx)
+		listing, page, err = p.readNewest(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if !p.epochAcquired && (p.hasOwnRecords(page) || listing != nil && p.hasOwnRecords(*listing)) {
+		// The earlier process that wrote them may have reports under way, so it is fenced and the stream read again.
+		if err := p.acquireEpoch(callCtx); err != nil {
+			return err
+		}
+		return p.read(callCtx)
+	}
+	if listing != nil {
+		p.apply(*listing)
+	}
 	p.apply(page)
 	return nil
 }
 
-// readNewest applies the newest record of each key and returns the page that follows. Records that
-// were appended while the log listed the keys may be missing from the listing.
-func (p *partition) readNewest(ctx context.Context) (keyedlog.Page, error) {
+// hasOwnRecords reports whether a page has records of this VM.
+func (p *partition) hasOwnRecords(page keyedlog.Page) bool {
+	return slices.ContainsFunc(page.Records, func(r keyedlog.Record) bool {
+		_, vm, _ := strings.Cut(r.Key, keySeparator)
+		return vm == p.cfg.VM
+	})
+}
+
+// restoreLimits ends the effect of a plan of which nothing was appended.
+func (p *partition) restoreLimits() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.confirmLimits()
+}
+
+// readNewest returns the newest record of each key and the page that follows. Records that were appended while the log
+// listed the keys may be missing from the listing.
+func (p *partition) readNewest(ctx context.Context) (listing *keyedlog.Page, more keyedlog.Page, err error) {
 	page, err := p.cfg.Log.Newest(ctx, p.stream)
 	if err != nil {
-		return page, err
+		return nil, page, err
 	}
-	more, err := p.cfg.Log.Read(ctx, p.stream, page.Next, 0)
-	if err != nil {
-		return page, err
-	}
-	p.apply(page)
-	return more, nil
+	more, err = p.cfg.Log.Read(ctx, p.stream, page.Next, 0)
+	return &page, more, err
 }
 
 // plannedRecord is a record to append.
@@ -196,8 +273,11 @@
 		if !ok && a.logged == (shareRecord{}) {
 			continue
 		}
+		holders, holds := p.holders(entry, routers)
+		a.loansUnrecorded = holders < routers
 		next, changed := a.plan(planInput{
 			prepaid: prepaid, now: now, policy: p.cfg.Policy, routers: routers, process: string(p.cfg.Process),
+			holders: holders, holds: holds, bulk: p.bulk(), mayRaiseUnasked: p.mayRaiseUnasked(a, holders, now),
 			era: p.era(), mayRaise: p.mayRaise(a, now), unknown: a.unknownShares(p.era()),
 		})
 		if returnUnused {
@@ -222,7 +302,10 @@
 		return
 	}
 	for _, entry := range p.cfg.Entries() {
-		if p.manager.partitionOf(entry) == p {
+		if p.manager.partitionOf(entry) != p {
+			continue
+		}
+		if _, holds := p.holders(entry, p.cfg.Routers()); holds {
 			p.account(entry)
 		}
 	}
@@ -281,7 +364,7 @@
 				"spent": r.record.Spent, "in_flight": r.record.InFlight, "offset": end - 1, "waiting": len(a.waiters),
 			})
 		}
-		a.logged, a.loggedEnd, a.loggedAt = r.record, end, now
+		a.logged, a.loggedEnd, a.loggedAt, a.lendShort = r.record, end, now, 0
 	}
 	if keyedlog.Era(end) > p.era() {
 		p.loaded = false // the log was restored; its records must be read before a share is raised
@@ -330,7 +413,8 @@
 		return
 	}
 	for entry, a := range p.accounts {
-		for repayment, ok := a.repay(); ok; repayment, ok = a.repay() {
+		keep := p.keptLoans(a)
+		for repayment, ok := a.repayAllBut(keep); ok; repayment, ok = a.repayAllBut(keep) {
 			p.cfg.Peers.Repay(entry, repayment)
 		}
 	}
@@ -359,6 +443,9 @@
 func (m *Manager) Close(ctx context.Context) error {
 	var errs error
 	for _, p := range m.partitions {
+		if p.cfg.Holders != nil && p.holdsNothing() {
+			continue
+		}
 		err := p.sync(ctx, true)
 		for err != nil && ctx.Err() == nil {
 			follow.Sleep(ctx, retryDelay)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -121,6 +121,7 @@
 	snapshot  atomic.Pointer[catalogue.Snapshot]
 
 	budget  *prepaid.Manager
+	holders budgetHolders
 	crashes *quarantine.Registry
 	origins *streamorigin.Registry
 	// versionsAnnounced is true if the snapshot lacks upstreams that may be used since their version was announced.
@@ -240,7 +241,7 @@
 	}, byService: make(map[string]*routing.WindowRetryBudget)}
 	g.budget = prepaid.New(prepaid.Config{
 		Log: g.logCalls.Wrap(deps.Log, callrate.ShareRaise, callrate.ShareRaise), LogRateLimited: g.logCalls.Delaying, Streams: g.budgetStreams(), VM: cfg.VM, Process: g.holder, Prepaid: g.prepaidTokens,
-		ConfigStale: g.configStale, Entries: g.preallocatedEntries, Routers: g.heartbeats.Routers, Policy: policy, Interval: spendReportInterval,
+		ConfigStale: g.configStale, Entries: g.preallocatedEntries, Routers: g.heartbeats.Routers, Holders: g.holders.of(g), Policy: policy, Interval: spendReportInterval,
 		Heartbeats: g.heartbeats, Peers: g.peers, Now: time.Now, Logger: logger,
 	})
 	weights := routing.DefaultWeights()
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"golang.org/x/sys/unix"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/callrate"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/prepaid"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
 // readClocks reads the clocks of the VM.
@@ -63,6 +67,8 @@
 	// maxLenders limits the routers that are asked to lend in one search, lendersAtOnce those at the same time.
 	maxLenders    = 24
 	lendersAtOnce = 4
+	// singleLenders is the number of lenders that are asked one after the other at first for a loan for several requests.
+	singleLenders = 2
 	// borrowTimeout limits one call to a lender.
 	borrowTimeout = 100 * time.Millisecond
 	// repayTimeout limits one call that repays.
@@ -132,14 +138,77 @@
 	maxRecallQueries = 16
 )
 
-// Borrow implements prepaid.Peers. It asks a few lenders at a time, each for its part of what is still missing.
+// budgetHolders caches the VMs that hold shares of the budgets, see prepaid.HoldersOf.
+type budgetHolders struct {
+	mu       sync.Mutex
+	at       time.Time
+	snapshot *catalogue.Snapshot
+	vms      []string
+	total    int64
+	byEntry  map[string][]string
+}
+
+// holdersInterval is the time after which the holders follow the live routers.
+const holdersInterval = 500 * time.Millisecond
+
+// of returns the function for prepaid.Config.Holders, or nil if the calls to the log are not limited.
+func (h *budgetHolders) of(g *Gateway) func(entry string) (vms []string, known bool) {
+	if !g.logCalls.Limited(callrate.Write) {
+		return nil
+	}
+	return func(entry string) ([]string, bool) {
+		routers, known := g.heartbeats.FleetSize()
+		if !known && (!g.heartbeats.Replica().Loaded() || routers <= prepaid.BulkRouters) {
+			return nil, false
+		}
+		if routers <= prepaid.BulkRouters {
+			return nil, true
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if snapshot, now := g.Current(), time.Now(); snapshot != h.snapshot || now.Sub(h.at) > holdersInterval {
+			h.refresh(g, snapshot, now)
+		}
+		vms, ok := h.byEntry[entry]
+		if !ok {
+			if tokens, limited := g.prepaidTokens(entry); limited {
+				vms = prepaid.HoldersOf(entry, h.vms, tokens, h.total)
+			}
+			h.byEntry[entry] = vms
+		}
+		return vms, true
+	}
+}
+
+// refresh reads the live routers and the sum of all budgets. The caller holds h.mu.
+func (h *budgetHolders) refresh(g *Gateway, snapshot *catalogue.Snapshot, now time.Time) {
+	h.vms = append(slices.Collect(maps.Keys(g.heartbeats.Addresses())), g.cfg.VM)
+	if snapshot != h.snapshot {
+		h.total = 0
+		for e := range snapshot.Entries {
+			if len(e.Prepaid) > 0 {
+				h.total += e.PrepaidTokens()
+			}
+		}
+	}
+	h.at, h.snapshot, h.byEntry = now, snapshot, make(map[string][]string)
+}
+
+// Borrow implements prepaid.Peers. It asks a few lenders at a time, each for its part of what is still missing. In a large
+// fleet whose log limits the rate of calls it asks
+// single lenders first, since loans for several requests are asked for.
 func (p *gatewayPeers) Borrow(ctx context.Context, preferred []string, entry string, amount int64) (loans []prepaid.Loan, drained []string) {
 	if p.pool == nil {
 		return nil, nil
 	}
 	lenders := p.lenders(preferred)
-	for len(lenders) > 0 && amount > 0 && ctx.Err() == nil {
-		asked := lenders[:min(lendersAtOnce, len(lenders))]
+	bulk := p.gateway.logCalls.Limited(callrate.Write) && p.gateway.heartbeats.Routers() > prepaid.BulkRouters
+	for round := 0; len(lenders) > 0 && amount > 0 && ctx.Err() == nil; round++ {
+		atOnce := lendersAtOnce
+		if bulk && round < singleLenders {
+			atOnce = 1
+		}
+		asked := lenders[:min(atOnce, len(lenders))]
 		part := (amount + int64(len(asked)) - 1) / int64(len(asked))
 		for i, loan := range p.askLenders(ctx, asked, entry, part) {
 			amount -= loan.Amount
