Borrow and keep less, so that a killed fleet loses no more of its budgets

What routers without shares have borrowed and not used is lost when they are killed.

Routers now borrow ahead an eighth of what is left instead of a quarter, keep loans for 4 s instead of 10, and holders have a base limit of 4 requests instead of 8. TestCallsOfLargeFleet measures what is lost.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -371,12 +371,12 @@
 	now     time.Time
 	policy  Policy
 	routers int
-	// holders is the number of VMs that hold shares, and holds true if this VM does. bulk is true if calls to the log are
-	// saved, and mayRaiseUnasked false while no share is raised for which nothing waits.
-	holders                      int
-	holds, bulk, mayRaiseUnasked bool
-	process                      string
-	era                          uint64
+	// holders is the number of VMs that hold shares, and holds true if this VM does. mayRaiseUnasked is false while no share
+	// is raised for which nothing waits.
+	holders                int
+	holds, mayRaiseUnasked bool
+	process                string
+	era                    uint64
 	// mayRaise is false while shares that the log does not show may exist, see partition.mayRaise, and unknown is what
 	// they may be granted.
 	mayRaise bool
@@ -406,12 +406,8 @@
 	granted = max(granted, used)
 	// The part of a larger share that all processes may lose at once stays the same.
 	baseHeadroom := a.baseHeadroom(in.now, in.policy, int64(float64(target)/fleetScale(in.routers)))
-	switch {
-	case !in.bulk || !in.holds:
-	case in.holders < in.routers:
+	if in.holds && in.holders < in.routers {
 		baseHeadroom = max(baseHeadroom, int64(lenderBaseRequests*a.meanRequest), 2*a.lendShort)
-	default:
-		baseHeadroom = max(baseHeadroom, int64(bulkBaseRequests*a.meanRequest))
 	}
 	baseLimit := min(granted, used+waiting+baseHeadroom)
 	if logged := a.logged.BaseLimit; logged <= granted && waiting == 0 &&
--- a/internal/coordination/prepaid/holders.go
+++ b/internal/coordination/prepaid/holders.go
@@ -23,17 +23,20 @@
 	// minHolders is the least number of VMs that hold shares of a budget. They must not all be gone at the same time.
 	minHolders = 4
 	// lenderBaseRequests is the number of requests of mean size that the base limit of a holder covers at least, so that it
-	// can lend to several VMs before its next report, and bulkBaseRequests that number if all VMs hold shares. The base
-	// limit is lost if all processes are.
-	lenderBaseRequests = 8
-	bulkBaseRequests   = 4
+	// can lend to several VMs before its next report. The base limit is lost if all processes are: with 8, 0.04 more of the
+	// tokens are lost when a fleet is killed.
+	lenderBaseRequests = 4
 	// bulkTime is the time for which a VM borrows at its present demand, and bulkRequests the least number of requests.
 	bulkTime     = 6 * time.Second
 	bulkRequests = 3
-	// bulkDivisor bounds what all VMs together borrow ahead, as the inverse of a fraction of what can be spent.
-	bulkDivisor = 4
+	// bulkDivisor bounds what all VMs together borrow ahead, as the inverse of a fraction of what can be spent. It is lost if
+	// all processes are: with 4, 0.02 more of the tokens are lost when a fleet is killed.
+	bulkDivisor = 8
 	// keepLoanTime is how long after the last request of a budget its unused loans are kept.
-	keepLoanTime = 10 * time.Second
+	keepLoanTime = 4 * time.Second
+	// unrecordedLoanTime is the time after which routers have read how little is left, and have repaid what they borrowed
+	// ahead. It exceeds keepLoanTime and the greatest age of the records at a router with requests.
+	unrecordedLoanTime = 10 * time.Second
 	// unaskedRaiseInterval is the mean time, per holder, over which raises of shares for which nothing waits are spread at
 	// the start and after a conflict, so that they conflict less.
 	unaskedRaiseInterval = 8 * time.Millisecond
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -165,7 +165,7 @@
 	limit := unspendableTime
 	if a.loansUnrecorded {
 		// Routers that hold no share do not record what they have borrowed.
-		limit += keepLoanTime
+		limit += unrecordedLoanTime
 	}
 	return now.Sub(a.coveredAt) >= limit
 }
--- a/internal/coordination/prepaid/sync.go
+++ b/internal/coordination/prepaid/sync.go
@@ -277,7 +277,7 @@
 		a.loansUnrecorded = holders < routers
 		next, changed := a.plan(planInput{
 			prepaid: prepaid, now: now, policy: p.cfg.Policy, routers: routers, process: string(p.cfg.Process),
-			holders: holders, holds: holds, bulk: p.bulk(), mayRaiseUnasked: p.mayRaiseUnasked(a, holders, now),
+			holders: holders, holds: holds, mayRaiseUnasked: p.mayRaiseUnasked(a, holders, now),
 			era: p.era(), mayRaise: p.mayRaise(a, now), unknown: a.unknownShares(p.era()),
 		})
 		if returnUnused {
