--- a/internal/coordination/prepaid/fleet_rate_test.go
+++ b/internal/coordination/prepaid/fleet_rate_test.go
@@ -104,6 +104,12 @@
 	served   int
 	refused  map[string]int
 	starts   int
+	// stopping holds the VMs whose process gets no new requests, and unclosed counts those that did not return their shares.
+	stopping map[string]bool
+	unclosed int
+	// beforeRolling is the number of requests refused before the first router is replaced.
+	beforeRolling int
+	running       sync.WaitGroup
 	// steady counts from 4 s after the first start until all processes end.
 	steady fleetCounts
 	// records is the number of records in the log at the end.
@@ -183,8 +189,28 @@
 	return fleetCounts{f.loans, f.requests}
 }
 
-// start starts a new process on each VM at once.
-func (f *ratedFleet) start(ctx context.Context, loops *sync.WaitGroup) {
+// newRatedFleet returns a fleet of 78 routers with 24 budgets of uneven size, which suffice for half as much again as is asked
+// for in 16 s.
+func newRatedFleet(saving bool) *ratedFleet {
+	f := &ratedFleet{
+		log:    &ratedLog{Memory: keyedlog.NewMemory(), writesPerSecond: 1500, readsPerSecond: 6000},
+		saving: saving, prepaid: make(map[string]int64), managers: make(map[string]*Manager), used: make(map[string]int64),
+		refused: make(map[string]int), stopping: make(map[string]bool),
+	}
+	for i := range 78 {
+		f.vms = append(f.vms, fmt.Sprintf("vm-%02d", i))
+	}
+	for i := range 24 {
+		entry := fmt.Sprintf("team-%02d", i)
+		f.entries = append(f.entries, entry)
+		f.prepaid[entry] = int64(1.5 * 16 * 1_300_000 / 3.776 / float64(i+1))
+		f.total += f.prepaid[entry]
+	}
+	return f
+}
+
+// start starts a new process on each of the VMs at once.
+func (f *ratedFleet) start(ctx context.Context, loops *sync.WaitGroup, vms ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts++
@@ -195,7 +221,7 @@
 	for i := range 24 {
 		streams = append(streams, keyedlog.Stream{Name: "budgets", Partition: i})
 	}
-	for _, vm := range f.vms {
+	for _, vm := range vms {
 		cfg := Config{
 			Log: f.log, Streams: streams, VM: vm, Process: record.HolderID(fmt.Sprintf("%s/%06d", vm, f.starts)),
 			Prepaid: func(entry string) (int64, bool) { return f.prepaid[entry], true },
@@ -225,7 +251,11 @@
 // request reserves for one request at a random VM, and settles it some time later.
 func (f *ratedFleet) request(entry string, amount int64) {
 	f.mu.Lock()
-	m := f.managers[f.vms[rand.IntN(len(f.vms))]]
+	vm := f.vms[rand.IntN(len(f.vms))]
+	for f.stopping[vm] {
+		vm = f.vms[rand.IntN(len(f.vms))]
+	}
+	m := f.managers[vm]
 	f.requests++
 	f.mu.Unlock()
 	res, err := m.Reserve(context.Background(), budget.ReserveRequest{Entry: record.EntryKey{Name: entry}, Amount: amount})
@@ -242,11 +272,8 @@
 	m.Settle(res, budget.Settlement{Charged: amount})
 }
 
-// run starts the fleet, sends the requests of deployment whitcombe for some time, ends all processes at once, starts them
-// again and goes on.
-func (f *ratedFleet) run() {
-	const before, after = 8 * time.Second, 8 * time.Second
-	var loops, requests sync.WaitGroup
+// send sends the requests of deployment whitcombe for some time.
+func (f *ratedFleet) send(d time.Duration) {
 	weights, sum := make([]float64, len(f.entries)), 0.0
 	for i := range weights {
 		weights[i] = 1 / float64(i+1)
@@ -256,38 +283,43 @@
 		perSecond float64
 		amount    int64
 	}{{112, 6652}, {203, 660}, {233, 1803}}
-	send := func(d time.Duration) {
-		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			for _, k := range kinds {
-				n := int(k.perSecond / 100)
-				if rand.Float64() < k.perSecond/100-float64(n) {
-					n++
-				}
-				for range n {
-					at, i := rand.Float64()*sum, 0
-					for ; i < len(weights)-1 && at > weights[i]; i++ {
-						at -= weights[i]
-					}
-					requests.Go(func() { f.request(f.entries[i], k.amount) })
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, k := range kinds {
+			n := int(k.perSecond / 100)
+			if rand.Float64() < k.perSecond/100-float64(n) {
+				n++
+			}
+			for range n {
+				at, i := rand.Float64()*sum, 0
+				for ; i < len(weights)-1 && at > weights[i]; i++ {
+					at -= weights[i]
 				}
+				f.running.Go(func() { f.request(f.entries[i], k.amount) })
 			}
 		}
 	}
+}
+
+// run starts the fleet, sends requests for some time, ends all processes at once, starts them
+// again and goes on.
+func (f *ratedFleet) run() {
+	const before, after = 8 * time.Second, 8 * time.Second
+	var loops sync.WaitGroup
 	ctx, stop := context.WithCancel(context.Background())
-	f.start(ctx, &loops)
-	send(before / 2)
+	f.start(ctx, &loops, f.vms...)
+	f.send(before / 2)
 	steady := f.counts()
-	send(before / 2)
+	f.send(before / 2)
 	f.steady = f.counts()
 	f.steady.loans -= steady.loans
 	f.steady.requests -= steady.requests
-	requests.Wait()
+	f.running.Wait()
 	stop()
 	loops.Wait()
 	ctx, stop = context.WithCancel(context.Background())
-	f.start(ctx, &loops)
-	send(after)
-	requests.Wait()
+	f.start(ctx, &loops, f.vms...)
+	f.send(after)
+	f.running.Wait()
 	stop()
 	loops.Wait()
 	f.close()
@@ -312,6 +344,59 @@
 	}
 }
 
+// runRolling starts the fleet, sends requests, and replaces one router after the other meanwhile.
+func (f *ratedFleet) runRolling() {
+	var mu sync.Mutex
+	stops := make(map[string]func())
+	start := func(vm string) {
+		ctx, stop := context.WithCancel(context.Background())
+		var loops sync.WaitGroup
+		f.start(ctx, &loops, vm)
+		mu.Lock()
+		defer mu.Unlock()
+		stops[vm] = func() { stop(); loops.Wait() }
+	}
+	setStopping := func(vm string, stopping bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.stopping[vm] = stopping
+	}
+	for _, vm := range f.vms {
+		start(vm)
+	}
+	var background sync.WaitGroup
+	background.Go(func() { f.send(16 * time.Second) })
+	time.Sleep(6 * time.Second)
+	f.beforeRolling = f.requests - f.served
+	for _, vm := range f.vms {
+		background.Go(func() {
+			setStopping(vm, true)
+			time.Sleep(400 * time.Millisecond) // until the last request has ended
+			mu.Lock()
+			stop := stops[vm]
+			mu.Unlock()
+			stop()
+			ctx := callrate.WithPriority(context.Background(), callrate.Always(callrate.Ending))
+			ctx, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
+			defer cancel()
+			if f.managers[vm].Close(ctx) != nil {
+				f.mu.Lock()
+				f.unclosed++
+				f.mu.Unlock()
+			}
+			start(vm)
+			setStopping(vm, false)
+		})
+		time.Sleep(80 * time.Millisecond)
+	}
+	background.Wait()
+	f.running.Wait()
+	for _, stop := range stops {
+		stop()
+	}
+	f.close()
+}
+
 // lost is the fraction of all prepaid tokens that count as spent in the log and were not used.
 func (f *ratedFleet) lost() float64 {
 	sum := int64(0)
@@ -340,20 +425,7 @@
 	var plain *ratedFleet
 	for _, saving := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			f := &ratedFleet{
-				log:    &ratedLog{Memory: keyedlog.NewMemory(), writesPerSecond: 1500, readsPerSecond: 6000},
-				saving: saving, prepaid: make(map[string]int64), managers: make(map[string]*Manager), used: make(map[string]int64),
-				refused: make(map[string]int),
-			}
-			for i := range 78 {
-				f.vms = append(f.vms, fmt.Sprintf("vm-%02d", i))
-			}
-			for i := range 24 {
-				entry := fmt.Sprintf("team-%02d", i)
-				f.entries = append(f.entries, entry)
-				f.prepaid[entry] = int64(1.5 * 16 * 1_300_000 / 3.776 / float64(i+1))
-				f.total += f.prepaid[entry]
-			}
+			f := newRatedFleet(saving)
 			f.run()
 			for i := range 24 {
 				page, _ := f.log.Newest(t.Context(), keyedlog.Stream{Name: "budgets", Partition: i})
@@ -394,3 +466,35 @@
 		})
 	}
 }
+
+// Guards against a rolling restart during which calls are refused, routers end without returning their shares, or requests
+// are refused although their budgets are not used up. Pattern: 78 routers, one replaced each 80 ms, without and with the
+// saving of calls.
+func TestRollingRestartOfLargeFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes some seconds")
+	}
+	plain := 0
+	for _, saving := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newRatedFleet(saving)
+			f.runRolling()
+			c, refused := f.log.counts, f.requests-f.served-f.beforeRolling
+			t.Logf("saving %v: %d of %d requests refused, %d before the restart (%v); %d loans; %d writes (%d conflicts), %d reads, "+
+				"%d calls refused; %d routers ended with shares; %.3f of the tokens lost", saving, f.requests-f.served, f.requests,
+				f.beforeRolling, f.refused, f.loans, c.writes, c.conflicts, c.reads, c.refused, f.unclosed, f.lost())
+			for entry, used := range f.used {
+				if used > f.prepaid[entry] {
+					t.Errorf("%s: requests used %d of %d tokens", entry, used, f.prepaid[entry])
+				}
+			}
+			if !saving {
+				plain = refused
+				return
+			}
+			if c.refused > (c.writes+c.reads)/100 || f.unclosed > 0 || refused > max(plain, f.requests/100) {
+				t.Error("calls are refused, shares are not returned, or requests are refused")
+			}
+		})
+	}
+}
