--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -140,12 +140,14 @@
 
 // budgetHolders caches the VMs that hold shares of the budgets, see prepaid.HoldersOf.
 type budgetHolders struct {
-	mu       sync.Mutex
-	at       time.Time
-	snapshot *catalogue.Snapshot
-	vms      []string
-	total    int64
-	byEntry  map[string][]string
+	mu sync.Mutex
+	at time.Time
+	// version is that of the configuration from which total, the sum of all budgets, was computed.
+	version uint64
+	total   int64
+	// vms are the live routers, sorted.
+	vms     []string
+	byEntry map[string][]string
 }
 
 // holdersInterval is the time after which the holders follow the live routers.
@@ -166,7 +168,7 @@
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		if snapshot, now := g.Current(), time.Now(); snapshot != h.snapshot || now.Sub(h.at) > holdersInterval {
+		if snapshot, now := g.Current(), time.Now(); h.byEntry == nil || snapshot.Version != h.version || now.Sub(h.at) > holdersInterval {
 			h.refresh(g, snapshot, now)
 		}
 		vms, ok := h.byEntry[entry]
@@ -180,18 +182,21 @@
 	}
 }
 
-// refresh reads the live routers and the sum of all budgets. The caller holds h.mu.
+// refresh reads the live routers and the budgets. The holders of thousands of entries are computed again only if one of
+// these has changed. The caller holds h.mu.
 func (h *budgetHolders) refresh(g *Gateway, snapshot *catalogue.Snapshot, now time.Time) {
-	h.vms = append(slices.Collect(maps.Keys(g.heartbeats.Addresses())), g.cfg.VM)
-	if snapshot != h.snapshot {
-		h.total = 0
-		for e := range snapshot.Entries {
-			if len(e.Prepaid) > 0 {
-				h.total += e.PrepaidTokens()
-			}
+	vms := append(slices.Collect(maps.Keys(g.heartbeats.Addresses())), g.cfg.VM)
+	slices.Sort(vms)
+	h.at = now
+	if h.byEntry != nil && snapshot.Version == h.version && slices.Equal(vms, h.vms) {
+		return
+	}
+	h.version, h.vms, h.byEntry, h.total = snapshot.Version, vms, make(map[string][]string), 0
+	for e := range snapshot.Entries {
+		if len(e.Prepaid) > 0 {
+			h.total += e.PrepaidTokens()
 		}
 	}
-	h.at, h.snapshot, h.byEntry = now, snapshot, make(map[string][]string)
 }
 
 // Borrow implements prepaid.Peers. It asks a few lenders at a time, each for its part of what is still missing. In a large
