--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,9 +33,16 @@
 	Entries func() []string
 	// Routers returns the number of live routers.
 	Routers func() int
+	// Holders returns the VMs that hold shares of an entry's budget, see HoldersOf; the others borrow from them. No VMs
+	// mean that all hold one. known is false while the routers are not known. The function may be nil: then all hold one,
+	// and calls to the log are not saved.
+	Holders func(entry string) (vms []string, known bool)
 	Policy  Policy
 	// Heartbeats measures the heartbeat gaps of this VM's processes.
 	Heartbeats Heartbeats
+	// LogRateLimited reports whether calls to the log wait for its rate limit or were refused because of it. It may be
+	// nil.
+	LogRateLimited func() bool
 	// Peers borrows from other VMs. It may be nil.
 	Peers Peers
 	// Interval is the mean time between two checks for spending to report.
@@ -86,6 +94,8 @@
 
 	// syncMu is held during a sync. It is locked before mu.
 	syncMu sync.Mutex
+	// closing is true during a sync of Close.
+	closing atomic.Bool
 
 	mu         sync.Mutex
 	accounts   map[string]*account
@@ -101,6 +111,8 @@
 	failing bool
 	// lastReservation is when a request last reserved from a budget of the stream, or waited for it.
 	lastReservation time.Time
+	// rateLimitedAt is when a sync last failed because of the rate limit of the log.
+	rateLimitedAt time.Time
 	// unresolved is set while an append with unknown outcome may still take effect.
 	unresolved *unresolvedAppend
 	// producer orders the reports of this VM's processes. epochAcquired is true once its epoch
@@ -108,6 +120,8 @@
 	// two processes start with the same one. It is raised if the log refuses it or fences a report.
 	producer      keyedlog.Producer
 	epochAcquired bool
+	// everFenced is true once this process has acquired an epoch. Until then it has appended nothing.
+	everFenced bool
 	// pendingReport is a report without a response. It is sent again before anything else is appended.
 	pendingReport []plannedRecord
 	// mayBeAppended is true once the pending report may have taken effect.
@@ -126,7 +140,9 @@
 	since  time.Time
 	// borrowTried is true once a search for lenders was requested, and borrowing until it has ended.
 	borrowTried, borrowing bool
-	done                   chan error
+	// borrowAgain is true while a waiter to which nobody has lent enough waits for the next search.
+	borrowAgain bool
+	done        chan error
 }
 
 // New returns a manager. Requests wait until Run has read the log.
--- a/internal/coordination/prepaid/report.go
+++ b/internal/coordination/prepaid/report.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/callrate"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 )
 
@@ -44,7 +45,7 @@
 	for range maxEpochAttempts {
 		_, err := p.cfg.Log.AppendAs(ctx, p.stream, nil, p.producer)
 		if err == nil {
-			p.epochAcquired = true
+			p.epochAcquired, p.everFenced = true, true
 			return nil
 		}
 		if !errors.Is(err, keyedlog.ErrFenced) {
@@ -66,7 +67,7 @@
 	if len(records) == 0 {
 		return p.confirmIdle() && !returnUnused, nil
 	}
-	if raisesShare(records) || !p.coversWaiters(records) {
+	if raisesShare(records) || !p.coversWaiters(records) || !p.epochAcquired {
 		return false, nil
 	}
 	return true, p.report(ctx, records)
@@ -85,6 +86,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.confirmLimits()
+	if p.bulk() {
+		p.repayLoans()
+	}
 	for _, a := range p.accounts {
 		if len(a.waiters) > 0 {
 			return false
@@ -126,6 +130,9 @@
 	if records == nil {
 		return nil
 	}
+	if !p.closing.Load() {
+		ctx = callrate.WithPriority(ctx, func() callrate.Priority { return p.priority(callrate.Report) })
+	}
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
 	defer cancel()
 	batch, err := p.encode(records)
