Read the fourth figure of load reports

A load report with four figures was discarded, so that routers knew no load of upstreams that state how long work takes at present. It reaches routing.Report as WorkPercent, where 0 means not stated. The load reports of the product's own engines stay as they are.

--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -90,10 +90,10 @@
 	r.prefix.addPrompt(a.prefixHashes, s.cacheID)
 }
 
-// Load applies the load that the upstream reported in a response.
-func (a *Attempt) Load(running, waiting, concurrency int) {
+// Load applies the load that the upstream reported in a response. workPercent is 0 if the response does not state it.
+func (a *Attempt) Load(running, waiting, concurrency, workPercent int) {
 	a.router.Report(Report{
-		Upstream: a.upstream.Name, Running: running, Waiting: waiting, Concurrency: concurrency,
+		Upstream: a.upstream.Name, Running: running, Waiting: waiting, Concurrency: concurrency, WorkPercent: workPercent,
 	})
 }
 
--- a/internal/coordination/routing/brittle_test.go
+++ b/internal/coordination/routing/brittle_test.go
@@ -317,7 +317,7 @@
 
 // state reports what a response says about its upstream.
 func (f *brittleFleet) state(a *Attempt, u *brittleUpstream, rejected bool) {
-	a.Load(u.running, len(u.waiting), f.slots)
+	a.Load(u.running, len(u.waiting), f.slots, 0)
 	if limit, named := f.limitNow(); named {
 		a.RejectionLimit(&limit, !rejected)
 	} else {
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -46,6 +46,8 @@
 	Waiting     int
 	// Concurrency is the number of requests that run at once; 0 means as declared in the catalogue.
 	Concurrency int
+	// WorkPercent is how long work takes at the upstream at present, in percent of the usual time; 0 means not stated.
+	WorkPercent int
 	// Draining is true when the upstream takes no new requests.
 	Draining bool
 	// Models and Adapters are the loaded ones; nil means as declared in the catalogue.
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -32,7 +32,8 @@
 // LoadReporter is an Attempt that accepts reports about its upstream. Not every Attempt implements it.
 type LoadReporter interface {
 	// Load reports the load that the upstream states in its response.
-	Load(running, waiting, slots int)
+	// workPercent is how long work takes at present, in percent of the usual time; 0 means not stated.
+	Load(running, waiting, slots, workPercent int)
 	// Started reports the first event of a stream.
 	Started()
 }
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -55,7 +55,7 @@
 	x.api.Forwarding.Reach.Received(op.service.Name)
 	info := x.api.Forwarding.Headers.ParseResponse(response.Status, response.Header)
 	if reporter, ok := x.attempt.(LoadReporter); ok && info.Load != nil {
-		reporter.Load(info.Load.Running, info.Load.Waiting, info.Load.Slots)
+		reporter.Load(info.Load.Running, info.Load.Waiting, info.Load.Slots, info.Load.WorkPercent)
 	}
 	if reporter, ok := x.attempt.(NoticeReporter); ok && info.Genuine && !info.WrongInstance {
 		x.reportNotice(reporter, info.Notice)
--- a/internal/transport/httpapi/header_codec.go
+++ b/internal/transport/httpapi/header_codec.go
@@ -75,4 +75,8 @@
 }
 
 // UpstreamLoad is the load that an upstream reports: running and waiting requests, and its capacity in slots.
-type UpstreamLoad struct{ Running, Waiting, Slots int }
+type UpstreamLoad struct {
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes at present, in percent of the usual time; 0 means not stated.
+	WorkPercent int
+}
