Measure speeds and expected times of upstreams

The weights of the choice were constants that fit one kind of engine, and a slow upstream was chosen like a fast one. The load is estimated from the mean of the service and the rate sent, since a router of a large fleet has rarely more than one request at an engine. It takes effect with Config.MeasureTimes, which nothing sets yet.

Ruled out: multiplying the own count by the number of routers, which makes one request look like a full upstream in a fleet of 78; reports as the only source, which are older than a burst.

--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -49,6 +49,8 @@
 	// first event.
 	uncachedBlocks int
 	priority       int
+	times          attemptTimes
+	pool           *serviceTimes
 	pickedAt       time.Time
 	started        bool
 	done           bool
@@ -76,6 +78,7 @@
 
 func (r *Router) beginAttempt(a *Attempt, now time.Time) {
 	s := a.state
+	r.beginTimes(a, now)
 	s.addOutstanding(1, now)
 	a.pickedAt = now
 	if s.limit.active() {
@@ -95,6 +98,10 @@
 	a.router.Report(Report{
 		Upstream: a.upstream.Name, Running: running, Waiting: waiting, Concurrency: concurrency, WorkPercent: workPercent,
 	})
+	r := a.router
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.noteLoad(running, waiting, concurrency, workPercent, r.cfg.Now())
 }
 
 // Started records that the first event of the response has arrived, which shows that the prompt has been
@@ -128,6 +135,7 @@
 	}
 	a.markStarted()
 	s.addOutstanding(-1, now)
+	a.pool.outstanding--
 	s.recordResult(result, now)
 	delete(s.attempts, a)
 	if a.suspect {
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -125,6 +125,8 @@
 	MaxPrefixBlocks int
 	// SlowStart is the time until a new upstream counts with its full concurrency; 0 means the default.
 	SlowStart time.Duration
+	// MeasureTimes makes the choice use measured times and speeds: Weights are then the start values of what is measured.
+	MeasureTimes bool
 	// Notify is called with each change. It must not call the Router, whose lock is held.
 	Notify func(Change)
 }
@@ -172,7 +174,10 @@
 	brittle      map[string]*brittleness
 	namedBrittle int
 	// notices holds what upstreams have said about themselves. They outlive the upstream's removal too.
-	notices     map[string]*notice
+	notices map[string]*notice
+	// speeds holds the measured speeds by upstream, which outlive it too, and times the measured times by pool.
+	speeds      map[string]*upstreamSpeed
+	times       map[string]*serviceTimes
 	pools       map[string]*pool
 	prefix      *prefixIndex
 	byCacheID   map[cacheID]*upstreamState
@@ -191,7 +196,7 @@
 		cfg: cfg, byName: make(map[string]*upstreamState), limits: make(map[string]*requestLimit),
 		brittle: make(map[string]*brittleness), notices: make(map[string]*notice), pools: make(map[string]*pool),
 		prefix: newPrefixIndex(cfg.MaxPrefixBlocks), byCacheID: make(map[cacheID]*upstreamState),
-		cachedBlocks: make(map[cacheID]int),
+		cachedBlocks: make(map[cacheID]int), speeds: make(map[string]*upstreamSpeed), times: make(map[string]*serviceTimes),
 	}
 }
 
@@ -214,6 +219,7 @@
 	r.pruneLimits(now)
 	r.pruneNotices(now)
 	r.pruneBrittle(now)
+	r.pruneTimes(now)
 	for _, s := range r.byName {
 		s.inConfig = false
 	}
@@ -232,6 +238,8 @@
 			}
 		}
 		s.upstream, s.inConfig = u, true
+		s.speed, s.times = r.speedOf(u.Name, now), r.timesOf(s, now)
+		s.times.upstreams++
 		s.slowStart = r.cfg.SlowStart
 		if u.Draining && !s.listedDraining {
 			r.notify(Change{Kind: ChangeDraining, Upstream: u.Name})
@@ -298,6 +306,9 @@
 			continue
 		}
 		n := s.concurrency(now)
+		if r.cfg.MeasureTimes {
+			n *= s.speed.capacityPart(now)
+		}
 		if s.limit.active() {
 			n = min(n, s.limit.perSecond)
 		}
@@ -421,6 +432,9 @@
 // score is the load, plus the costs of failures and of another availability zone in multiples of the load of
 // a full upstream.
 func (r *Router) score(s *upstreamState, req *Request, now time.Time, routers int) float64 {
+	if r.cfg.MeasureTimes {
+		return r.expectedTime(s, req, now, routers)
+	}
 	w := &r.cfg.Weights
 	load := s.load(now, routers) / s.concurrency(now)
 	otherRegion := s.upstream.Region != r.cfg.Region
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -128,6 +128,10 @@
 	// slowStartAt is when the slow start begins; zero means that the upstream had none.
 	slowStartAt time.Time
 	slowStart   time.Duration
+	speed       *upstreamSpeed
+	times       *serviceTimes
+	// sends are the requests that this router has sent recently.
+	sends evidence
 	// pendingBlocks is the number of prompt blocks to be computed for this router's requests that have not
 	// had their first event.
 	pendingBlocks float64
@@ -207,10 +211,12 @@
 		return float64(n)
 	}
 	age := now.Sub(s.slowStartAt)
-	if age >= s.slowStart {
+	if age >= maxSlowStartFactor*s.slowStart {
 		return float64(n)
 	}
-	return float64(n) * max(minSlowStart, age.Seconds()/s.slowStart.Seconds())
+	// A slow upstream warms up slowly.
+	duration := s.slowStart.Seconds() * max(1.0/maxSlowStartFactor, min(s.speed.lastingSlowness(now), maxSlowStartFactor))
+	return float64(n) * min(1, max(minSlowStart, age.Seconds()/duration))
 }
 
 // draining reports whether any source says that the upstream takes no new requests.
@@ -278,6 +284,7 @@
 	s.drainingResponseAt, s.gotDrainingResponse = time.Time{}, false
 	*s.notice = notice{}
 	s.slowStartAt = now
+	*s.speed = upstreamSpeed{usedAt: now}
 	r.setRequestLimit(s.upstream.Name, 0, now, false)
 	r.setBrittle(s.upstream.Name, false, 0, now, false)
 	r.assignCacheID(s)
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -71,6 +71,12 @@
 	// FalseRefusalsTotal counts refused requests that the unspent and unreserved budget would have covered,
 	// as far as this router knows.
 	FalseRefusalsTotal = newMetric("false_refusals_total")
+	// SpeedSamplesTotal counts the measured times from which the speeds of upstreams are estimated.
+	SpeedSamplesTotal = newMetric("speed_samples_total")
+	// CachePredictionsHeldTotal and CachePredictionsMissedTotal count the prompts whose time to the first event shows that
+	// the upstream held the predicted part in its cache, or did not.
+	CachePredictionsHeldTotal   = newMetric("cache_predictions_held_total")
+	CachePredictionsMissedTotal = newMetric("cache_predictions_missed_total")
 	// RequestsOpen is the number of requests in progress.
 	RequestsOpen = newMetric("requests_open")
 )
--- a/internal/standin/sim_engine.go
+++ b/internal/standin/sim_engine.go
@@ -31,6 +31,7 @@
 	generating   bool     // the prompt is computed and the first token generated
 	canceled     bool
 	firstToken   func()
+	nextToken    func() // may be nil
 	done         func()
 }
 
@@ -38,6 +39,9 @@
 // prefix cache. Each step computes up to simChunkTokens prompt tokens and generates one token per sequence.
 type simEngine struct {
 	name         string
+	number       int
+	slowness     float64
+	burst        bool
 	clock        *simClock
 	waiting      []*simJob
 	running      []*simJob
@@ -51,7 +55,15 @@
 }
 
 func newSimEngine(name string, clock *simClock) *simEngine {
-	return &simEngine{name: name, clock: clock, cache: make(map[uint64]int64)}
+	return &simEngine{name: name, clock: clock, cache: make(map[uint64]int64), slowness: 1}
+}
+
+// presentSlowness returns how long work takes at present, as a multiple of the usual time of this engine.
+func (e *simEngine) presentSlowness() float64 {
+	if e.burst {
+		return simBurstSlowness
+	}
+	return 1
 }
 
 // submit queues a job by priority, and starts a step if the engine is inactive.
@@ -83,6 +95,7 @@
 	}
 	computed, ready, generating := e.compute()
 	d := simStepTime + simStepTimePerToken*time.Duration(computed) + simStepTimePerSequence*time.Duration(len(generating))
+	d = time.Duration(float64(d) * e.slowness * e.presentSlowness())
 	e.clock.scheduleAfter(d, func() { e.finishStep(ready, generating) })
 }
 
@@ -133,6 +146,9 @@
 	}
 	for _, j := range generating {
 		j.outputTokens--
+		if j.nextToken != nil && !j.canceled {
+			j.nextToken()
+		}
 		if j.outputTokens <= 0 && !j.canceled {
 			e.running = slices.DeleteFunc(e.running, func(o *simJob) bool { return o == j })
 			j.done()
--- a/internal/standin/sim_request.go
+++ b/internal/standin/sim_request.go
@@ -24,6 +24,7 @@
 	firstToken     time.Duration // time from the arrival to the first token; 0 before it
 	ticket         *admission.Ticket
 	job            *simJob
+	attempt        *routing.Attempt // nil with a policy other than PolicyRouter
 	endAttempt     func(routing.Result)
 	triedEngines   []string
 	ended          bool
@@ -33,7 +34,11 @@
 func (s *simulation) addRequest() {
 	q := &simRequest{sim: s, router: s.routers[s.rng.IntN(len(s.routers))], arrived: s.clock.now, countsInResult: s.measuring()}
 	// Team 0 is large: it sends half of the requests. The other teams share the rest equally.
-	if s.rng.IntN(2) > 0 {
+	hot := s.cfg.HotTeam
+	if hot == 0 {
+		hot = 0.5
+	}
+	if s.rng.Float64() >= hot {
 		q.team = 1 + s.rng.IntN(simTeams-1)
 	}
 	// An interactive request adds a few blocks to a session; a queued request is a new text.
@@ -102,10 +107,15 @@
 		r.outstanding[best]++
 		return s.engines[best], func(routing.Result) { r.outstanding[best]-- }
 	}
-	a, err := r.router.Pick(routing.Request{Model: simModel, PrefixHashes: q.blocks, Class: q.class, Exclude: q.triedEngines})
+	req := routing.Request{Model: simModel, PrefixHashes: q.blocks, Class: q.class, Exclude: q.triedEngines}
+	if s.cfg.Forwarded {
+		req.SharedBlocks = simTeamBlocks
+	}
+	a, err := r.router.Pick(req)
 	if err != nil {
 		return nil, nil
 	}
+	q.attempt = a
 	return s.engines[a.Upstream().Name], a.Done
 }
 
@@ -160,6 +170,7 @@
 	job := q.job
 	job.firstToken = func() {
 		q.firstToken = s.clock.now - q.arrived
+		q.reportFirst(e)
 		if q.countsInResult {
 			s.result.FirstToken[q.class] = append(s.result.FirstToken[q.class], q.firstToken)
 		}
@@ -168,11 +179,36 @@
 			s.blocks += len(job.blocks)
 		}
 	}
-	job.done = func() { done(routing.ResultOK); q.finish() }
+	if q.attempt != nil {
+		job.nextToken = q.attempt.Event
+	}
+	job.done = func() {
+		if q.attempt != nil {
+			q.attempt.Complete()
+		}
+		done(routing.ResultOK)
+		q.finish()
+	}
 	q.endAttempt = done
 	e.submit(job)
 }
 
+// reportFirst tells the router of the first event and, if there are no other reports, of the load.
+func (q *simRequest) reportFirst(e *simEngine) {
+	if q.attempt == nil {
+		return
+	}
+	q.attempt.Started()
+	if q.sim.cfg.Forwarded {
+		work := 0
+		if report := q.sim.cfg.ReportWork; report != nil {
+			work = report(e.number, e.presentSlowness())
+		}
+		q.attempt.Load(len(e.running), len(e.waiting), simSlots, work)
+	}
+	q.attempt.Event()
+}
+
 // abandon ends the request if its caller has not received the first token.
 func (q *simRequest) abandon() {
 	if q.ended || q.firstToken > 0 {
--- a/internal/standin/simulation.go
+++ b/internal/standin/simulation.go
@@ -54,6 +54,21 @@
 	FailingEngines int
 	// UnbudgetedRetries makes each router retry a request up to three times, without a retry budget.
 	UnbudgetedRetries bool
+	// MeasureTimes is that of routing.Config.
+	MeasureTimes bool
+	// Forwarded makes the routers learn of the engines only from responses and from the speeds that other routers
+	// measure, and makes the prompts of a team have a prefix that all routers prefer the same engine for. Otherwise
+	// there are load reports, cache events and heartbeats.
+	Forwarded bool
+	// Slowness holds how long work takes at the engines, in turn; empty means 1 at all of them.
+	Slowness []float64
+	// Bursts makes the work of each engine take simBurstSlowness times as long at random, a quarter of the time.
+	Bursts bool
+	// ReportWork returns the fourth figure of the engines' load reports, in percent, given the engine's number and how
+	// long its work takes at present; nil means that the reports have three.
+	ReportWork func(engine int, present float64) int
+	// HotTeam is the fraction of the requests that come from team 0; 0 means half of them.
+	HotTeam float64
 	// DrainSignal makes one engine drain after half of Duration and signal it in this way; empty drains none.
 	DrainSignal DrainSignal
 }
@@ -89,6 +104,15 @@
 	return all[min(len(all)-1, int(p*float64(len(all))))]
 }
 
+// MeanFirstToken returns the mean time to first token of a class.
+func (r SimulationResult) MeanFirstToken(c catalogue.Class) time.Duration {
+	sum := time.Duration(0)
+	for _, d := range r.FirstToken[c] {
+		sum += d
+	}
+	return sum / time.Duration(max(1, len(r.FirstToken[c])))
+}
+
 // Workload of the simulations: three short interactive requests (questions) for each long queued request (a
 // review). An interactive request continues one of the sessions of a team. The prompts of the sessions of all
 // teams together do not fit into the cache of one engine.
@@ -102,6 +126,12 @@
 	// useful. simAbandonAfter is the time after which its caller disconnects if it has received no token.
 	simMaxUsefulDelay = 2 * time.Second
 	simAbandonAfter   = 10 * time.Second
+	// Bursts take simBurstTime, and their work simBurstSlowness times as long as usual.
+	simBurstSlowness = 2.5
+	simBurstTime     = 400 * time.Millisecond
+	// Every simSpeedInterval a router sends its speeds to simSpeedPeers others.
+	simSpeedInterval = 2 * time.Second
+	simSpeedPeers    = 4
 )
 
 type simEvent struct {
@@ -211,6 +241,10 @@
 		name := fmt.Sprintf("engine-%02d", i)
 		e := newSimEngine(name, s.clock)
 		e.failing = i < s.cfg.FailingEngines
+		e.number = i
+		if n := len(s.cfg.Slowness); n > 0 {
+			e.slowness = s.cfg.Slowness[i%n]
+		}
 		s.engines[name] = e
 		s.engineNames = append(s.engineNames, name)
 		c.Upstreams = append(c.Upstreams, catalogue.Upstream{
@@ -223,7 +257,8 @@
 		r := &simRouter{outstanding: make(map[string]int)}
 		r.router = routing.New(routing.Config{
 			Now: s.clock.Now, Zone: fmt.Sprint("zone-", i%s.cfg.Zones), Region: "r",
-			Routers: func() int { return s.cfg.Routers }, Rand: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i+2))),
+			MeasureTimes: s.cfg.MeasureTimes,
+			Routers:      func() int { return s.cfg.Routers }, Rand: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i+2))),
 		})
 		r.router.Update(snapshot)
 		r.admission = admission.New(admission.Config{Now: s.clock.Now, Capacity: func(string) int {
@@ -237,12 +272,22 @@
 func (s *simulation) schedule() {
 	for _, name := range s.engineNames {
 		e := s.engines[name]
+		if s.cfg.Bursts {
+			s.scheduleBursts(e)
+		}
+		if s.cfg.Forwarded {
+			continue
+		}
 		s.clock.scheduleAfter(time.Duration(s.rng.Int64N(int64(simReportInterval))), func() {
 			s.clock.scheduleEvery(simReportInterval, func() { s.sendLoadReport(e) })
 		})
 		e.onCacheEvent = func(seq uint64, stored, evicted []uint64) { s.sendCacheEvent(e, seq, stored, evicted) }
 	}
-	s.clock.scheduleEvery(time.Second, s.exchangeHeartbeats)
+	if s.cfg.Forwarded {
+		s.clock.scheduleEvery(simSpeedInterval, s.exchangeSpeeds)
+	} else {
+		s.clock.scheduleEvery(time.Second, s.exchangeHeartbeats)
+	}
 	s.clock.scheduleEvery(20*time.Millisecond, func() {
 		for _, r := range s.routers {
 			r.admission.Advance()
@@ -259,6 +304,29 @@
 	}
 }
 
+// scheduleBursts makes an engine slow for simBurstTime, a quarter of the time on average.
+func (s *simulation) scheduleBursts(e *simEngine) {
+	s.clock.scheduleAfter(time.Duration(s.rng.ExpFloat64()*3*float64(simBurstTime)), func() {
+		e.burst = true
+		s.clock.scheduleAfter(simBurstTime, func() {
+			e.burst = false
+			s.scheduleBursts(e)
+		})
+	})
+}
+
+// exchangeSpeeds sends the speeds that each router has measured to some others.
+func (s *simulation) exchangeSpeeds() {
+	for _, from := range s.routers {
+		reports := from.router.ExportSpeeds()
+		for range simSpeedPeers {
+			if to := s.routers[s.rng.IntN(len(s.routers))]; to != from {
+				to.router.MergeSpeeds(reports)
+			}
+		}
+	}
+}
+
 func (s *simulation) scheduleArrival() {
 	s.clock.scheduleAfter(time.Duration(s.rng.ExpFloat64()/s.cfg.Rate*float64(time.Second)), func() {
 		s.addRequest()
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -38,6 +38,26 @@
 	Started()
 }
 
+// TimeReporter is an Attempt that measures the times of its upstream. Not every Attempt implements it.
+type TimeReporter interface {
+	// Event reports each event of a stream, and Complete the end of a whole response.
+	Event()
+	Complete()
+}
+
+// reportEvent and reportComplete tell the attempt in progress what has arrived.
+func (x *exchange) reportEvent() {
+	if reporter, ok := x.attempt.(TimeReporter); ok {
+		reporter.Event()
+	}
+}
+
+func (x *exchange) reportComplete() {
+	if reporter, ok := x.attempt.(TimeReporter); ok {
+		reporter.Complete()
+	}
+}
+
 // NoticeReporter is an Attempt that accepts what its upstream says about itself in a response. Not every Attempt
 // implements it.
 type NoticeReporter interface {
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -133,6 +133,9 @@
 		body.Release()
 		return errors.Mark(errors.Wrap(err, "response body"), upstream.ErrIncomplete)
 	}
+	if response.Status < http.StatusMultipleChoices {
+		x.reportComplete() // a refusal takes no work
+	}
 	buffered := &bufferedResponse{
 		status: response.Status, header: endToEndHeaders(response.Header), body: body, framed: response.Framed,
 	}
@@ -224,6 +227,7 @@
 		}
 		comment := isComment(event)
 		if !comment {
+			x.reportEvent()
 			if err := op.order.acceptFrom(response.Framed, event, id); err != nil {
 				if op.order.isAhead(id) {
 					op.endUnconfirmed(routing.ResultFailed) // the stream has another event
--- a/internal/transport/httpapi/forward_stream_end.go
+++ b/internal/transport/httpapi/forward_stream_end.go
@@ -47,6 +47,7 @@
 	if !op.committed {
 		op.commitHeader(x, response)
 	}
+	x.reportComplete()
 	op.settle(x, outcomeComplete)
 	op.completeStream(x)
 	return nil
