Gateways choose by measured times and share lasting speeds

Gateways set Config.MeasureTimes; the product's own fleet keeps its fixed weights. A router of 78 sees an engine about once in 12 s, so each sends the lasting speeds that it has measured itself to two others every 2 s (routing.speeds, only those that differ from the usual one). What it knows from others is not passed on, and momentary slowness is not sent, so that routers do not all switch at once. The capacity of a service falls if the upstreams left are slower than usual. Speeds are relative to the mean of the service.

--- a/internal/coordination/routing/expected_wait.go
+++ b/internal/coordination/routing/expected_wait.go
@@ -35,10 +35,10 @@
 	recentSendTime = 5 * time.Second
 	// ownCountConfidence is the number of outstanding requests with which a router trusts the difference of its own count
 	// from the mean of the service as much as the mean.
-	ownCountConfidence = 1.0
-	// waitFactor multiplies the expected wait for a slot, because the load is known too late and a wrong choice of a full
-	// upstream costs more than one of an empty upstream.
-	waitFactor = 1
+	ownCountConfidence = 0.3
+	// minLoadCost is the least cost of the load as a part of Weights.FullBatch. The measured one is what the load costs the
+	// request itself; it also delays the other requests at the upstream.
+	minLoadCost = 0.5
 	// maxSlowStartFactor bounds the effect of the speed on the duration of the slow start.
 	maxSlowStartFactor = 2
 	// serviceTimesRetention is how long the times of a service without upstreams are kept.
@@ -125,6 +125,9 @@
 	first, pace timeModel
 	// residence is the mean time in seconds that a request takes a slot.
 	residence float64
+	// center is the mean logarithm of the lasting slowness of the upstreams. Speeds are relative to it, so that they and the
+	// models cannot drift together.
+	center float64
 	// trust holds how far reports of all upstreams agree with measured times.
 	trust agreement
 	// upstreams and outstanding count the upstreams and this router's requests in progress.
@@ -242,8 +245,9 @@
 			blocks -= float64(cached) * s.holds(now)
 		}
 	}
-	score := slowness * (t.first.estimate(featuresOf(blocks, load)) + t.first.weights[1]*s.pendingBlocks +
-		waitFactor*t.residence*expectedExcess(requests, slots, routers)/slots)
+	x := featuresOf(blocks, load)
+	score := slowness * (t.first.estimate(x) + max(0, minLoadCost*w.FullBatch-t.first.weights[2])*x[2] +
+		t.first.weights[1]*s.pendingBlocks + t.residence*expectedExcess(requests, slots, routers)/slots)
 	score += w.Failures*s.failureRate(now) + r.distance(s)
 	if s.suspects > 0 {
 		score += w.Suspect
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -295,24 +295,26 @@
 }
 
 // Capacity returns the number of requests for a model or service that the whole fleet may run at once. A limited upstream
-// counts with the requests that it accepts in a second.
+// counts with the requests that it accepts in a second. If those that are left are slower than usual, they count as fewer:
+// requests occupy their slots longer. Faster ones have no more slots for that.
 func (r *Router) Capacity(model, service string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
-	total := 0.0
+	total, atSpeed := 0.0, 0.0
 	for _, s := range r.upstreamsFor(&Request{Model: model, Service: service}) {
 		if s.draining(now) || s.ejected(now) || s.notice.pauseLeft(now) > 0 {
 			continue
 		}
 		n := s.concurrency(now)
-		if r.cfg.MeasureTimes {
-			n *= s.speed.capacityPart(now)
-		}
 		if s.limit.active() {
 			n = min(n, s.limit.perSecond)
 		}
 		total += n
+		atSpeed += n / s.speed.lastingSlowness(s.times, now)
+	}
+	if atSpeed < slowCapacity*total {
+		total = atSpeed
 	}
 	return int(math.Ceil(total))
 }
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -516,25 +516,32 @@
 
 // BenchmarkPick measures a Pick with a prompt of 32 blocks and reports the heap bytes per upstream.
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{24, 600} {
-		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
-			var before, after runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&before)
-			r, _ := newRouter(n)
-			runtime.GC()
-			runtime.ReadMemStats(&after)
-			perUpstream := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
-			hashes := make([]uint64, 32)
-			for i := range hashes {
-				hashes[i] = uint64(i + 1)
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for b.Loop() {
-				pick(b, r, Request{PrefixHashes: hashes}).Done(ResultOK)
-			}
-			b.ReportMetric(perUpstream, "heapB/upstream")
-		})
+	for _, n := range []int{24, 90, 600} {
+		for _, measured := range []bool{false, true} {
+			b.Run(fmt.Sprintf("upstreams=%d/measured=%t", n, measured), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				r, clock := newRouter(n)
+				r.cfg.MeasureTimes = measured
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				perUpstream := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
+				hashes := make([]uint64, 32)
+				for i := range hashes {
+					hashes[i] = uint64(i + 1)
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for b.Loop() {
+					a := pick(b, r, Request{PrefixHashes: hashes})
+					clock.advance(time.Millisecond)
+					a.Event()
+					a.Complete()
+					a.Done(ResultOK)
+				}
+				b.ReportMetric(perUpstream, "heapB/upstream")
+			})
+		}
 	}
 }
--- a/internal/coordination/routing/speed.go
+++ b/internal/coordination/routing/speed.go
@@ -19,7 +19,7 @@
 	// momentaryMemory is the time constant of the momentary slowness, and momentaryStart the weight in samples of the
 	// assumption that there is none.
 	momentaryMemory = 700 * time.Millisecond
-	momentaryStart  = 1
+	momentaryStart  = 2
 	// workMemory is the time constant with which the reported duration of work loses its meaning.
 	workMemory = 200 * time.Millisecond
 	// maxSurprise bounds the change of the lasting speed by one sample, as a logarithm. Bursts of slow work are momentary.
@@ -30,7 +30,7 @@
 	// trustMemory is the number of recent samples that the agreement of reports with measured times follows. startTrust
 	// is the trust before any, and counts like reportWeight, in squared logarithms.
 	trustMemory  = 30
-	startTrust   = 0.5
+	startTrust   = 0.3
 	reportWeight = 1
 	// heldMemory is the time constant of the part of predicted cache contents that were found. startHeld is assumed of
 	// heldBefore samples before the first.
@@ -46,10 +46,10 @@
 	// speedRetention is how long the speed of an upstream that is not in the configuration is kept. An upstream may be
 	// missing for some seconds while it cannot renew its registration.
 	speedRetention = time.Minute
-	// usualSpeed is the deviation of a lasting slowness from 1, as a logarithm, that does not change the capacity.
-	usualSpeed = 0.15
-	// minCapacityPart bounds the effect of a slow upstream on the capacity.
-	minCapacityPart = 0.5
+	// centerMemory is the number of recent samples that the mean logarithm of the slowness in a service follows.
+	centerMemory = 100
+	// slowCapacity is the part of the usual speed below which the speed of all upstreams of a service changes its capacity.
+	slowCapacity = 0.9
 )
 
 // evidence is an exponentially decaying sum of weighted samples.
@@ -159,7 +159,7 @@
 
 // slowness returns how long work takes at the upstream at present, as a multiple of the usual time of its service.
 func (v *upstreamSpeed) slowness(t *serviceTimes, now time.Time) float64 {
-	log := v.lastingLog(now)
+	log := v.lastingLog(now) - t.center
 	if v.momentary.weight > 0 {
 		v.momentary.decay(now, momentaryMemory)
 	}
@@ -175,8 +175,8 @@
 }
 
 // lastingSlowness returns the lasting slowness as a multiple of the usual time.
-func (v *upstreamSpeed) lastingSlowness(now time.Time) float64 {
-	return max(minSlowness, min(math.Exp(v.lastingLog(now)), maxSlowness))
+func (v *upstreamSpeed) lastingSlowness(t *serviceTimes, now time.Time) float64 {
+	return max(minSlowness, min(math.Exp(v.lastingLog(now)-t.center), maxSlowness))
 }
 
 // observe applies the ratio of a measured time to the usual one, which is corrected for load.
@@ -184,6 +184,7 @@
 	obs.SpeedSamplesTotal.Add(1)
 	log := math.Log(max(minSlowness, min(ratio, maxSlowness)))
 	lasting := v.lastingLog(now)
+	t.center += (lasting - t.center) / centerMemory
 	surprise := log - lasting
 	v.momentary.add(surprise, weight, now, momentaryMemory)
 	if a.reported {
@@ -207,16 +208,6 @@
 	v.held.add(0, 1, now, heldMemory)
 }
 
-// capacityPart returns the part of an upstream's slots that counts as capacity: requests occupy the slots of a slow
-// upstream longer. A fast one has no more slots for that.
-func (v *upstreamSpeed) capacityPart(now time.Time) float64 {
-	log := v.lastingLog(now)
-	if log < usualSpeed {
-		return 1
-	}
-	return max(minCapacityPart, math.Exp(-log))
-}
-
 // SpeedReport is what a router has measured of the lasting speed of an upstream, for the other routers.
 type SpeedReport struct {
 	Upstream string `json:"u"`
@@ -302,7 +293,7 @@
 	for name, s := range r.byName {
 		v := s.speed
 		out[name] = UpstreamSpeed{
-			LastingPercent: percent(v.lastingSlowness(now)), PresentPercent: percent(v.slowness(s.times, now)),
+			LastingPercent: percent(v.lastingSlowness(s.times, now)), PresentPercent: percent(v.slowness(s.times, now)),
 			ReportTrustPercent: percent(v.reportTrust(s.times)), HeldPercent: percent(s.holds(now)),
 			Samples: int(v.own.weight), PeerSamples: int(v.peers.weight),
 		}
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -215,7 +215,7 @@
 		return float64(n)
 	}
 	// A slow upstream warms up slowly.
-	duration := s.slowStart.Seconds() * max(1.0/maxSlowStartFactor, min(s.speed.lastingSlowness(now), maxSlowStartFactor))
+	duration := s.slowStart.Seconds() * max(1.0/maxSlowStartFactor, min(s.speed.lastingSlowness(s.times, now), maxSlowStartFactor))
 	return float64(n) * min(1, max(minSlowStart, age.Seconds()/duration))
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -236,8 +236,9 @@
 	weights.Block, weights.ServiceZone = promptBlockSeconds, gatewayServiceZoneWeight
 	g.routing = routing.New(routing.Config{
 		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.heartbeats.Routers, Position: g.position, Weights: weights,
-		SlowStart: gatewaySlowStart, Notify: routing.LogChanges(logger),
+		SlowStart: gatewaySlowStart, MeasureTimes: true, Notify: routing.LogChanges(logger),
 	})
+	publishSpeeds(g.routing)
 	g.peers.registerHandlers(g.budget, g.crashes, g.routing)
 	g.peers.registerOriginHandler(g.origins)
 	g.admission = admission.New(admission.Config{Now: time.Now, Capacity: g.capacity, MaxWait: gatewayMaxWait})
@@ -411,6 +412,7 @@
 	loops.Go(func() { exchangeWithPeers(background, g.peers, crashReports(g.crashes)) })
 	loops.Go(func() { exchangeWithPeers(background, g.peers, limitReports(g.routing)) })
 	loops.Go(func() { exchangeWithPeers(background, g.peers, brittleReports(g.routing)) })
+	loops.Go(func() { exchangeWithPeers(background, g.peers, speedReports(g.routing)) })
 	budgets, stopBudgets := context.WithCancel(background)
 	defer stopBudgets()
 	var budgetLoops conc.WaitGroup
--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -77,6 +77,7 @@
 	registerQuarantineHandler(p.server, crashes)
 	registerLimitHandler(p.server, router)
 	registerBrittleHandler(p.server, router)
+	registerSpeedHandler(p.server, router)
 	registerHandler(p.server, methodBorrow, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
 		return loanResponse{Lent: m.Lend(r.Entry, r.ID, r.Amount)}, nil
 	})
--- a/internal/standin/simulation.go
+++ b/internal/standin/simulation.go
@@ -131,7 +131,7 @@
 	simBurstTime     = 400 * time.Millisecond
 	// Every simSpeedInterval a router sends its speeds to simSpeedPeers others.
 	simSpeedInterval = 2 * time.Second
-	simSpeedPeers    = 4
+	simSpeedPeers    = 2
 )
 
 type simEvent struct {
