Try idle upstreams again, follow sends for as long as the fleet needs

An upstream that was found slow got 5 of 3500 requests of a plain service, so that its speed was not measured again. A speed now fades while no router measures the upstream, and a router reports only what it has measured in the last 10 s. The load costs at least the start value, because a request also delays others.

Ruled out: counting the sends to the preferred upstream as those of all routers (worse under bursts).

--- a/internal/coordination/routing/expected_wait.go
+++ b/internal/coordination/routing/expected_wait.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -30,15 +31,16 @@
 	startUnknown  = 0.05
 	// residenceMemory is the number of recent samples that the mean time of a request at an upstream follows.
 	residenceMemory = 50
-	// recentSendTime is the time constant with which requests sent to an upstream decay. A router of a large fleet has
-	// rarely more than one request at an engine, so that the count of outstanding ones says little about its load.
-	recentSendTime = 5 * time.Second
+	// minSendMemory and maxSendMemory bound the time constant with which requests sent to an upstream decay. A router of a
+	// large fleet has rarely more than one request at an engine, so that the count of outstanding ones says little about
+	// its load. sendMemoryFactor is the time constant in multiples of the time between two requests of one router that
+	// keep the upstream full: it must exceed 1, or all routers send their next request while it is still full.
+	minSendMemory    = 5 * time.Second
+	maxSendMemory    = 30 * time.Second
+	sendMemoryFactor = 2
 	// ownCountConfidence is the number of outstanding requests with which a router trusts the difference of its own count
 	// from the mean of the service as much as the mean.
 	ownCountConfidence = 0.3
-	// minLoadCost is the least cost of the load as a part of Weights.FullBatch. The measured one is what the load costs the
-	// request itself; it also delays the other requests at the upstream.
-	minLoadCost = 0.5
 	// maxSlowStartFactor bounds the effect of the speed on the duration of the slow start.
 	maxSlowStartFactor = 2
 	// serviceTimesRetention is how long the times of a service without upstreams are kept.
@@ -187,7 +189,8 @@
 	mean := float64(t.outstanding) / float64(max(1, t.upstreams))
 	k, others := float64(s.outstanding), float64(routers-1)
 	shrunk := mean * (ownCountConfidence + k) / (ownCountConfidence + mean)
-	rate := s.sends.decayed(now, recentSendTime) / recentSendTime.Seconds()
+	memory := s.sendMemory(routers)
+	rate := s.sends.decayed(now, memory) / memory.Seconds()
 	own := k + others*(shrunk+min(rate*t.residence, k+1))/2
 	if s.measuredAt.IsZero() || now.Sub(s.measuredAt) > maxReportAge {
 		return own
@@ -195,6 +198,13 @@
 	return max((1-ownWeight)*s.correctedReport(routers)+ownWeight*own, k)
 }
 
+// sendMemory returns the time constant with which requests sent to the upstream decay.
+func (s *upstreamState) sendMemory(routers int) time.Duration {
+	slots := max(1, cmp.Or(s.report.Concurrency, s.upstream.Concurrency, defaultConcurrency))
+	between := float64(routers) * s.times.residence / float64(slots)
+	return max(minSendMemory, min(time.Duration(sendMemoryFactor*between*float64(time.Second)), maxSendMemory))
+}
+
 // expectedExcess returns how many requests are expected to wait at an upstream for which the given number of requests
 // is estimated. The true number varies around the estimate like a Poisson variable, because this router does not know
 // what the others send.
@@ -246,7 +256,10 @@
 		}
 	}
 	x := featuresOf(blocks, load)
-	score := slowness * (t.first.estimate(x) + max(0, minLoadCost*w.FullBatch-t.first.weights[2])*x[2] +
+	// The measured cost of the load is what it costs the request itself. The request also delays others there, so that the
+	// cost is never below its start value.
+	externalCost := max(0, w.FullBatch-t.first.weights[2]) * x[2]
+	score := slowness * (t.first.estimate(x) + externalCost +
 		t.first.weights[1]*s.pendingBlocks + t.residence*expectedExcess(requests, slots, routers)/slots)
 	score += w.Failures*s.failureRate(now) + r.distance(s)
 	if s.suspects > 0 {
@@ -287,8 +300,9 @@
 	if !r.cfg.MeasureTimes {
 		return
 	}
-	a.times.load = s.expectedLoad(now, max(1, r.cfg.Routers())) / s.concurrency(now)
-	s.sends.add(1, 1, now, recentSendTime)
+	routers := max(1, r.cfg.Routers())
+	a.times.load = s.expectedLoad(now, routers) / s.concurrency(now)
+	s.sends.add(1, 1, now, s.sendMemory(routers))
 }
 
 // noteLoad records the load that a response states. The caller holds r.mu.
--- a/internal/coordination/routing/speed.go
+++ b/internal/coordination/routing/speed.go
@@ -9,9 +9,14 @@
 
 const (
 	// lastingMemory and peerMemory are the time constants with which this router's own samples of a lasting speed and
-	// those of other routers decay. An upstream that was found slow is thereby tried again after a few minutes.
+	// those of other routers decay.
 	lastingMemory = 90 * time.Second
 	peerMemory    = 20 * time.Second
+	// idleMemory is the time constant with which an upstream that no router measures is taken for a usual one again, so
+	// that one that was found slow is measured again.
+	idleMemory = 30 * time.Second
+	// freshSample is the age up to which own samples are sent to other routers.
+	freshSample = 10 * time.Second
 	// lastingStart is the weight, in samples, of the assumption that an upstream has the usual speed.
 	lastingStart = 3
 	// lastingInterval is how long a lasting speed is used until it is computed again.
@@ -116,6 +121,8 @@
 type upstreamSpeed struct {
 	// own and peers are the samples of the lasting slowness, of this router and of others.
 	own, peers evidence
+	// sampledAt is the time of the last own sample, measuredAt that of the last one of any router.
+	sampledAt, measuredAt time.Time
 	// lasting is the logarithm of the lasting slowness as of lastingAt.
 	lasting   float64
 	lastingAt time.Time
@@ -147,6 +154,9 @@
 		v.own.decay(now, lastingMemory)
 		v.peers.decay(now, peerMemory)
 		v.lasting = (v.own.sum + v.peers.sum) / (v.own.weight + v.peers.weight + lastingStart)
+		if v.lasting != 0 {
+			v.lasting *= math.Exp(-now.Sub(v.measuredAt).Seconds() / idleMemory.Seconds())
+		}
 		v.lastingAt = now
 	}
 	return v.lasting
@@ -194,7 +204,7 @@
 	}
 	surprise = max(-maxSurprise, min(surprise, maxSurprise))
 	v.own.add(lasting+surprise, weight, now, lastingMemory)
-	v.lastingAt = time.Time{}
+	v.lastingAt, v.sampledAt, v.measuredAt = time.Time{}, now, now
 }
 
 // noteHeld records whether the upstream held what it was expected to have in its cache.
@@ -231,7 +241,7 @@
 	minReportedSlowness = 0.08
 )
 
-// ExportSpeeds returns the lasting speeds of which this router has samples of its own, except usual ones. What it knows
+// ExportSpeeds returns the lasting speeds of which this router has recent samples of its own, except usual ones. What it knows
 // from others is not passed on, so that no measurement is counted again and again.
 func (r *Router) ExportSpeeds() (out SpeedReports) {
 	r.mu.Lock()
@@ -240,7 +250,7 @@
 	for name, v := range r.speeds {
 		v.own.decay(now, lastingMemory)
 		mean := v.own.mean(lastingStart, 0)
-		if v.own.weight < 1 || r.byName[name] == nil || math.Abs(mean) < minReportedSlowness {
+		if r.byName[name] == nil || v.own.weight < 1 || now.Sub(v.sampledAt) > freshSample || math.Abs(mean) < minReportedSlowness {
 			continue
 		}
 		out = append(out, SpeedReport{
@@ -262,6 +272,7 @@
 		}
 		log := max(math.Log(minSlowness), min(float64(report.Slowness)/1000, math.Log(maxSlowness)))
 		v.peers.add(log, float64(min(report.Samples, maxReportedSamples)), now, peerMemory)
+		v.measuredAt = now
 		if v.peers.weight > maxPeerSamples {
 			v.peers.sum *= maxPeerSamples / v.peers.weight
 			v.peers.weight = maxPeerSamples
