--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -55,7 +55,7 @@
 	x.api.Forwarding.Reach.Received(op.service.Name)
 	info := x.api.Forwarding.Headers.ParseResponse(response.Status, response.Header)
 	if reporter, ok := x.attempt.(LoadReporter); ok && info.Load != nil {
-		reporter.Load(info.Load.Running, info.Load.Waiting, info.Load.Slots)
+		reporter.Load(info.Load.Running, info.Load.Waiting, info.Load.Slots, info.Load.WorkPercent)
 	}
 	if reporter, ok := x.attempt.(NoticeReporter); ok && info.Genuine && !info.WrongInstance {
 		x.reportNotice(reporter, info.Notice)
@@ -133,6 +133,9 @@
 		body.Release()
 		return errors.Mark(errors.Wrap(err, "response body"), upstream.ErrIncomplete)
 	}
+	if response.Status < http.StatusMultipleChoices {
+		x.reportComplete() // a refusal takes no work
+	}
 	buffered := &bufferedResponse{
 		status: response.Status, header: endToEndHeaders(response.Header), body: body, framed: response.Framed,
 	}
@@ -224,6 +227,7 @@
 		}
 		comment := isComment(event)
 		if !comment {
+			x.reportEvent()
 			if err := op.order.acceptFrom(response.Framed, event, id); err != nil {
 				if op.order.isAhead(id) {
 					op.endUnconfirmed(routing.ResultFailed) // the stream has another event
