Evacuate zones named by the operator's records

Nothing could keep requests from the upstreams of a zone that is about to be switched off.

Their upstreams get no request, retry or taken-up stream, are no preferred upstream, are not checked for reachability and count for no capacity. If each upstream of a service is in such a zone, the request is refused before admission, which would let it wait for a slot that running streams in the zone hold. The records come with the configuration, so a router that the store turns away gets them from its peers.

A store restored from an older copy may lack the record. It is then kept for 10 s, until the operator has written it again; an explicit removal counts at once (replica.Config.RestoreGrace). RemovalGrace would have deferred explicit removals too, by 10 s after each outage.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -50,6 +50,10 @@
 	// RemovalGrace is how long after an outage of the log removals are deferred. Records that were
 	// removed only because their writers could not renew them are written again in that time.
 	RemovalGrace time.Duration
+	// RestoreGrace is how long records are kept that are missing from the first listing after the log was restored from an
+	// older copy, unless they are removed explicitly. It suits records that are not renewed; 0 means RemovalGrace, which
+	// defers explicit removals too.
+	RestoreGrace time.Duration
 	Now          func() time.Time
 	// IntervalFunc, if set, replaces Interval. It returns longer pauses for large fleets.
 	IntervalFunc func() time.Duration
@@ -94,6 +98,8 @@
 	// it.
 	graceUntil time.Time
 	deferred   map[string]uint64
+	// restoredUntil is the end of Config.RestoreGrace.
+	restoredUntil time.Time
 }
 
 // New returns an empty replica.
@@ -257,14 +263,19 @@
 	r.mu.Lock()
 	if r.loaded && keyedlog.Era(page.Next) > keyedlog.Era(r.next) {
 		r.graceUntil = r.cfg.Now().Add(r.cfg.RemovalGrace)
+		r.restoredUntil = r.cfg.Now().Add(r.cfg.RestoreGrace)
 		obs.EventRestoredStreamRead.Log(r.cfg.Logger, logrus.Fields{
 			"stream": r.cfg.Stream.Name, "era": keyedlog.Era(page.Next), "end": keyedlog.Position(page.Next), "offset": keyedlog.Position(r.next),
-			"records": len(page.Records), "known": len(r.records), "grace_ms": r.cfg.RemovalGrace.Milliseconds(),
+			"records": len(page.Records), "known": len(r.records), "grace_ms": max(r.cfg.RemovalGrace, r.cfg.RestoreGrace).Milliseconds(),
 		})
 	}
 	// The listing may be older than what a peer has provided, which then holds.
 	for key, rec := range r.records {
-		if !listed[key] && rec.Offset < page.Next {
+		switch {
+		case listed[key] || rec.Offset >= page.Next:
+		case r.cfg.Now().Before(r.restoredUntil):
+			r.deferred[key] = max(r.deferred[key], page.Next-1)
+		default:
 			page.Records = append(page.Records, keyedlog.Record{Key: key, Offset: page.Next - 1})
 		}
 	}
@@ -342,7 +353,7 @@
 // applyDeferred applies the deferred removals after the grace period.
 func (r *Replica) applyDeferred() {
 	r.mu.Lock()
-	if len(r.deferred) == 0 || r.cfg.Now().Before(r.graceUntil) {
+	if now := r.cfg.Now(); len(r.deferred) == 0 || now.Before(r.graceUntil) || now.Before(r.restoredUntil) {
 		r.mu.Unlock()
 		return
 	}
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -245,3 +245,37 @@
 	is.Equal(since, started)
 	is.Equal(asOf, started)
 }
+
+// Guards against a record that is not renewed, such as an evacuation, and that is dropped because the log was restored from
+// a copy without it; against one that is kept after its explicit removal, and one that is kept for good.
+func TestKeepsRecordsThatARestoredLogLost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	log := keyedlog.NewMemory()
+	put := func(key, text string) {
+		log.AppendUnconditionally(stream, keyedlog.Record{Key: key, Value: []byte(text)})
+	}
+	r := newReplica(log, func() time.Time { return now })
+	r.cfg.RemovalGrace, r.cfg.RestoreGrace = 0, 10*time.Second
+	put("kept", "1")
+	copied := log.Copy()
+	for _, key := range []string{"forgotten", "rewritten", "removed"} {
+		put(key, "1")
+	}
+	is.NoErr(r.poll(context.Background()))
+	log.Restore(copied)
+	is.NoErr(r.poll(context.Background()))
+	is.NoErr(r.poll(context.Background()))
+	is.Equal(len(r.Records()), 4)
+	put("rewritten", "2")
+	log.AppendUnconditionally(stream, keyedlog.Record{Key: "removed"})
+	now = now.Add(9 * time.Second)
+	is.NoErr(r.poll(context.Background()))
+	is.Equal(value(r, "forgotten"), "1")
+	is.Equal(value(r, "removed"), "")
+	now = now.Add(2 * time.Second)
+	is.NoErr(r.poll(context.Background()))
+	is.Equal(value(r, "forgotten"), "")
+	is.Equal(value(r, "rewritten"), "2")
+	is.Equal(value(r, "kept"), "1")
+}
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -231,7 +231,7 @@
 				s.slowStartAt = now
 			}
 		}
-		s.upstream, s.inConfig = u, true
+		s.upstream, s.inConfig, s.evacuated = u, true, snapshot.Evacuated(u.Zone)
 		s.slowStart = r.cfg.SlowStart
 		if u.Draining && !s.listedDraining {
 			r.notify(Change{Kind: ChangeDraining, Upstream: u.Name})
@@ -294,7 +294,7 @@
 	now := r.cfg.Now()
 	total := 0.0
 	for _, s := range r.upstreamsFor(&Request{Model: model, Service: service}) {
-		if s.draining(now) || s.ejected(now) || s.notice.pauseLeft(now) > 0 {
+		if s.draining(now) || s.evacuated || s.ejected(now) || s.notice.pauseLeft(now) > 0 {
 			continue
 		}
 		n := s.concurrency(now)
@@ -374,7 +374,7 @@
 	offset := r.cfg.Rand.IntN(len(all))
 	for i := range all {
 		s := all[(i+offset)%len(all)]
-		if s.draining(now) || !s.serves(req) {
+		if s.draining(now) || s.barred(req) || !s.serves(req) {
 			continue
 		}
 		if left := s.notice.pauseLeft(now); left > 0 {
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -104,6 +104,8 @@
 	cacheID  cacheID
 	// inConfig is true while the upstream is in the active configuration.
 	inConfig bool
+	// evacuated is true while the configuration has the upstream's zone evacuated.
+	evacuated bool
 
 	// outstanding and suspects count this router's requests in flight and the suspects among them.
 	outstanding int
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -89,6 +89,9 @@
 	ConfigStream keyedlog.Stream
 	ConfigKey    string
 	DecodeConfig func(data []byte) (*catalogue.Snapshot, error)
+	// EvacuatedZone returns the zone that a record with this key in ConfigStream evacuates while it exists; ok is false if
+	// it evacuates none. It may be nil.
+	EvacuatedZone func(key string) (zone string, ok bool)
 	// UpstreamStream holds one record per upstream.
 	UpstreamStream keyedlog.Stream
 	// DecodeUpstream also returns the revision of the record, which rises with each one that the upstream writes.
@@ -195,7 +198,8 @@
 	g.reach = g.newReachMonitor()
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
 	g.config = replica.New(replica.Config{
-		Log: deps.Log, Stream: deps.ConfigStream, Wait: configLongPoll, Now: time.Now, OnChange: g.rebuild, Logger: logger,
+		Log: deps.Log, Stream: deps.ConfigStream, Wait: configLongPoll, RestoreGrace: evacuationRestoreGrace, Now: time.Now,
+		OnChange: g.rebuild, Logger: logger,
 	})
 	g.upstreams = replica.New(replica.Config{
 		Log: deps.Log, Stream: deps.UpstreamStream, Interval: minUpstreamReadInterval, IntervalFunc: g.upstreamReadInterval, RemovalGrace: upstreamRemovalGrace, Now: time.Now,
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -55,8 +55,9 @@
 }
 
 func (g *Gateway) upstreamAddresses(service string) (addresses []string) {
-	for u := range g.Current().Upstreams {
-		if u.Service == service && !u.Draining {
+	current := g.Current()
+	for u := range current.Upstreams {
+		if u.Service == service && !u.Draining && !current.Evacuated(u.Zone) {
 			addresses = append(addresses, u.Address)
 		}
 	}
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -19,6 +19,8 @@
 	malformedConfig uint64
 	upstreams       map[string]decodedUpstream
 	retired         retiredUpstreams
+	// evacuated holds the zones that records in the stream of the configuration evacuate. It is replaced as a whole.
+	evacuated map[string]struct{}
 }
 
 type decodedUpstream struct {
@@ -35,6 +37,7 @@
 	g.rebuildMu.Lock()
 	defer g.rebuildMu.Unlock()
 	changed := g.decodeConfig()
+	changed = g.decodeEvacuations() || changed
 	changed = g.decodeUpstreams() || changed
 	changed = g.versionsAnnounced.Swap(false) || changed
 	if g.decoded.config == nil || !changed {
@@ -47,7 +50,7 @@
 		}
 	}
 	upstreams, complete := g.withoutUnannounced(upstreams)
-	snapshot := g.decoded.config.WithUpstreams(upstreams)
+	snapshot := g.decoded.config.WithUpstreams(upstreams).WithEvacuated(g.decoded.evacuated)
 	g.snapshot.Store(snapshot)
 	g.routing.Update(snapshot)
 	if len(upstreams) > 0 && complete && !g.ready.Swap(true) {
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -40,6 +40,10 @@
 			"lacks capacity, or the upstream runs fewer requests than it states.")
 	EventRejectionLimitMalformed = register(1515, logrus.WarnLevel, "upstream names a rejection limit that is no sound number",
 		"The field \"text\" has what it sent. The limit is ignored. Repair the upstream. Logged once for each upstream.")
+	EventZoneEvacuated = register(1530, logrus.WarnLevel, "zone evacuated",
+		"The operator has evacuated the zone. Its upstreams get nothing more from this router; running requests end there.")
+	EventZoneEvacuationEnded = register(1531, logrus.WarnLevel, "evacuation of a zone taken back",
+		"The operator's record is gone. The zone's upstreams get requests again, slowly if they may be cold (1532).")
 	EventPartTrial = register(1507, logrus.InfoLevel, "request with a quarantined part is let through",
 		"If its upstream crashes, the quarantine is renewed and lasts longer (1505). No action.")
 )
@@ -67,7 +71,9 @@
 	BrittleRejectionsTotal        = newMetric("brittle_rejections_total")
 	RejectionBudgetsUsedTotal     = newMetric("rejection_budgets_used_total")
 	RejectionLimitsMalformedTotal = newMetric("rejection_limits_malformed_total")
-	RequestsQuarantinedTotal      = newMetric("requests_quarantined_total")
+	// ZonesEvacuated is the number of evacuated zones.
+	ZonesEvacuated           = newMetric("zones_evacuated")
+	RequestsQuarantinedTotal = newMetric("requests_quarantined_total")
 	// PartsQuarantinedTotal counts quarantines of a part of requests, CrashesObservedTotal the requests of this
 	// router that were running when their upstream crashed.
 	PartsQuarantinedTotal = newMetric("parts_quarantined_total")
--- a/internal/state/catalogue/catalogue.go
+++ b/internal/state/catalogue/catalogue.go
@@ -123,6 +123,8 @@
 	orders       []EngineOrder
 	// forwarding is nil without routes.
 	forwarding *forwardingIndex
+	// evacuated holds the zones whose upstreams get nothing more.
+	evacuated map[string]struct{}
 }
 
 // NewSnapshot indexes a version. generations maps the names of the entries to their generations.
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -104,7 +104,8 @@
 
 // forwardSteps process a forwarded request in order. Each step may end the request with an error.
 var forwardSteps = [...]func(*exchange) *APIError{
-	(*exchange).registerForward, (*exchange).passOnUnreachable, (*exchange).resolveOrigin, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
+	(*exchange).registerForward, (*exchange).passOnUnreachable, (*exchange).resolveOrigin,
+	(*exchange).checkBarred, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
 }
 
 // ForwardHandler returns the handler that forwards requests by host and path.
