Send cold upstreams what they bear, from all routers together

An upstream that has just started falls over when it gets much more than its service's cold_per_s, and nothing limited that. It may also turn cold while its record still says that it is warm.

A cold upstream gets requests with permits only, the same ones that named limits have; of two limits the lower one counts. An upstream counts as cold until the end that its newest record states, counted from when the record was read, and after the evacuation of its zone was taken back or a connection was refused or reset, until a record that was written later says otherwise. What a read did not have was written after the read before it began. A process that has just started takes each upstream for cold until a second record, at most for cold_start_s, since the first one may be older than a cold start.

The routers own slots in an order in which neighbours are far apart. Permits of cold upstreams are valid for a quarter of what the bound leaves, not for a second.

Not done: telling other routers of refused connections. A router that is cut off would make the whole fleet take all upstreams for cold.

The capacity counts a cold upstream with its permits.

--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -28,6 +28,8 @@
 	// ResultUnreachable means that the upstream accepted no connection or that another process responded at
 	// its address.
 	ResultUnreachable
+	// ResultLost means that the connection ended before the response did. The upstream may live.
+	ResultLost
 	// ResultError means that the upstream ran the request and responded with an error of its own.
 	ResultError
 )
@@ -81,6 +83,9 @@
 	if s.limit.active() {
 		obs.RequestsToLimitedTotal.Add(1)
 	}
+	if s.cold.limit.active() {
+		obs.RequestsToColdTotal.Add(1)
+	}
 	s.attempts[a] = struct{}{}
 	s.pendingBlocks += float64(a.uncachedBlocks)
 	if a.suspect {
@@ -129,6 +134,7 @@
 	a.markStarted()
 	s.addOutstanding(-1, now)
 	s.recordResult(result, now)
+	s.noteLost(result, now)
 	delete(s.attempts, a)
 	if a.suspect {
 		s.suspects--
@@ -139,7 +145,7 @@
 		if a.suspect {
 			r.cfg.CrashHistory.markClean(a.fingerprint, a.knownCrashes)
 		}
-	case ResultFailed:
+	case ResultFailed, ResultLost:
 		r.recordFailure(s, now)
 	case ResultUnreachable:
 		r.eject(s, unreachableEjection, now)
@@ -225,6 +231,8 @@
 	ChangeNotBrittle
 	ChangeRejectionBudgetUsed
 	ChangeRejectionLimitMalformed
+	ChangeCold
+	ChangeWarm
 )
 
 // Change describes an event at an upstream that is reported to the operator.
@@ -236,7 +244,9 @@
 	// PerSecond and Previous are set for ChangeRequestLimit: the limit in requests per second, and the one before; 0
 	// means none. PerSecond is also set for ChangeBrittle and ChangeRejectionBudgetUsed: the limit in rejections per second.
 	PerSecond, Previous float64
-	// Pause is set for ChangePaused and ChangeRejectionBudgetUsed.
+	// For ChangeCold it is the rate of the permits in requests per second.
+	// Pause is set for ChangePaused and ChangeRejectionBudgetUsed, and for ChangeCold: the time for which the upstream stays
+	// cold according to its record.
 	Pause time.Duration
 	// Text is set for ChangeRejectionLimitMalformed.
 	Text string
--- a/internal/coordination/routing/evacuation.go
+++ b/internal/coordination/routing/evacuation.go
@@ -1,5 +1,27 @@
 package routing
 
+import (
+	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
+)
+
+// noteEvacuations notes which evacuations a configuration has taken back. Upstreams may turn cold then. The caller holds
+// r.mu.
+func (r *Router) noteEvacuations(snapshot *catalogue.Snapshot, now time.Time) {
+	zones := make(map[string]struct{})
+	for zone := range snapshot.EvacuatedZones {
+		zones[zone] = struct{}{}
+		delete(r.takenBack, zone)
+	}
+	for zone := range r.evacuated {
+		if _, still := zones[zone]; !still {
+			r.takenBack[zone] = now
+		}
+	}
+	r.evacuated = zones
+}
+
 // barred reports whether the operator's word keeps a request from the upstream, whatever the upstream's state: its zone is
 // evacuated.
 func (s *upstreamState) barred(*Request) bool { return s.evacuated }
--- a/internal/coordination/routing/failures.go
+++ b/internal/coordination/routing/failures.go
@@ -22,7 +22,7 @@
 func (s *upstreamState) recordResult(result Result, now time.Time) {
 	failed := 0.0
 	switch result {
-	case ResultFailed, ResultCrashed, ResultError, ResultUnreachable:
+	case ResultFailed, ResultLost, ResultCrashed, ResultError, ResultUnreachable:
 		failed = 1
 	case ResultOK:
 	default:
--- a/internal/coordination/routing/notify.go
+++ b/internal/coordination/routing/notify.go
@@ -40,6 +40,12 @@
 			obs.RejectionBudgetsUsedTotal.Add(1)
 			fields["per_second"], fields["pause_ms"] = c.PerSecond, c.Pause.Milliseconds()
 			obs.EventRejectionBudgetUsed.Log(logger, fields)
+		case ChangeCold:
+			obs.UpstreamColdStartsTotal.Add(1)
+			fields["per_second"], fields["remaining_ms"] = c.PerSecond, c.Pause.Milliseconds()
+			obs.EventUpstreamCold.Log(logger, fields)
+		case ChangeWarm:
+			obs.EventUpstreamWarm.Log(logger, fields)
 		case ChangeRejectionLimitMalformed:
 			fields["text"] = c.Text
 			obs.EventRejectionLimitMalformed.Log(logger, fields)
--- a/internal/coordination/routing/prompt.go
+++ b/internal/coordination/routing/prompt.go
@@ -37,7 +37,8 @@
 }
 
 // preferredUpstream returns the upstream that all routers prefer for the shared part of a prompt. It uses
-// rendezvous hashing over the upstreams in use. Limited and paused ones accept too few requests to be preferred.
+// rendezvous hashing over the upstreams in use. Limited, cold and paused ones accept too few requests to be
+// preferred, those of evacuated zones none.
 func (r *Router) preferredUpstream(req *Request, all []*upstreamState, now time.Time) (preferred *upstreamState) {
 	if req.SharedBlocks == 0 {
 		return nil
--- a/internal/coordination/routing/request_limit.go
+++ b/internal/coordination/routing/request_limit.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -27,7 +28,8 @@
 	minLimitRetryAfter = 50 * time.Millisecond
 )
 
-// requestLimit is what this router knows of the request limit of an upstream, and the permits that it has used.
+// requestLimit is what this router knows of a request limit of an upstream, and the permits that it has used. The upstream
+// names it itself, or has it because it is cold.
 //
 // Time is divided into slots, each as long as the limit allows for one request. The routers own the slots in turn, and
 // each slot is a permit of its owner for one request. Together they thus keep to the limit without messages, and with
@@ -45,6 +47,8 @@
 	nextSlot int64
 	// unsent is true if the other routers have not been told of this router's observation.
 	unsent bool
+	// validity is how long a permit can be used; 0 means permitValidity.
+	validity time.Duration
 }
 
 func (l *requestLimit) active() bool { return l.perSecond > 0 }
@@ -67,31 +71,51 @@
 // begin at different slots for different upstreams.
 func (l *requestLimit) nextPermit(now time.Time, p Position, shift uint64) (slot int64, wait time.Duration) {
 	at, routers := l.slotAt(now), int64(max(1, p.Routers))
-	slot = int64(math.Floor(at-max(1, permitValidity.Seconds()*l.perSecond))) + 1
+	slot = int64(math.Floor(at-max(1, cmp.Or(l.validity, permitValidity).Seconds()*l.perSecond))) + 1
 	slot = max(slot, l.nextSlot)
-	owned := int64(p.Index) - int64(shift%uint64(routers))
+	owned := p.turn() - int64(shift%uint64(routers))
 	slot += ((owned-slot)%routers + routers) % routers
 	return slot, time.Duration(max(0, float64(slot)-at) / l.perSecond * float64(time.Second))
 }
 
+// turn returns the place of the router in the order in which the routers own slots. Routers with neighbouring indexes are
+// far apart in it, so that any group of them owns an even part of the slots of any second. Otherwise a group with another
+// view of the fleet, such as the routers of one zone, could have its turn while the rest has theirs.
+func (p Position) turn() int64 {
+	routers := max(1, p.Routers)
+	stride := max(1, int(math.Round(float64(routers)*(math.Sqrt(5)-1)/2)))
+	for gcd(stride, routers) != 1 {
+		stride++
+	}
+	return int64(p.Index) * int64(stride) % int64(routers)
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // permitWait returns how long this router has to wait until it may send a request to the upstream. The caller holds
 // r.mu.
 func (r *Router) permitWait(s *upstreamState, p Position, now time.Time) time.Duration {
-	if !s.limit.active() {
+	l := r.limitOn(s, now)
+	if l == nil {
 		return 0
 	}
 	if !p.Known {
 		return noUpstreamRetryAfter
 	}
-	_, wait := s.limit.nextPermit(now, p, s.nameHash)
+	_, wait := l.nextPermit(now, p, s.nameHash)
 	return wait
 }
 
 // usePermit uses the permit with which a request is sent to a limited upstream. The caller holds r.mu.
 func (r *Router) usePermit(s *upstreamState, p Position, now time.Time) {
-	if s.limit.active() {
-		slot, _ := s.limit.nextPermit(now, p, s.nameHash)
-		s.limit.nextSlot = slot + 1
+	if l := r.limitOn(s, now); l != nil {
+		slot, _ := l.nextPermit(now, p, s.nameHash)
+		l.nextSlot = slot + 1
 	}
 }
 
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -125,6 +125,9 @@
 	MaxPrefixBlocks int
 	// SlowStart is the time until a new upstream counts with its full concurrency; 0 means the default.
 	SlowStart time.Duration
+	// In any second a cold upstream gets at most its service's rate times ColdOvershoot, plus ColdSlack, of all routers
+	// together. If both are 0, they are DefaultColdOvershoot and DefaultColdSlack.
+	ColdOvershoot, ColdSlack float64
 	// Notify is called with each change. It must not call the Router, whose lock is held.
 	Notify func(Change)
 }
@@ -152,6 +155,9 @@
 	if c.SlowStart <= 0 {
 		c.SlowStart = defaultSlowStart
 	}
+	if c.ColdOvershoot == 0 && c.ColdSlack == 0 {
+		c.ColdOvershoot, c.ColdSlack = DefaultColdOvershoot, DefaultColdSlack
+	}
 	if c.MaxPrefixBlocks <= 0 {
 		c.MaxPrefixBlocks = DefaultMaxPrefixBlocks
 	}
@@ -171,6 +177,10 @@
 	// brittle holds what is known of brittle upstreams; they outlive it too. namedBrittle counts those that name a limit.
 	brittle      map[string]*brittleness
 	namedBrittle int
+	// cold holds what is known of cold starts, and takenBack when the evacuation of a zone was taken back.
+	cold      map[string]*coldness
+	takenBack map[string]time.Time
+	evacuated map[string]struct{}
 	// notices holds what upstreams have said about themselves. They outlive the upstream's removal too.
 	notices     map[string]*notice
 	pools       map[string]*pool
@@ -189,7 +199,8 @@
 	cfg = cfg.withDefaults()
 	return &Router{
 		cfg: cfg, byName: make(map[string]*upstreamState), limits: make(map[string]*requestLimit),
-		brittle: make(map[string]*brittleness), notices: make(map[string]*notice), pools: make(map[string]*pool),
+		brittle: make(map[string]*brittleness), cold: make(map[string]*coldness),
+		takenBack: make(map[string]time.Time), notices: make(map[string]*notice), pools: make(map[string]*pool),
 		prefix: newPrefixIndex(cfg.MaxPrefixBlocks), byCacheID: make(map[cacheID]*upstreamState),
 		cachedBlocks: make(map[cacheID]int),
 	}
@@ -214,6 +225,8 @@
 	r.pruneLimits(now)
 	r.pruneNotices(now)
 	r.pruneBrittle(now)
+	r.pruneCold(now)
+	r.noteEvacuations(snapshot, now)
 	for _, s := range r.byName {
 		s.inConfig = false
 	}
@@ -223,7 +236,7 @@
 		if s == nil {
 			s = &upstreamState{
 				attempts: make(map[*Attempt]struct{}), nameHash: xxhash.Sum64String(u.Name), limit: r.limitOf(u.Name),
-				notice: r.noticeOf(u.Name), brittle: r.brittleOf(u.Name),
+				notice: r.noticeOf(u.Name), brittle: r.brittleOf(u.Name), cold: r.coldOf(u.Name),
 			}
 			r.byName[u.Name] = s
 			r.assignCacheID(s)
@@ -232,6 +245,7 @@
 			}
 		}
 		s.upstream, s.inConfig, s.evacuated = u, true, snapshot.Evacuated(u.Zone)
+		s.cold.takenBackAt = r.takenBack[u.Zone]
 		s.slowStart = r.cfg.SlowStart
 		if u.Draining && !s.listedDraining {
 			r.notify(Change{Kind: ChangeDraining, Upstream: u.Name})
@@ -298,8 +312,8 @@
 			continue
 		}
 		n := s.concurrency(now)
-		if s.limit.active() {
-			n = min(n, s.limit.perSecond)
+		if l := r.limitOn(s, now); l != nil {
+			n = min(n, l.perSecond)
 		}
 		total += n
 	}
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -113,6 +113,7 @@
 	limit       *requestLimit
 	notice      *notice
 	brittle     *brittleness
+	cold        *coldness
 	// isBrittle and ownSlots are set by shareBrittle.
 	isBrittle bool
 	ownSlots  int
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -64,6 +64,8 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// ColdOvershoot and ColdSlack bound the requests to a cold upstream, see routing.Config.
+	ColdOvershoot, ColdSlack float64
 	// ConfigApplyTimeout is the time within which a new configuration must become active.
 	ConfigApplyTimeout time.Duration
 }
@@ -240,7 +242,7 @@
 	weights.Block, weights.ServiceZone = promptBlockSeconds, gatewayServiceZoneWeight
 	g.routing = routing.New(routing.Config{
 		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.heartbeats.Routers, Position: g.position, Weights: weights,
-		SlowStart: gatewaySlowStart, Notify: routing.LogChanges(logger),
+		SlowStart: gatewaySlowStart, ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack, Notify: routing.LogChanges(logger),
 	})
 	g.peers.registerHandlers(g.budget, g.crashes, g.routing)
 	g.peers.registerOriginHandler(g.origins)
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/streamorigin"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
@@ -104,7 +105,7 @@
 		u.Kind = catalogue.KindService
 		return u
 	}
-	u.MaxConnections = service.MaxConnections
+	u.MaxConnections, u.ColdStart, u.ColdPerSecond = service.MaxConnections, service.ColdStart, service.ColdPerSecond
 	u.Kind = catalogue.KindService
 	if service.Engine {
 		u.Kind, u.Models = catalogue.KindEngine, []string{u.Service}
@@ -139,6 +140,9 @@
 // decodeUpstreams decodes the changed records of upstreams.
 func (g *Gateway) decodeUpstreams() (changed bool) {
 	records := g.upstreams.Records()
+	var cold []routing.ColdRecord
+	// What the last read did not have was written after it began.
+	_, writtenAfter := g.upstreams.CompleteBetween()
 	next := make(map[string]decodedUpstream, len(records))
 	for key, rec := range records {
 		previous, ok := g.decoded.upstreams[key]
@@ -156,11 +160,17 @@
 		decoded := decodedUpstream{offset: rec.Offset, upstream: u, revision: revision, valid: err == nil}
 		g.decoded.retired.apply(&decoded)
 		next[key] = decoded
+		if err == nil {
+			cold = append(cold, routing.ColdRecord{
+				Upstream: u.Name, Revision: revision, Remaining: u.ColdRemaining, WrittenAfter: writtenAfter, ReadAt: time.Now(),
+			})
+		}
 		if !ok || previous.valid != decoded.valid || !sameUpstream(previous.upstream, decoded.upstream) {
 			changed = true
 			g.logUpstreamChange(decoded.upstream, decoded.valid, rec.Offset)
 		}
 	}
+	g.routing.ApplyColdRecords(cold)
 	g.decoded.retired.note(g.decoded.upstreams, next, keyedlog.Era(g.upstreams.Next()), time.Now())
 	for key, previous := range g.decoded.upstreams {
 		if _, ok := next[key]; !ok {
@@ -172,6 +182,7 @@
 	return changed
 }
 
+// sameUpstream does not compare ColdRemaining, which changes with most records: it reaches the routing as a ColdRecord.
 func sameUpstream(a, b catalogue.Upstream) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Service == b.Service && a.Draining == b.Draining &&
 		a.Zone == b.Zone && a.Concurrency == b.Concurrency && a.SoftwareVersion == b.SoftwareVersion
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -44,6 +44,11 @@
 		"The operator has evacuated the zone. Its upstreams get nothing more from this router; running requests end there.")
 	EventZoneEvacuationEnded = register(1531, logrus.WarnLevel, "evacuation of a zone taken back",
 		"The operator's record is gone. The zone's upstreams get requests again, slowly if they may be cold (1532).")
+	EventUpstreamCold = register(1532, logrus.InfoLevel, "upstream may be cold",
+		"All routers together send it at most \"per_second\" requests a second. Its record says that it stays cold for "+
+			"\"remaining_ms\", or it may have turned cold since: its zone's evacuation was taken back, or a connection was refused or reset.")
+	EventUpstreamWarm = register(1533, logrus.InfoLevel, "upstream is not cold any more",
+		"Its cold start has ended, or a newer record says that it is not cold. No action.")
 	EventPartTrial = register(1507, logrus.InfoLevel, "request with a quarantined part is let through",
 		"If its upstream crashes, the quarantine is renewed and lasts longer (1505). No action.")
 )
@@ -71,6 +76,10 @@
 	BrittleRejectionsTotal        = newMetric("brittle_rejections_total")
 	RejectionBudgetsUsedTotal     = newMetric("rejection_budgets_used_total")
 	RejectionLimitsMalformedTotal = newMetric("rejection_limits_malformed_total")
+	// UpstreamColdStartsTotal counts the times that an upstream counted as cold, and RequestsToColdTotal the attempts sent to
+	// upstreams that did.
+	UpstreamColdStartsTotal = newMetric("upstream_cold_starts_total")
+	RequestsToColdTotal     = newMetric("requests_to_cold_upstreams_total")
 	// ZonesEvacuated is the number of evacuated zones.
 	ZonesEvacuated           = newMetric("zones_evacuated")
 	RequestsQuarantinedTotal = newMetric("requests_quarantined_total")
--- a/internal/state/catalogue/catalogue.go
+++ b/internal/state/catalogue/catalogue.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"time"
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -85,6 +86,11 @@
 	Instance string `yaml:"-" json:"-"`
 	// MaxConnections bounds the connections of all routers together; 0 means no bound.
 	MaxConnections int `yaml:"-" json:"-"`
+	// ColdRemaining is the time for which the upstream stays cold, as of when it stated so. ColdStart and
+	// ColdPerSecond are those of the service.
+	ColdStart     time.Duration `yaml:"-" json:"-"`
+	ColdRemaining time.Duration `yaml:"-" json:"-"`
+	ColdPerSecond float64       `yaml:"-" json:"-"`
 	// SoftwareVersion is the version of the upstream's software, which is not that of a model. Empty is a version too:
 	// that of upstreams that state none.
 	SoftwareVersion string `yaml:"-" json:"-"`
--- a/internal/state/catalogue/forwarding.go
+++ b/internal/state/catalogue/forwarding.go
@@ -49,6 +49,10 @@
 	Engine         bool
 	HealthPath     string
 	MaxConnections int
+	// ColdPerSecond is the number of requests per second that an upstream bears while it is cold, of all routers together; 0
+	// means that upstreams do not start cold. A cold start lasts ColdStart.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// MaxTokensPerEvent is the maximum number of tokens in one event of a stream.
 	MaxTokensPerEvent int64
 }
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -373,6 +374,9 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		return routing.ResultUnreachable
 	case errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, context.Canceled):
+		if errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE) {
+			return routing.ResultLost
+		}
 		return routing.ResultFailed
 	default:
 		return routingResult(err)
