Keep requests in the regions that their route and team allow

Routes and tenants may have allowed_regions, which nothing heeded, and all upstreams counted as being in the router's own region.

The settings zones.ZONE=REGION state the region of each zone's upstreams and routers; without any, all are in the router's own. Upstreams of other regions than those of the route and of the tenant are left out of the choice, also for retries and streams that are taken up. On a public route the key that a caller sends anyway counts for this too. A request is passed on to routers in an allowed region or the own one, which the caller has sent it to. A zone without a region counts as in no region. An empty list restricts nothing.

--- a/internal/coordination/reach/peers.go
+++ b/internal/coordination/reach/peers.go
@@ -22,7 +22,7 @@
 
 // Peer is another router.
 type Peer struct {
-	VM, Zone string
+	VM, Zone, Region string
 	// Address is where it accepts requests of other routers.
 	Address string
 	// Unreachable are the services of which the peer has said that it reaches no upstream. It may be out of date.
@@ -65,6 +65,11 @@
 // there are any. ok is false if no peer is known that may serve it now. tried
 // are the addresses of the peers that have not served the request.
 func (p *Peers) Pick(service string, tried []string) (peer Peer, ok bool) {
+	return p.PickIn(service, tried, func(string) bool { return true })
+}
+
+// PickIn is Pick among the peers in regions that may see the request.
+func (p *Peers) PickIn(service string, tried []string, mayEnter func(region string) bool) (peer Peer, ok bool) {
 	peers := p.cfg.List()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -73,7 +78,7 @@
 		return Peer{}, false
 	}
 	peers = slices.DeleteFunc(peers, func(c Peer) bool {
-		return slices.Contains(tried, c.Address) || now.Before(p.avoid[c.Address]) || now.Before(p.noPath[peerService{c.Address, service}])
+		return !mayEnter(c.Region) || slices.Contains(tried, c.Address) || now.Before(p.avoid[c.Address]) || now.Before(p.noPath[peerService{c.Address, service}])
 	})
 	if len(peers) == 0 {
 		return Peer{}, false
--- a/internal/coordination/reach/peers_test.go
+++ b/internal/coordination/reach/peers_test.go
@@ -88,3 +88,18 @@
 	advance(minPause)
 	is.Equal(len(picks(p, "s")), 3)
 }
+
+// Guards against requests that are passed on to a router in a region that must not see them.
+func TestPicksPeersInRegions(t *testing.T) {
+	is := is.New(t)
+	p := NewPeers(PeersConfig{
+		List: func() []Peer { return []Peer{{Address: "n:1", Region: "north"}, {Address: "s:1", Region: "south"}} }, Now: time.Now,
+	})
+	for range 50 {
+		peer, ok := p.PickIn("s", nil, func(region string) bool { return region == "south" })
+		is.True(ok)
+		is.Equal(peer.Region, "south")
+	}
+	_, ok := p.PickIn("s", nil, func(string) bool { return false })
+	is.True(!ok)
+}
--- a/internal/coordination/routing/evacuation.go
+++ b/internal/coordination/routing/evacuation.go
@@ -23,11 +23,14 @@
 }
 
 // barred reports whether the operator's word keeps a request from the upstream, whatever the upstream's state: its zone is
-// evacuated.
-func (s *upstreamState) barred(*Request) bool { return s.evacuated }
+// evacuated,
+// or the request must not reach its region.
+func (s *upstreamState) barred(req *Request) bool {
+	return s.evacuated || !req.Regions.Allow(s.upstream.Region)
+}
 
-// CheckBarred returns an error if no upstream may get the request because each one's zone is evacuated. Such a request
-// need not wait for a slot that running requests in that zone hold.
+// CheckBarred returns an error if no upstream may get the request because each one's zone is evacuated or its region
+// is not allowed. Such a request need not wait for a slot that running requests hold.
 func (r *Router) CheckBarred(req Request) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -37,6 +37,8 @@
 	// SharedBlocks is the number of leading hashes that other requests have in common. The upstream that all
 	// routers prefer for them is expected to hold these blocks.
 	SharedBlocks int
+	// Regions restricts the choice to upstreams of regions.
+	Regions catalogue.RegionLists
 	// SoftwareVersion restricts the choice to upstreams with that software, unless it is nil.
 	SoftwareVersion *string
 	Class           catalogue.Class
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -40,6 +40,8 @@
 // GatewayConfig holds the settings of a Gateway.
 type GatewayConfig struct {
 	VM, Zone, Region string
+	// ZoneRegions are the regions of zones. If it is empty, all zones are in Region.
+	ZoneRegions map[string]string
 	// Listen is the address for callers, ReadyListen for the load balancer's readiness checks, and
 	// MetricsListen for metrics.
 	Listen, ReadyListen, MetricsListen string
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -49,7 +49,7 @@
 		}
 	}
 	return &httpapi.Hops{
-		Peers: peers, Sender: g.hopPool, Key: hop.NewKey([]byte(g.cfg.PeerKey)),
+		Peers: peers, Sender: g.hopPool, Key: hop.NewKey([]byte(g.cfg.PeerKey)), Region: g.cfg.Region,
 		MaxConnections: g.cfg.MaxSockets / hopSocketPart,
 	}
 }
@@ -97,7 +97,7 @@
 	members := g.heartbeats.HopAddresses()
 	peers := make([]reach.Peer, 0, len(members))
 	for vm, r := range members {
-		peers = append(peers, reach.Peer{VM: vm, Zone: r.Zone, Address: r.HopAddress, Unreachable: r.Unreachable})
+		peers = append(peers, reach.Peer{VM: vm, Zone: r.Zone, Region: g.regionOf(r.Zone), Address: r.HopAddress, Unreachable: r.Unreachable})
 	}
 	return peers
 }
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -99,7 +99,7 @@
 
 // withServiceSettings returns the upstream with the settings of its service in the configuration.
 func (g *Gateway) withServiceSettings(u catalogue.Upstream) catalogue.Upstream {
-	u.Region = g.cfg.Region
+	u.Region = g.regionOf(u.Zone)
 	service := g.decoded.config.Service(u.Service)
 	if service == nil {
 		u.Kind = catalogue.KindService
@@ -113,6 +113,15 @@
 	return u
 }
 
+// regionOf returns the region of a zone, and none if the settings do not name it: requests that are restricted to regions do
+// not enter it.
+func (g *Gateway) regionOf(zone string) string {
+	if len(g.cfg.ZoneRegions) == 0 || zone == g.cfg.Zone {
+		return g.cfg.Region
+	}
+	return g.cfg.ZoneRegions[zone]
+}
+
 // decodeConfig decodes the configuration in the replica, if it has changed. An older version never replaces a
 // newer one.
 func (g *Gateway) decodeConfig() (changed bool) {
--- a/internal/state/catalogue/catalogue.go
+++ b/internal/state/catalogue/catalogue.go
@@ -51,6 +51,8 @@
 	Prepaid     []Prepaid `yaml:"prepaid,omitempty" json:"prepaid,omitempty"`
 	// Priority overrides the priority of a route if it is set.
 	Priority *int `yaml:"-" json:"-"`
+	// AllowedRegions are the regions whose upstreams may get the entry's requests; empty means all.
+	AllowedRegions []string `yaml:"-" json:"-"`
 }
 
 // Kind is the kind of an upstream.
--- a/internal/state/catalogue/forwarding.go
+++ b/internal/state/catalogue/forwarding.go
@@ -32,6 +32,8 @@
 	TargetLatency time.Duration
 	// Priority is the priority of the requests; 0 is the highest.
 	Priority int
+	// AllowedRegions are the regions whose upstreams may get the requests; empty means all.
+	AllowedRegions []string
 }
 
 // Target is a service of a route, that is, a model or a plain service, and its weight, which is relative to
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -306,7 +306,7 @@
 		op.priority = *x.entry.Priority
 	}
 	x.idempotent = op.route.Idempotent || op.route.Stream && op.route.Resumable
-	x.routingReq = routing.Request{Class: classForPriority(op.priority)}
+	x.routingReq = routing.Request{Class: classForPriority(op.priority), Regions: op.regions(x)}
 	op.useService(x, op.route.Pick(rand.Float64()))
 	x.entryWithClass = *x.entry
 	x.entryWithClass.Class = x.routingReq.Class
@@ -318,6 +318,17 @@
 	x.subjects = requestSubjects(op.caller.Prompt, x.requestHash[:])
 }
 
+// regions returns the regions that the request is restricted to. A caller of a public route may name an entry too.
+func (op *forwardOp) regions(x *exchange) catalogue.RegionLists {
+	entry := x.entry
+	if op.route.Public && op.caller.Secret != "" {
+		if named := x.snapshot.EntryByCredential(op.caller.Secret); named != nil {
+			entry = named
+		}
+	}
+	return catalogue.RestrictRegions(op.route, &entry.Entry)
+}
+
 // useService sets the service that the request goes to.
 func (op *forwardOp) useService(x *exchange, name string) {
 	if op.service = x.snapshot.Service(name); op.service == nil {
--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -28,6 +28,8 @@
 	Key    hop.Key
 	// Address is where this router accepts requests of others.
 	Address string
+	// Region is that of this router, and so of its callers.
+	Region string
 	// MaxConnections is the number of connections to all peers together.
 	MaxConnections int
 }
@@ -114,7 +116,7 @@
 	x.beginPassOn()
 	tries := hopTries{retry: x.api.Forwarding.Retry(op.service.Name), cause: errors.CombineErrors(errNoPath, cause)}
 	for len(tries.addresses) < maxHopTries && x.hasTime() && !callerHasLeft(x.httpReq.Context()) {
-		peer, ok := hops.Peers.Pick(op.service.Name, tries.addresses)
+		peer, ok := hops.Peers.PickIn(op.service.Name, tries.addresses, x.mayEnter)
 		if !ok {
 			break
 		}
@@ -133,6 +135,12 @@
 	return op.finishPassOn(x, &tries)
 }
 
+// mayEnter reports whether the body of the request may be sent to a router in a region: one that is allowed, or that the
+// caller has sent it to already.
+func (x *exchange) mayEnter(region string) bool {
+	return region == x.api.Forwarding.Hops.Region || x.routingReq.Regions.Allow(region)
+}
+
 // noPathRetryAfter is sent to the caller when neither this router nor a peer reaches an upstream. A restart takes seconds.
 const noPathRetryAfter = 2 * time.Second
 
