--- a/internal/coordination/routing/brittle.go
+++ b/internal/coordination/routing/brittle.go
@@ -372,6 +372,9 @@
 	}
 	for _, s := range all {
 		switch {
+		case s.usable(now) && !s.ejected(now) && !s.limit.active() && s.isCold(now):
+			rate, _ := r.coldPermits(s.upstream.ColdPerSecond)
+			capacity += min(s.ownSlots, int(math.Ceil(rate/float64(max(1, p.Routers)))))
 		case !s.available(now) || s.ejected(now):
 		case s.isBrittle && now.Before(s.brittle.pausedUntil) && !s.provenRoom(now):
 		case s.isBrittle:
--- a/internal/coordination/routing/outlier.go
+++ b/internal/coordination/routing/outlier.go
@@ -9,7 +9,12 @@
 
 // available reports whether an upstream may take any number of requests when it is not ejected.
 func (s *upstreamState) available(now time.Time) bool {
-	return !s.draining(now) && !s.evacuated && !s.limit.active() && !s.isCold(now) && s.notice.pauseLeft(now) == 0
+	return s.usable(now) && !s.limit.active() && !s.isCold(now)
+}
+
+// usable reports whether an upstream may take requests when it is not ejected.
+func (s *upstreamState) usable(now time.Time) bool {
+	return !s.draining(now) && !s.evacuated && s.notice.pauseLeft(now) == 0
 }
 
 // counts returns the number of available upstreams, and how many of them are ejected.
