Send callers back sooner while the position of a router is unknown

A process that has just started takes the upstreams of services with cold_per_s for cold and sends them nothing until it knows its position. The first router of a fleet refused such requests for 0.5 s, with a retry time of 2 s; that is 0.5 s now. Later routers knew their position at their first request. Not changed for limits that upstreams name.

--- a/internal/coordination/routing/cold.go
+++ b/internal/coordination/routing/cold.go
@@ -17,6 +17,9 @@
 	// coldSavedPart is the part of what the bound leaves above the rate that unused permits may take up. Permits that stay
 	// valid for a second, as those of named limits do, would allow twice the rate in one second.
 	coldSavedPart = 0.25
+	// coldPositionRetryAfter is the retry time of a router that does not know its position yet. A process that has just
+	// started takes all upstreams for cold and learns its position with the first heartbeats, 0.5 s later.
+	coldPositionRetryAfter = 500 * time.Millisecond
 	// coldRetention is how long what is known of an upstream that is not in the configuration is kept.
 	coldRetention = time.Minute
 )
--- a/internal/coordination/routing/cold_test.go
+++ b/internal/coordination/routing/cold_test.go
@@ -268,6 +268,12 @@
 		f.step(25 * time.Millisecond)
 	}
 	is.Equal(f.routers[0].Capacity("m", ""), 53) // 6 x 8.7
+	f.routers[0].position.Known = false
+	_, _, err := f.send(0, Request{Model: "m"})
+	var none *NoUpstreamError
+	is.True(errors.As(err, &none))
+	is.Equal(none.RetryAfter, coldPositionRetryAfter)
+	f.routers[0].position.Known = true
 	sent := 0
 	const steps = 400
 	for range steps {
--- a/internal/coordination/routing/request_limit.go
+++ b/internal/coordination/routing/request_limit.go
@@ -104,7 +104,10 @@
 	if l == nil {
 		return 0
 	}
-	if !p.Known {
+	switch {
+	case !p.Known && l == &s.cold.limit:
+		return coldPositionRetryAfter
+	case !p.Known:
 		return noUpstreamRetryAfter
 	}
 	_, wait := l.nextPermit(now, p, s.nameHash)
