--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -37,6 +37,8 @@
 	// SharedBlocks is the number of leading hashes that other requests have in common. The upstream that all
 	// routers prefer for them is expected to hold these blocks.
 	SharedBlocks int
+	// Regions restricts the choice to upstreams of regions.
+	Regions catalogue.RegionLists
 	// SoftwareVersion restricts the choice to upstreams with that software, unless it is nil.
 	SoftwareVersion *string
 	Class           catalogue.Class
@@ -127,6 +129,9 @@
 	SlowStart time.Duration
 	// MeasureTimes makes the choice use measured times and speeds: Weights are then the start values of what is measured.
 	MeasureTimes bool
+	// In any second a cold upstream gets at most its service's rate times ColdOvershoot, plus ColdSlack, of all routers
+	// together. If both are 0, they are DefaultColdOvershoot and DefaultColdSlack.
+	ColdOvershoot, ColdSlack float64
 	// Notify is called with each change. It must not call the Router, whose lock is held.
 	Notify func(Change)
 }
@@ -154,6 +159,9 @@
 	if c.SlowStart <= 0 {
 		c.SlowStart = defaultSlowStart
 	}
+	if c.ColdOvershoot == 0 && c.ColdSlack == 0 {
+		c.ColdOvershoot, c.ColdSlack = DefaultColdOvershoot, DefaultColdSlack
+	}
 	if c.MaxPrefixBlocks <= 0 {
 		c.MaxPrefixBlocks = DefaultMaxPrefixBlocks
 	}
@@ -173,6 +181,10 @@
 	// brittle holds what is known of brittle upstreams; they outlive it too. namedBrittle counts those that name a limit.
 	brittle      map[string]*brittleness
 	namedBrittle int
+	// cold holds what is known of cold starts, and takenBack when the evacuation of a zone was taken back.
+	cold      map[string]*coldness
+	takenBack map[string]time.Time
+	evacuated map[string]struct{}
 	// notices holds what upstreams have said about themselves. They outlive the upstream's removal too.
 	notices map[string]*notice
 	// speeds holds the measured speeds by upstream, which outlive it too, and times the measured times by pool.
@@ -194,7 +206,8 @@
 	cfg = cfg.withDefaults()
 	return &Router{
 		cfg: cfg, byName: make(map[string]*upstreamState), limits: make(map[string]*requestLimit),
-		brittle: make(map[string]*brittleness), notices: make(map[string]*notice), pools: make(map[string]*pool),
+		brittle: make(map[string]*brittleness), cold: make(map[string]*coldness),
+		takenBack: make(map[string]time.Time), notices: make(map[string]*notice), pools: make(map[string]*pool),
 		prefix: newPrefixIndex(cfg.MaxPrefixBlocks), byCacheID: make(map[cacheID]*upstreamState),
 		cachedBlocks: make(map[cacheID]int), speeds: make(map[string]*upstreamSpeed), times: make(map[string]*serviceTimes),
 	}
@@ -220,6 +233,8 @@
 	r.pruneNotices(now)
 	r.pruneBrittle(now)
 	r.pruneTimes(now)
+	r.pruneCold(now)
+	r.noteEvacuations(snapshot, now)
 	for _, s := range r.byName {
 		s.inConfig = false
 	}
@@ -229,7 +244,7 @@
 		if s == nil {
 			s = &upstreamState{
 				attempts: make(map[*Attempt]struct{}), nameHash: xxhash.Sum64String(u.Name), limit: r.limitOf(u.Name),
-				notice: r.noticeOf(u.Name), brittle: r.brittleOf(u.Name),
+				notice: r.noticeOf(u.Name), brittle: r.brittleOf(u.Name), cold: r.coldOf(u.Name),
 			}
 			r.byName[u.Name] = s
 			r.assignCacheID(s)
@@ -237,7 +252,8 @@
 				s.slowStartAt = now
 			}
 		}
-		s.upstream, s.inConfig = u, true
+		s.upstream, s.inConfig, s.evacuated = u, true, snapshot.Evacuated(u.Zone)
+		s.cold.takenBackAt = r.takenBack[u.Zone]
 		s.speed, s.times = r.speedOf(u.Name, now), r.timesOf(s, now)
 		s.times.upstreams++
 		s.slowStart = r.cfg.SlowStart
@@ -303,12 +319,12 @@
 	now := r.cfg.Now()
 	total, atSpeed := 0.0, 0.0
 	for _, s := range r.upstreamsFor(&Request{Model: model, Service: service}) {
-		if s.draining(now) || s.ejected(now) || s.notice.pauseLeft(now) > 0 {
+		if s.draining(now) || s.evacuated || s.ejected(now) || s.notice.pauseLeft(now) > 0 {
 			continue
 		}
 		n := s.concurrency(now)
-		if s.limit.active() {
-			n = min(n, s.limit.perSecond)
+		if l := r.limitOn(s, now); l != nil {
+			n = min(n, l.perSecond)
 		}
 		total += n
 		atSpeed += n / s.speed.lastingSlowness(s.times, now)
@@ -387,7 +403,7 @@
 	offset := r.cfg.Rand.IntN(len(all))
 	for i := range all {
 		s := all[(i+offset)%len(all)]
-		if s.draining(now) || !s.serves(req) {
+		if s.draining(now) || s.barred(req) || !s.serves(req) {
 			continue
 		}
 		if left := s.notice.pauseLeft(now); left > 0 {
--- a/internal/coordination/routing/upstreams.go
+++ b/internal/coordination/routing/upstreams.go
@@ -106,6 +106,8 @@
 	cacheID  cacheID
 	// inConfig is true while the upstream is in the active configuration.
 	inConfig bool
+	// evacuated is true while the configuration has the upstream's zone evacuated.
+	evacuated bool
 
 	// outstanding and suspects count this router's requests in flight and the suspects among them.
 	outstanding int
@@ -113,6 +115,7 @@
 	limit       *requestLimit
 	notice      *notice
 	brittle     *brittleness
+	cold        *coldness
 	// isBrittle and ownSlots are set by shareBrittle.
 	isBrittle bool
 	ownSlots  int
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -42,6 +42,8 @@
 // GatewayConfig holds the settings of a Gateway.
 type GatewayConfig struct {
 	VM, Zone, Region string
+	// ZoneRegions are the regions of zones. If it is empty, all zones are in Region.
+	ZoneRegions map[string]string
 	// Listen is the address for callers, ReadyListen for the load balancer's readiness checks, and
 	// MetricsListen for metrics.
 	Listen, ReadyListen, MetricsListen string
@@ -66,6 +68,8 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// ColdOvershoot and ColdSlack bound the requests to a cold upstream, see routing.Config.
+	ColdOvershoot, ColdSlack float64
 	// ConfigApplyTimeout is the time within which a new configuration must become active.
 	ConfigApplyTimeout time.Duration
 	// LogWritesPerSecond and LogReadsPerSecond are the calls per second that the log accepts from all routers together; 0
@@ -94,6 +98,9 @@
 	ConfigStream keyedlog.Stream
 	ConfigKey    string
 	DecodeConfig func(data []byte) (*catalogue.Snapshot, error)
+	// EvacuatedZone returns the zone that a record with this key in ConfigStream evacuates while it exists; ok is false if
+	// it evacuates none. It may be nil.
+	EvacuatedZone func(key string) (zone string, ok bool)
 	// UpstreamStream holds one record per upstream.
 	UpstreamStream keyedlog.Stream
 	// DecodeUpstream also returns the revision of the record, which rises with each one that the upstream writes.
@@ -216,7 +223,8 @@
 	})
 	controlLog := g.logCalls.Wrap(deps.Log, callrate.Control, callrate.Control)
 	g.config = replica.New(replica.Config{
-		Log: controlLog, Stream: deps.ConfigStream, Wait: configLongPoll, Now: time.Now, OnChange: g.rebuild, Logger: logger,
+		Log: controlLog, Stream: deps.ConfigStream, Wait: configLongPoll, RestoreGrace: evacuationRestoreGrace, Now: time.Now,
+		OnChange: g.rebuild, Logger: logger,
 	})
 	g.upstreams = replica.New(replica.Config{
 		Log: controlLog, Stream: deps.UpstreamStream, Interval: minUpstreamReadInterval, IntervalFunc: g.upstreamReadInterval, RemovalGrace: upstreamRemovalGrace, Now: time.Now,
@@ -259,7 +267,8 @@
 	weights.Block, weights.ServiceZone = promptBlockSeconds, gatewayServiceZoneWeight
 	g.routing = routing.New(routing.Config{
 		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.heartbeats.Routers, Position: g.position, Weights: weights,
-		SlowStart: gatewaySlowStart, MeasureTimes: true, Notify: routing.LogChanges(logger),
+		SlowStart: gatewaySlowStart, MeasureTimes: true, ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
+		Notify: routing.LogChanges(logger),
 	})
 	publishSpeeds(g.routing)
 	g.peers.registerHandlers(g.budget, g.crashes, g.routing)
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -49,14 +49,15 @@
 		}
 	}
 	return &httpapi.Hops{
-		Peers: peers, Sender: g.hopPool, Key: hop.NewKey([]byte(g.cfg.PeerKey)),
+		Peers: peers, Sender: g.hopPool, Key: hop.NewKey([]byte(g.cfg.PeerKey)), Region: g.cfg.Region,
 		MaxConnections: g.cfg.MaxSockets / hopSocketPart,
 	}
 }
 
 func (g *Gateway) upstreamAddresses(service string) (addresses []string) {
-	for u := range g.Current().Upstreams {
-		if u.Service == service && !u.Draining {
+	current := g.Current()
+	for u := range current.Upstreams {
+		if u.Service == service && !u.Draining && !current.Evacuated(u.Zone) {
 			addresses = append(addresses, u.Address)
 		}
 	}
@@ -96,7 +97,7 @@
 	members := g.heartbeats.HopAddresses()
 	peers := make([]reach.Peer, 0, len(members))
 	for vm, r := range members {
-		peers = append(peers, reach.Peer{VM: vm, Zone: r.Zone, Address: r.HopAddress, Unreachable: r.Unreachable})
+		peers = append(peers, reach.Peer{VM: vm, Zone: r.Zone, Region: g.regionOf(r.Zone), Address: r.HopAddress, Unreachable: r.Unreachable})
 	}
 	return peers
 }
--- a/internal/daemon/gateway_snapshot.go
+++ b/internal/daemon/gateway_snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/streamorigin"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
@@ -19,6 +20,8 @@
 	malformedConfig uint64
 	upstreams       map[string]decodedUpstream
 	retired         retiredUpstreams
+	// evacuated holds the zones that records in the stream of the configuration evacuate. It is replaced as a whole.
+	evacuated map[string]struct{}
 }
 
 type decodedUpstream struct {
@@ -35,6 +38,7 @@
 	g.rebuildMu.Lock()
 	defer g.rebuildMu.Unlock()
 	changed := g.decodeConfig()
+	changed = g.decodeEvacuations() || changed
 	changed = g.decodeUpstreams() || changed
 	changed = g.versionsAnnounced.Swap(false) || changed
 	if g.decoded.config == nil || !changed {
@@ -47,7 +51,7 @@
 		}
 	}
 	upstreams, complete := g.withoutUnannounced(upstreams)
-	snapshot := g.decoded.config.WithUpstreams(upstreams)
+	snapshot := g.decoded.config.WithUpstreams(upstreams).WithEvacuated(g.decoded.evacuated)
 	g.snapshot.Store(snapshot)
 	g.routing.Update(snapshot)
 	if len(upstreams) > 0 && complete && !g.ready.Swap(true) {
@@ -95,13 +99,13 @@
 
 // withServiceSettings returns the upstream with the settings of its service in the configuration.
 func (g *Gateway) withServiceSettings(u catalogue.Upstream) catalogue.Upstream {
-	u.Region = g.cfg.Region
+	u.Region = g.regionOf(u.Zone)
 	service := g.decoded.config.Service(u.Service)
 	if service == nil {
 		u.Kind = catalogue.KindService
 		return u
 	}
-	u.MaxConnections = service.MaxConnections
+	u.MaxConnections, u.ColdStart, u.ColdPerSecond = service.MaxConnections, service.ColdStart, service.ColdPerSecond
 	u.Kind = catalogue.KindService
 	if service.Engine {
 		u.Kind, u.Models = catalogue.KindEngine, []string{u.Service}
@@ -109,6 +113,15 @@
 	return u
 }
 
+// regionOf returns the region of a zone, and none if the settings do not name it: requests that are restricted to regions do
+// not enter it.
+func (g *Gateway) regionOf(zone string) string {
+	if len(g.cfg.ZoneRegions) == 0 || zone == g.cfg.Zone {
+		return g.cfg.Region
+	}
+	return g.cfg.ZoneRegions[zone]
+}
+
 // decodeConfig decodes the configuration in the replica, if it has changed. An older version never replaces a
 // newer one.
 func (g *Gateway) decodeConfig() (changed bool) {
@@ -136,6 +149,9 @@
 // decodeUpstreams decodes the changed records of upstreams.
 func (g *Gateway) decodeUpstreams() (changed bool) {
 	records := g.upstreams.Records()
+	var cold []routing.ColdRecord
+	// What the last read did not have was written after it began.
+	_, writtenAfter := g.upstreams.CompleteBetween()
 	next := make(map[string]decodedUpstream, len(records))
 	for key, rec := range records {
 		previous, ok := g.decoded.upstreams[key]
@@ -153,11 +169,17 @@
 		decoded := decodedUpstream{offset: rec.Offset, upstream: u, revision: revision, valid: err == nil}
 		g.decoded.retired.apply(&decoded)
 		next[key] = decoded
+		if err == nil {
+			cold = append(cold, routing.ColdRecord{
+				Upstream: u.Name, Revision: revision, Remaining: u.ColdRemaining, WrittenAfter: writtenAfter, ReadAt: time.Now(),
+			})
+		}
 		if !ok || previous.valid != decoded.valid || !sameUpstream(previous.upstream, decoded.upstream) {
 			changed = true
 			g.logUpstreamChange(decoded.upstream, decoded.valid, rec.Offset)
 		}
 	}
+	g.routing.ApplyColdRecords(cold)
 	g.decoded.retired.note(g.decoded.upstreams, next, keyedlog.Era(g.upstreams.Next()), time.Now())
 	for key, previous := range g.decoded.upstreams {
 		if _, ok := next[key]; !ok {
@@ -169,6 +191,7 @@
 	return changed
 }
 
+// sameUpstream does not compare ColdRemaining, which changes with most records: it reaches the routing as a ColdRecord.
 func sameUpstream(a, b catalogue.Upstream) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Service == b.Service && a.Draining == b.Draining &&
 		a.Zone == b.Zone && a.Concurrency == b.Concurrency && a.SoftwareVersion == b.SoftwareVersion
--- a/internal/state/catalogue/catalogue.go
+++ b/internal/state/catalogue/catalogue.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"time"
 
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -50,6 +51,8 @@
 	Prepaid     []Prepaid `yaml:"prepaid,omitempty" json:"prepaid,omitempty"`
 	// Priority overrides the priority of a route if it is set.
 	Priority *int `yaml:"-" json:"-"`
+	// AllowedRegions are the regions whose upstreams may get the entry's requests; empty means all.
+	AllowedRegions []string `yaml:"-" json:"-"`
 }
 
 // Kind is the kind of an upstream.
@@ -85,6 +88,11 @@
 	Instance string `yaml:"-" json:"-"`
 	// MaxConnections bounds the connections of all routers together; 0 means no bound.
 	MaxConnections int `yaml:"-" json:"-"`
+	// ColdRemaining is the time for which the upstream stays cold, as of when it stated so. ColdStart and
+	// ColdPerSecond are those of the service.
+	ColdStart     time.Duration `yaml:"-" json:"-"`
+	ColdRemaining time.Duration `yaml:"-" json:"-"`
+	ColdPerSecond float64       `yaml:"-" json:"-"`
 	// SoftwareVersion is the version of the upstream's software, which is not that of a model. Empty is a version too:
 	// that of upstreams that state none.
 	SoftwareVersion string `yaml:"-" json:"-"`
@@ -123,6 +131,8 @@
 	orders       []EngineOrder
 	// forwarding is nil without routes.
 	forwarding *forwardingIndex
+	// evacuated holds the zones whose upstreams get nothing more.
+	evacuated map[string]struct{}
 }
 
 // NewSnapshot indexes a version. generations maps the names of the entries to their generations.
--- a/internal/state/catalogue/forwarding.go
+++ b/internal/state/catalogue/forwarding.go
@@ -32,6 +32,8 @@
 	TargetLatency time.Duration
 	// Priority is the priority of the requests; 0 is the highest.
 	Priority int
+	// AllowedRegions are the regions whose upstreams may get the requests; empty means all.
+	AllowedRegions []string
 }
 
 // Target is a service of a route, that is, a model or a plain service, and its weight, which is relative to
@@ -49,6 +51,10 @@
 	Engine         bool
 	HealthPath     string
 	MaxConnections int
+	// ColdPerSecond is the number of requests per second that an upstream bears while it is cold, of all routers together; 0
+	// means that upstreams do not start cold. A cold start lasts ColdStart.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 	// MaxTokensPerEvent is the maximum number of tokens in one event of a stream.
 	MaxTokensPerEvent int64
 }
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -128,7 +128,8 @@
 
 // forwardSteps process a forwarded request in order. Each step may end the request with an error.
 var forwardSteps = [...]func(*exchange) *APIError{
-	(*exchange).registerForward, (*exchange).passOnUnreachable, (*exchange).resolveOrigin, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
+	(*exchange).registerForward, (*exchange).passOnUnreachable, (*exchange).resolveOrigin,
+	(*exchange).checkBarred, (*exchange).admit, (*exchange).reserve, (*exchange).runForward,
 }
 
 // ForwardHandler returns the handler that forwards requests by host and path.
@@ -337,7 +338,7 @@
 	op.order = eventOrderAfter(op.caller.LastEventID, op.route.Resumable)
 	x.idempotent = op.route.Idempotent || op.route.Stream && op.route.Resumable
 	x.target = op.route.TargetLatency
-	x.routingReq = routing.Request{Class: classForPriority(x.priority)}
+	x.routingReq = routing.Request{Class: classForPriority(x.priority), Regions: op.regions(x)}
 	op.useService(x, op.route.Pick(rand.Float64()))
 	x.entryWithClass = *x.entry
 	x.entryWithClass.Class = x.routingReq.Class
@@ -349,6 +350,17 @@
 	x.subjects = requestSubjects(op.caller.Prompt, x.requestHash[:])
 }
 
+// regions returns the regions that the request is restricted to. A caller of a public route may name an entry too.
+func (op *forwardOp) regions(x *exchange) catalogue.RegionLists {
+	entry := x.entry
+	if op.route.Public && op.caller.Secret != "" {
+		if named := x.snapshot.EntryByCredential(op.caller.Secret); named != nil {
+			entry = named
+		}
+	}
+	return catalogue.RestrictRegions(op.route, &entry.Entry)
+}
+
 // useService sets the service that the request goes to.
 func (op *forwardOp) useService(x *exchange, name string) {
 	if op.service = x.snapshot.Service(name); op.service == nil {
