Limit the memory of callers' requests

Cause: bodies were read with io.ReadAll, each up to its own limit and without one for all together; heads only had a limit each. package relay copied each body once more to send it.

Change: membuf.Incoming counts bodies above 16 KB and heads above 4 KB of all callers towards a limit of the process, from their first bytes until the request is answered. When it is used up, incomplete requests without progress are ended (408), else the new one is refused (503), before anything ran, and its connection is closed. A body over the limit is refused by its announced length, or at the first byte too much, without holding the rest. The relay writes a large body without a copy. Calls with an unknown outcome are kept without their bodies. Platform: a quarter of the VM's limit. The admin, readiness and metrics listeners have the same limit of heads as that for callers.

Ruled out: counting announced lengths (chunked bodies have none), waiting for memory without an end, a minimum rate for all bodies.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -52,8 +54,9 @@
 	server       *http.Server
 	admin        *http.Server
 	// callers are the connections of server.
-	callers httpapi.KeptConns
-	holder  record.HolderID
+	callers  httpapi.KeptConns
+	incoming *membuf.Incoming
+	holder   record.HolderID
 	// started is when New was called.
 	started        time.Time
 	ready          atomic.Bool
@@ -71,6 +74,7 @@
 	d := &Daemon{
 		cfg: cfg, logger: logger, log: log, config: configsync.NewFollower(log, logger),
 		holder: record.HolderID(cfg.VM + "/" + id.String()), engines: upstream.New(membuf.NewLimiter(cfg.ResponseMemory)),
+		incoming:     membuf.NewIncoming(requestMemory(cfg.RequestMemory), time.Now),
 		crashHistory: routing.NewCrashHistory(time.Now), started: time.Now(), drainRequested: make(chan struct{}),
 	}
 	d.crashes = quarantine.New(quarantine.Config{
@@ -105,11 +109,33 @@
 		Handler: d.api.Handler(), ReadHeaderTimeout: d.cfg.ReadTimeout,
 		IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
 	}
+	d.callers.Incoming = d.incoming
 	d.callers.Attach(public)
-	admin = &http.Server{Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: d.cfg.ReadTimeout}
+	admin = &http.Server{
+		Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: d.cfg.ReadTimeout, IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes,
+	}
 	return public, admin
 }
 
+const (
+	// defaultRequestMemory is the memory for callers' requests of a process without a soft memory limit, in bytes.
+	defaultRequestMemory = 256 << 20
+	// requestMemoryPart is the part of the soft memory limit, as its inverse, that callers' requests may use otherwise.
+	requestMemoryPart = 4
+)
+
+// requestMemory returns the memory for callers' requests in bytes: the setting or, if it is 0, a part of the runtime's soft memory
+// limit (GOMEMLIMIT).
+func requestMemory(setting int64) int64 {
+	if setting > 0 {
+		return setting
+	}
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return limit / requestMemoryPart
+	}
+	return defaultRequestMemory
+}
+
 func newClaimConfig(cfg settings.Daemon) claim.Config {
 	return claim.Config{
 		Partitions: cfg.ClaimPartitions, Interval: cfg.ClaimInterval, Queue: claim.DefaultQueue,
@@ -143,7 +169,7 @@
 		UnknownOutcomes: &httpapi.OutcomeResolver{
 			Budget: d.budget, Engines: d.engines, Holder: d.holder, Delay: cfg.UnknownBillDelay, Logger: d.logger, Now: time.Now,
 		},
-		CheckConfigLease: d.checkConfigLease, Holder: d.holder, Logger: d.logger, Now: time.Now,
+		Incoming: d.incoming, CheckConfigLease: d.checkConfigLease, Holder: d.holder, Logger: d.logger, Now: time.Now,
 		Limits: httpapi.Limits{
 			MaxBodyBytes: cfg.MaxBodyBytes, BodyTimeout: cfg.ReadTimeout, WriteTimeout: cfg.WriteTimeout,
 			RequestTimeout: cfg.RequestTimeout, AttemptTimeout: cfg.AttemptTimeout, ResumeTimeout: cfg.ResumeTimeout,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -56,6 +56,8 @@
 	// ResponseMemory limits the memory for upstreams' responses in progress, in bytes. One upstream may use half of
 	// it.
 	ResponseMemory int64
+	// RequestMemory limits the memory for callers' requests in progress, in bytes.
+	RequestMemory int64
 	// LinkBandwidth is the bandwidth of the VM's network link, in bytes per second; 0 means unknown.
 	LinkBandwidth float64
 	// GracePeriod is the time from the shutdown signal until the process is killed.
@@ -72,6 +74,7 @@
 const (
 	DefaultGracePeriod        = 8 * time.Second
 	DefaultResponseMemory     = 32 << 20
+	DefaultRequestMemory      = 64 << 20
 	DefaultRetryRatio         = 0.1
 	DefaultRetryWindow        = 10 * time.Second
 	DefaultConfigApplyTimeout = 2 * time.Second
@@ -110,6 +113,7 @@
 	heartbeats *heartbeat.Monitor
 	peers      *gatewayPeers
 	buffers    *membuf.Limiter
+	incoming   *membuf.Incoming
 	// rebuildMu is held while the snapshot is rebuilt. It guards decoded.
 	rebuildMu sync.Mutex
 	decoded   decodedRecords
@@ -136,6 +140,8 @@
 	closing  atomic.Bool
 	// callers are the connections of callers.
 	callers httpapi.KeptConns
+	// hopCallers are the connections of other routers that pass requests on.
+	hopCallers httpapi.KeptConns
 }
 
 const (
@@ -191,6 +197,8 @@
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
 		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
 	}
+	g.incoming = membuf.NewIncoming(cmp.Or(cfg.RequestMemory, DefaultRequestMemory), time.Now)
+	g.callers.Incoming, g.hopCallers.Incoming = g.incoming, g.incoming
 	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
@@ -355,7 +363,7 @@
 func (g *Gateway) newAPI() *httpapi.API {
 	return &httpapi.API{
 		Config: g, Budget: g.budget, Admission: admissionAdapter{g.admission}, Routing: routingAdapter{g.routing},
-		Quarantine: g.crashes, Origins: g.origins,
+		Quarantine: g.crashes, Origins: g.origins, Incoming: g.incoming,
 		Forwarding: httpapi.Forwarding{
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse, Busy: g.shedder.Busy,
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -121,8 +120,9 @@
 			Handler: g.api.HopHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: hopIdleTimeout,
 			MaxHeaderBytes: gatewayMaxHeaderBytes + hopHeaderBytes, ConnContext: httpapi.WithCallerConn,
 		}
-		var limited net.Listener = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/hopSocketPart))
-		return gatewayServer{server: server, listener: limited}, true
+		g.hopCallers.Attach(server)
+		limited := netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/hopSocketPart))
+		return gatewayServer{server: server, listener: g.hopCallers.Listener(limited)}, true
 	}
 	obs.EventStartOrStopFailed.Log(g.logger, logrus.Fields{"error": lastErr.Error()})
 	return gatewayServer{}, false
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -72,6 +72,7 @@
 func newInternalServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: gatewayHeaderTimeout, WriteTimeout: gatewayWriteTimeout, IdleTimeout: gatewayIdleTimeout,
+		MaxHeaderBytes: gatewayMaxHeaderBytes,
 	}
 }
 
--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -27,10 +27,20 @@
 	EventResponseUndelivered = register(1618, logrus.WarnLevel, "response not delivered",
 		"The connection of a caller ended before all of a response that 1610 reports had reached it: \"unacknowledged\" bytes were on "+
 			"their way, or a write failed with \"error\". The caller may have left; around a stop of the router, look for 1001 and 1002.")
+	EventIncomingMemoryUsedUp = register(1619, logrus.WarnLevel, "memory for callers' requests used up",
+		"Requests hold \"bytes\". Since the start, \"refused\" were refused for it, and \"stalled\" were ended because their callers sent "+
+			"nothing. At most one line per second. See docs/operations/overload.md.")
 	EventLinesDropped = register(1613, logrus.WarnLevel, "log lines dropped",
 		"The log lines exceeded the rate limit, or their reader was too slow. The counters are still complete.")
 )
 
+var (
+	// RequestsOverMemoryTotal counts requests that were refused, or whose connection was closed, because the memory for callers'
+	// requests was used up. RequestsStalledTotal counts those whose bodies made no progress while others needed the memory.
+	RequestsOverMemoryTotal = newMetric("requests_over_memory_total")
+	RequestsStalledTotal    = newMetric("requests_stalled_total")
+)
+
 // ResponsesUndeliveredTotal counts whole responses whose caller's connection ended before it had all of them.
 var ResponsesUndeliveredTotal = newMetric("responses_undelivered_total")
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,7 @@
 	MaxFinishedRequests  int           `long:"requests-kept" env:"DOTTERELTHREAD_REQUESTS_KEPT" default:"20000" description:"largest number of finished requests kept in memory"`
 	AnswerMemory         int           `long:"answer-memory" env:"DOTTERELTHREAD_ANSWER_MEMORY" default:"33554432" description:"memory for responses stored under their idempotency keys, in bytes"`
 	ResponseMemory       int64         `long:"response-memory" env:"DOTTERELTHREAD_RESPONSE_MEMORY" default:"134217728" description:"memory for the upstreams' responses in progress, in bytes; one upstream may use half of it"`
+	RequestMemory        int64         `long:"request-memory" env:"DOTTERELTHREAD_REQUEST_MEMORY" default:"0" description:"memory for the callers' requests in progress, in bytes; 0 means a quarter of GOMEMLIMIT or, without one, 256 MiB; a body may use a third of it"`
 	MaxAnswerBytes       int           `long:"max-answer-bytes" env:"DOTTERELTHREAD_MAX_ANSWER_BYTES" default:"1048576" description:"largest response stored under its idempotency key, in bytes"`
 	MaxRequests          int64         `long:"max-requests" env:"DOTTERELTHREAD_MAX_REQUESTS" default:"4096" description:"largest number of open requests"`
 	MaxConnections       int           `long:"max-connections" env:"DOTTERELTHREAD_MAX_CONNECTIONS" default:"8192" description:"largest number of callers' connections"`
--- a/internal/transport/httpapi/api.go
+++ b/internal/transport/httpapi/api.go
@@ -23,6 +23,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -174,10 +175,12 @@
 	Forwarding      Forwarding
 	Requests        *request.Table
 	UnknownOutcomes *OutcomeResolver
-	Holder          record.HolderID
-	Limits          Limits
-	Logger          logrus.FieldLogger
-	Now             func() time.Time
+	// Incoming limits the memory of the callers' requests. It may be nil.
+	Incoming *membuf.Incoming
+	Holder   record.HolderID
+	Limits   Limits
+	Logger   logrus.FieldLogger
+	Now      func() time.Time
 
 	openRequests atomic.Int64
 	// attempts is the number of the last attempt of any request.
@@ -185,6 +188,8 @@
 	// crashProbes are the probes in progress, by upstream.
 	crashProbes singleflight.Group
 	stop        requestStop
+	// memoryEventAt is the time of the last event about used up memory, in nanoseconds since 1970.
+	memoryEventAt atomic.Int64
 }
 
 // Handler returns the handler of chat completions, plain services and request lookups.
--- a/internal/transport/httpapi/completions.go
+++ b/internal/transport/httpapi/completions.go
@@ -29,7 +29,15 @@
 // resumeInterval is the time between two rounds of requests to the engines that may hold a broken stream.
 const resumeInterval = 50 * time.Millisecond
 
+// parseCopies is the number of copies of a body that chat.Parse makes: its fields, and the strings of its messages.
+const parseCopies = 2
+
 func (x *exchange) parseChat() *APIError {
+	release, err := x.heldBody.GrowCopies(parseCopies)
+	if err != nil {
+		return x.overMemory()
+	}
+	defer release()
 	req, err := chat.Parse(x.body)
 	if err != nil {
 		return refusal(http.StatusBadRequest, CodeBadRequest, err.Error())
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -25,6 +25,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/state/request"
 	"github.com/dotterelthread/dotterelthread/internal/transport/hop"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
@@ -43,7 +44,9 @@
 
 	snapshot *catalogue.Snapshot
 	entry    *catalogue.BoundEntry
+	// body is the content of heldBody.
 	body     []byte
+	heldBody *membuf.Body
 	// requestHash covers entry, method, path and body.
 	requestHash [sha256.Size]byte
 	op          operation
@@ -188,30 +191,42 @@
 // the server would otherwise end the context of a long stream when the deadline passes.
 func (x *exchange) readBody() *APIError {
 	_ = x.control.SetReadDeadline(time.Now().Add(x.api.Limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.httpReq.Body, x.maxBodyBytes()))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-	case errors.As(err, &tooLarge):
-		return refusal(http.StatusRequestEntityTooLarge, CodeTooLarge,
-			"the body is over "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.w.Header().Set("Connection", "close")
-		return refusal(http.StatusRequestTimeout, CodeRequestTimeout, "the body did not arrive in time")
-	default:
-		return refusal(http.StatusBadRequest, CodeBadRequest, "the body could not be read")
+	limit := x.api.Incoming.MaxBody(x.maxBodyBytes())
+	body, err := x.requestHold().ReadBody(x.httpReq.Body, limit, x.httpReq.ContentLength)
+	if err != nil {
+		return x.bodyError(err, limit)
 	}
 	_ = x.control.SetReadDeadline(time.Time{})
-	x.body = body
+	x.body, x.heldBody = body.Bytes(), body
 	h := sha256.New()
 	for _, part := range []string{x.entry.Name, "\x00", x.httpReq.Method, "\x00", x.httpReq.URL.RequestURI(), "\x00"} {
 		_, _ = io.WriteString(h, part)
 	}
-	_, _ = h.Write(body)
+	_, _ = h.Write(x.body)
 	h.Sum(x.requestHash[:0])
 	return nil
 }
 
+// bodyError refuses a request whose body was not read to its end. Its connection is closed without reading the rest.
+func (x *exchange) bodyError(err error, limit int64) *APIError {
+	x.w.Header().Set("Connection", "close")
+	defer x.endReads()
+	switch {
+	case errors.Is(err, membuf.ErrTooLarge):
+		return refusal(http.StatusRequestEntityTooLarge, CodeTooLarge, "the body is over "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, membuf.ErrLimit):
+		return x.overMemory()
+	case errors.Is(err, membuf.ErrStalled):
+		x.noteStalled()
+		return refusal(http.StatusRequestTimeout, CodeRequestTimeout,
+			"the body made no progress while other requests needed the memory").withRetryAfter(defaultRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal(http.StatusRequestTimeout, CodeRequestTimeout, "the body did not arrive in time")
+	default:
+		return refusal(http.StatusBadRequest, CodeBadRequest, "the body could not be read")
+	}
+}
+
 // servicePoolPrefix is the prefix of the names of the admission pools of plain services.
 const servicePoolPrefix = "service "
 
@@ -366,6 +381,9 @@
 	if x.cancel != nil {
 		x.cancel()
 	}
+	// Calls with an unknown outcome are kept for much longer than the memory counts.
+	x.body = nil
+	x.heldBody.Release()
 	x.span.End()
 	obs.RequestsOpen.Add(-1)
 	x.api.openRequests.Add(-1)
--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/transport/membuf"
 	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 )
 
@@ -24,6 +26,9 @@
 	// not reached the caller. It may be nil, and is set before the first use.
 	OnUndelivered func(UndeliveredResponse)
 
+	// Incoming limits the memory of the requests. It may be nil, and is set before the first use.
+	Incoming *membuf.Incoming
+
 	closing atomic.Bool
 
 	mu    sync.Mutex
@@ -91,6 +96,7 @@
 		return nil, err
 	}
 	c := &keptConn{Conn: inner, conns: l.conns, idle: true, idleSince: time.Now()}
+	c.hold = l.conns.Incoming.NewHold(func() { _ = inner.SetReadDeadline(time.Unix(1, 0)) })
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	if l.conns.conns == nil {
@@ -106,6 +112,7 @@
 		kept.mu.Lock()
 		defer kept.mu.Unlock()
 		kept.responded, kept.idleSince, kept.handled = true, time.Now(), false
+		kept.releaseHead()
 	}
 }
 
@@ -145,6 +152,9 @@
 	incompleteSince time.Time
 	// ending is true if the read deadline has been moved, so that the server stops waiting for a request.
 	ending bool
+	// hold is the memory of the request in progress, and head its part of the head.
+	hold *membuf.Hold
+	head headReader
 	// reset is true if a close shall drop what is not sent, and closed once Close has been called.
 	reset, closed bool
 	// written is the ID of the request whose response was written last, and writeErr the error of the last write.
@@ -220,11 +230,34 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if !c.continues(n, err) {
+			if growErr := c.hold.Grow(c.countHead(n)); growErr != nil {
+				obs.RequestsOverMemoryTotal.Add(1)
+				return 0, growErr
+			}
 			return n, err
 		}
 	}
 }
 
+// countHead returns the bytes that count for the next n bytes, if they belong to the head of a request.
+func (c *keptConn) countHead(n int) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n <= 0 || c.handled || c.hold == nil {
+		return 0
+	}
+	c.hold.Begin()
+	c.hold.Progress(n)
+	return c.head.next(n)
+}
+
+// releaseHead ends the count of a request. It is called with the lock held.
+func (c *keptConn) releaseHead() {
+	_ = c.hold.Complete() // the connection of a request that was ended is closed
+	c.hold.Release(c.head.counted)
+	c.head = headReader{}
+}
+
 // continues takes the result of a read, and reports whether the connection must be read again because data has arrived
 // since CloseIdle moved the deadline.
 func (c *keptConn) continues(n int, err error) bool {
@@ -261,6 +294,7 @@
 	c.conns.mu.Unlock()
 	unsent := netopt.Unsent(c.Conn)
 	c.mu.Lock()
+	c.releaseHead()
 	lingers := !c.closed && !c.reset && unsent > 0
 	c.closed = true
 	c.mu.Unlock()
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -89,7 +89,8 @@
 	if reporter, ok := attempt.(NoticeReporter); ok {
 		call.OnNotice = func(n upstream.Notice) { x.reportNotice(reporter, n) }
 	}
-	x.calls = append(x.calls, call)
+	// Calls that may have run are asked about later, for which the body is not needed.
+	x.calls = append(x.calls, call.WithoutBody())
 	ctx, span := obs.StartSpan(x.ctx, obs.SpanAttempt, x.id)
 	err = x.op.send(ctx, x, call, n)
 	obs.EndSpan(span, err)
--- a/internal/transport/membuf/membuf.go
+++ b/internal/transport/membuf/membuf.go
@@ -1,5 +1,6 @@
 // Package membuf holds what upstreams send in buffers that share a limit of memory, so that upstreams which send without
-// end cannot exhaust the memory of the process. Packages relay, upstream and httpapi use it.
+// end cannot exhaust the memory of the process, and counts what callers send towards a limit of their own. Packages relay,
+// upstream and httpapi use it.
 package membuf
 
 import (
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -183,7 +183,7 @@
 
 // roundTrip writes the request and reads the header of its response, skipping responses to other requests.
 func (c *conn) roundTrip(req Request, responseID func(http.Header) string) (*http.Response, error) {
-	n, writeErr := c.Write(req.encode())
+	n, writeErr := req.writeTo(c)
 	c.writeErr = writeErr
 	if n == 0 && writeErr != nil {
 		return nil, errors.Mark(errors.Wrap(writeErr, "write request"), upstream.ErrNotSent)
@@ -219,16 +219,34 @@
 	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
 
-func (r Request) encode() []byte {
+// maxJoinedBody is the size up to which a body is copied behind its head, to send both at once. Larger ones are written by
+// themselves, because the memory of their callers' bodies is limited and that of the copies is not.
+const maxJoinedBody = 16 << 10
+
+// writeTo writes the request, and returns the number of bytes that were written.
+func (r Request) writeTo(w io.Writer) (int, error) {
+	head := r.encodeHead()
+	if len(r.Body) <= maxJoinedBody {
+		return w.Write(append(head, r.Body...))
+	}
+	n, err := w.Write(head)
+	if err != nil {
+		return n, err
+	}
+	m, err := w.Write(r.Body)
+	return n + m, err
+}
+
+// encodeHead returns the request line and the headers, with room for a small body.
+func (r Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(headSizeHint + len(r.Body))
+	b.Grow(headSizeHint + min(len(r.Body), maxJoinedBody))
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -139,6 +139,12 @@
 	OnNotice func(Notice)
 }
 
+// WithoutBody returns the call without its body, to keep it after the attempt.
+func (c Call) WithoutBody() Call {
+	c.Body = nil
+	return c
+}
+
 // Notice is what an upstream says about itself in a response.
 type Notice struct {
 	// RequestLimit is the number of requests per second that it accepts from all routers together; 0 means that it
