Reject responses with an invalid status and interim ones with a body

Cause: package relay took every status below 200 for an interim response. After 000 the request waited for its deadline, and if the body held the bytes of a response with the caller's ID, that one was passed on as the answer. The same held for 101, and for interim responses that state a body. Package upstream passed 101 of a plain service to the caller, and read bytes behind an interim response with a length as the answer.

Change: a status below 100, above 999 or not of three digits, 101, and an interim response with a body (upstream: with a length; net/http does not show the chunks, whose framing makes the bytes no response) end the connection. The outcome is unknown.

--- a/internal/transport/httpapi/truncated_test.go
+++ b/internal/transport/httpapi/truncated_test.go
@@ -315,3 +315,18 @@
 		})
 	}
 }
+
+// Guards against a response with an invalid status that reaches the caller, or makes the router panic: the request may have run.
+func TestInvalidStatusIsUnknownOutcome(t *testing.T) {
+	for _, status := range []string{"000 None", "020 Low", "101 Switching Protocols"} {
+		is := is.New(t)
+		f := newFixture(t)
+		f.addRawUpstream(t, &rawUpstream{framing: standin.FramingLength, status: status})
+		r := f.call(http.MethodPost, orderPath, "o1", HeaderIdempotencyKey, "k1")
+		is.NoErr(r.err)
+		is.Equal(r.status, http.StatusBadGateway)
+		is.Equal(r.apiError().Code, CodeOutcomeUnknown)
+		is.True(!r.apiError().NotRun)
+		is.Equal(f.chat(false, "a").apiError().Code, CodeOutcomeUnknown)
+	}
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -197,6 +197,9 @@
 		if err != nil {
 			return nil, errors.Mark(errors.CombineErrors(err, writeErr), upstream.ErrIncomplete)
 		}
+		if err := checkStatus(resp); err != nil {
+			return nil, errors.Mark(err, upstream.ErrIncomplete)
+		}
 		if resp.StatusCode < http.StatusOK {
 			interim++
 			continue
@@ -214,6 +217,21 @@
 	return nil, errors.Mark(errors.New("only interim responses and responses to other requests received"), upstream.ErrMismatch)
 }
 
+// checkStatus checks the status of a response that has three characters, as ReadResponse demands. Of the statuses below 200, those
+// from 100 are of interim responses, to which HTTP allows no body: bytes behind one that states a body would be read as the
+// next response. 101 begins another protocol, which no request asks for.
+func checkStatus(resp *http.Response) error {
+	interim := resp.StatusCode < http.StatusOK
+	length := resp.Header.Get("Content-Length")
+	switch {
+	case !upstream.IsValidStatus(resp.StatusCode):
+		return errors.Newf("invalid status %.20q", resp.Status)
+	case interim && (len(resp.TransferEncoding) > 0 || length != "" && length != "0"):
+		return errors.Newf("interim response with status %d has a body", resp.StatusCode)
+	}
+	return nil
+}
+
 // isFramed reports whether the body of a response has a length or chunks, or is none.
 func isFramed(resp *http.Response) bool {
 	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
--- a/internal/transport/upstream/upstream.go
+++ b/internal/transport/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -347,14 +348,39 @@
 // the upstream may have run the request.
 func (c *Client) do(req *http.Request) (response, error) {
 	var got httptrace.GotConnInfo
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { got = info }}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { got = info }, Got1xxResponse: checkInterim,
+	}
 	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil && got.Conn == nil {
 		return response{}, errors.Mark(err, ErrNotSent)
 	}
+	if err == nil && (!IsValidStatus(resp.StatusCode) || resp.StatusCode < http.StatusOK) {
+		_ = got.Conn.Close()
+		_ = resp.Body.Close()
+		return response{}, errors.Mark(errors.Newf("invalid status %.20q", resp.Status), ErrIncomplete)
+	}
 	return response{resp, got.Conn, got.Reused}, err
 }
 
+// IsValidStatus reports whether an upstream may respond with a status, also in an interim response. 101 begins another protocol,
+// which no request asks for.
+func IsValidStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
+// maxStatus is the highest status of three digits.
+const maxStatus = 999
+
+// checkInterim ends the request after an interim response that states a body. HTTP allows it none, so that bytes of it would be
+// read as the response.
+func checkInterim(status int, header textproto.MIMEHeader) error {
+	if length := header.Get("Content-Length"); length != "" && length != "0" {
+		return errors.Mark(errors.Newf("interim response with status %d has a body", status), ErrIncomplete)
+	}
+	return nil
+}
+
 // checkResponse accepts status 200. The listed error statuses are those with which an upstream refuses a request
 // before it runs.
 func checkResponse(resp response, call Call) error {
