Refuse requests whose ID is over 4 KB

Cause: the table of requests keeps the IDs of 1,000 finished requests, and the platform's callers choose them: up to 60 KB each, 60 MB together. Such a request was served before (200); it is refused with 400 now. Ruled out: cutting the ID, since responses are matched by it.

--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -145,6 +145,10 @@
 	return op.abortConnection
 }
 
+// maxCallerIDBytes bounds the ID of a forwarded request, which the table of requests keeps after its end. Without a bound, 1,000
+// finished requests could hold 60 MB.
+const maxCallerIDBytes = 4 << 10
+
 // beginForward does the checks that need only the request itself, before any budget is reserved or capacity is
 // used.
 func (x *exchange) beginForward(op *forwardOp) *APIError {
@@ -159,6 +163,8 @@
 	switch {
 	case err != nil:
 		return refusal(http.StatusBadRequest, CodeBadRequest, err.Error())
+	case len(caller.ID) > maxCallerIDBytes:
+		return refusal(http.StatusBadRequest, CodeBadRequest, "the ID of the request is too long")
 	case open > x.api.Limits.MaxOpenRequests:
 		return refusal(http.StatusServiceUnavailable, CodeOverloaded,
 			"too many open requests").withRetryAfter(defaultRetryAfter)
