Do not let noise decide between equal upstreams

With responses of a millisecond, the first measured upstream of a service looked fast against the start values, and later delays of the router decided: 40 requests in a row went to one of several equal servers (TestServersAfterRestoredLog failed in most runs). Differences below a threshold and the usual noise do not count now, and no speed is derived from the first ten samples of a service.

--- a/internal/coordination/routing/expected_wait.go
+++ b/internal/coordination/routing/expected_wait.go
@@ -17,6 +17,8 @@
 	modelMemory = 200
 	// startSamples is the weight of the start values of a timeModel, in samples.
 	startSamples = 4
+	// settleSamples is the number of samples of a service before speeds are derived from them.
+	settleSamples = 10
 	// maxDeviation bounds the ratio of a measured time to the estimate. A caller that reads slowly, or a router that had
 	// no processor, must not change the estimate at once.
 	maxDeviation = 4
@@ -60,6 +62,7 @@
 type timeModel struct {
 	start, weights features
 	startWeight    float64
+	samples        int
 	xx             [timeFeatures]features
 	xy             features
 }
@@ -81,6 +84,7 @@
 	estimate := m.estimate(x)
 	seconds = max(estimate/maxDeviation, min(seconds, estimate*maxDeviation))
 	relative := 1 / (estimate * estimate)
+	m.samples++
 	for i := range x {
 		m.xy[i] = m.xy[i]*(1-1.0/modelMemory) + relative*x[i]*seconds
 		for j := range x {
@@ -90,6 +94,10 @@
 	m.solve()
 }
 
+// settled reports whether the estimate no longer depends on the start values alone. Compared with those, the first
+// upstream that is measured would look fast or slow.
+func (m *timeModel) settled() bool { return m.samples >= settleSamples }
+
 // solve sets the weights to the solution of the normal equations by Gaussian elimination. The start values make them
 // positive definite.
 func (m *timeModel) solve() {
@@ -125,6 +133,8 @@
 	// first is the time to the first event of an engine, or to the complete response of a plain service. pace is the time
 	// between two events.
 	first, pace timeModel
+	// noise is the usual noise of first in seconds, and sameSpeed the least difference of speeds that counts, see timeNoise.
+	noise, sameSpeed float64
 	// residence is the mean time in seconds that a request takes a slot.
 	residence float64
 	// center is the mean logarithm of the lasting slowness of the upstreams. Speeds are relative to it, so that they and the
@@ -138,8 +148,9 @@
 }
 
 func newServiceTimes(w *Weights, kind catalogue.Kind) *serviceTimes {
-	t := &serviceTimes{pace: newTimeModel(startUnknown, features{startPace, 0, startPace / 10}), residence: w.Queued}
+	t := &serviceTimes{noise: timeNoise, sameSpeed: sameSpeed, pace: newTimeModel(startUnknown, features{startPace, 0, startPace / 10}), residence: w.Queued}
 	if kind == catalogue.KindService {
+		t.noise, t.sameSpeed = serviceTimeNoise, sameServiceSpeed
 		t.first, t.residence = newTimeModel(startUnknown, features{startResponse, 0, startResponse / 10}), startResponse
 	} else {
 		t.first = newTimeModel(startSamples, features{startBase, w.Block, w.FullBatch})
@@ -374,7 +385,9 @@
 		}
 	}
 	net := max(seconds-wait*slowness, seconds/maxDeviation)
-	s.speed.observe(t, net/t.first.estimate(x), weight, a.times, now)
+	if t.first.settled() {
+		s.speed.observe(t, (net+t.noise)/(t.first.estimate(x)+t.noise), weight, a.times, now)
+	}
 	t.first.observe(x, net/slowness)
 }
 
@@ -384,6 +397,8 @@
 	n := float64(a.times.events - 1)
 	seconds := max(minEstimate, now.Sub(a.times.firstEventAt).Seconds()/n)
 	x := featuresOf(0, a.times.load)
-	s.speed.observe(t, seconds/t.pace.estimate(x), n/(n+minPaceEvents), a.times, now)
+	if t.pace.settled() {
+		s.speed.observe(t, (seconds+timeNoise/n)/(t.pace.estimate(x)+timeNoise/n), n/(n+minPaceEvents), a.times, now)
+	}
 	t.pace.observe(x, seconds/s.speed.slowness(t, now))
 }
--- a/internal/coordination/routing/speed.go
+++ b/internal/coordination/routing/speed.go
@@ -51,6 +51,16 @@
 	// speedRetention is how long the speed of an upstream that is not in the configuration is kept. An upstream may be
 	// missing for some seconds while it cannot renew its registration.
 	speedRetention = time.Minute
+	// sameSpeed is the logarithm of the least difference of speeds that counts. Without it, noise would decide between equal
+	// upstreams, and all requests at a time of low load would go to one of them.
+	sameSpeed = 0.02
+	// timeNoise is the usual noise of a measured time, in seconds, from timers and the router's own delays. It keeps it from
+	// looking like a speed in responses of a few milliseconds.
+	timeNoise = 0.001
+	// sameServiceSpeed and serviceTimeNoise are the same for plain services, whose responses take a few milliseconds at
+	// times: delays of a router with a fraction of a core would then decide.
+	sameServiceSpeed = 0.2
+	serviceTimeNoise = 0.01
 	// centerMemory is the number of recent samples that the mean logarithm of the slowness in a service follows.
 	centerMemory = 100
 	// slowCapacity is the part of the usual speed below which the speed of all upstreams of a service changes its capacity.
@@ -178,9 +188,10 @@
 		part := math.Exp(-age.Seconds()/workMemory.Seconds()) * v.reportTrust(t)
 		moment = part*v.workLog + (1-part)*moment
 	}
-	if log += moment; log == 0 {
+	if log += moment; math.Abs(log) <= t.sameSpeed {
 		return 1
 	}
+	log -= math.Copysign(t.sameSpeed, log)
 	return max(minSlowness, min(math.Exp(log), maxSlowness))
 }
 
