--- a/internal/coordination/routing/expected_wait.go
+++ b/internal/coordination/routing/expected_wait.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// MeasureMode says for which services measured times and speeds of upstreams are used.
+type MeasureMode int
+
+// Values of MeasureMode.
+const (
+	// MeasureNone uses them for none.
+	MeasureNone MeasureMode = iota
+	// MeasureReported uses them for services of which an upstream has reported how long work takes at present. Where upstreams
+	// are alike, the measured times follow the noise of each request and read more prompts again than constant weights do.
+	MeasureReported
+	// MeasureAll uses them for all services.
+	MeasureAll
+)
+
 // serviceTimes are the measured times of the upstreams of one model or service.
 type serviceTimes struct {
 	// first is the time to the first event of an engine, or to the complete response of a plain service. pace is the time
@@ -145,6 +159,8 @@
 	// upstreams and outstanding count the upstreams and this router's requests in progress.
 	upstreams, outstanding int
 	usedAt                 time.Time
+	// inUse is true if the choice uses the times, see MeasureMode.
+	inUse bool
 }
 
 func newServiceTimes(w *Weights, kind catalogue.Kind) *serviceTimes {
@@ -170,6 +186,7 @@
 	t := r.times[name]
 	if t == nil {
 		t = newServiceTimes(&r.cfg.Weights, s.upstream.Kind)
+		t.inUse = r.cfg.Measure == MeasureAll
 		r.times[name] = t
 	}
 	t.usedAt = now
@@ -308,7 +325,7 @@
 	s := a.state
 	a.pool = s.times
 	a.pool.outstanding++
-	if !r.cfg.MeasureTimes {
+	if r.cfg.Measure == MeasureNone {
 		return
 	}
 	routers := max(1, r.cfg.Routers())
@@ -323,6 +340,7 @@
 	}
 	if workPercent > 0 {
 		a.times.workLog, a.times.reported = math.Log(float64(workPercent)/100), true
+		a.pool.inUse = a.pool.inUse || a.router.cfg.Measure == MeasureReported
 		a.state.speed.workLog, a.state.speed.workAt = a.times.workLog, now
 	}
 }
@@ -338,7 +356,7 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	a.times.firstEventAt = now
-	if r.cfg.MeasureTimes && !a.done && a.upstream.Kind != catalogue.KindService {
+	if r.cfg.Measure != MeasureNone && !a.done && a.upstream.Kind != catalogue.KindService {
 		a.measureFirst(now)
 	}
 }
@@ -348,7 +366,7 @@
 	r := a.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.cfg.MeasureTimes || a.done || a.times.complete {
+	if r.cfg.Measure == MeasureNone || a.done || a.times.complete {
 		return
 	}
 	a.times.complete = true
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -127,8 +127,9 @@
 	MaxPrefixBlocks int
 	// SlowStart is the time until a new upstream counts with its full concurrency; 0 means the default.
 	SlowStart time.Duration
-	// MeasureTimes makes the choice use measured times and speeds: Weights are then the start values of what is measured.
-	MeasureTimes bool
+	// Measure says for which services the choice uses measured times and speeds. Weights are then the start values of what is
+	// measured.
+	Measure MeasureMode
 	// In any second a cold upstream gets at most its service's rate times ColdOvershoot, plus ColdSlack, of all routers
 	// together. If both are 0, they are DefaultColdOvershoot and DefaultColdSlack.
 	ColdOvershoot, ColdSlack float64
@@ -450,7 +451,7 @@
 // score is the load, plus the costs of failures and of another availability zone in multiples of the load of
 // a full upstream.
 func (r *Router) score(s *upstreamState, req *Request, now time.Time, routers int) float64 {
-	if r.cfg.MeasureTimes {
+	if s.times.inUse {
 		return r.expectedTime(s, req, now, routers)
 	}
 	w := &r.cfg.Weights
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -523,7 +523,12 @@
 				runtime.GC()
 				runtime.ReadMemStats(&before)
 				r, clock := newRouter(n)
-				r.cfg.MeasureTimes = measured
+				if measured {
+					r.cfg.Measure = MeasureAll
+					for _, t := range r.times {
+						t.inUse = true
+					}
+				}
 				runtime.GC()
 				runtime.ReadMemStats(&after)
 				perUpstream := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
--- a/internal/coordination/routing/speed.go
+++ b/internal/coordination/routing/speed.go
@@ -197,6 +197,9 @@
 
 // lastingSlowness returns the lasting slowness as a multiple of the usual time.
 func (v *upstreamSpeed) lastingSlowness(t *serviceTimes, now time.Time) float64 {
+	if !t.inUse {
+		return 1
+	}
 	return max(minSlowness, min(math.Exp(v.lastingLog(now)-t.center), maxSlowness))
 }
 
--- a/internal/coordination/routing/speed_test.go
+++ b/internal/coordination/routing/speed_test.go
@@ -14,7 +14,10 @@
 
 func newMeasuringRouter(n int) (*Router, *fakeClock) {
 	r, clock := newRouter(n)
-	r.cfg.MeasureTimes = true
+	r.cfg.Measure = MeasureAll
+	for _, t := range r.times {
+		t.inUse = true
+	}
 	return r, clock
 }
 
@@ -288,3 +291,15 @@
 	is.True(float64(counts["s0"]) > 1.5*float64(counts["s2"]))
 	is.True(counts["s2"] >= 10)
 }
+
+// Guards against deployments whose upstreams say nothing of how long work takes and whose requests are distributed
+// otherwise than by the fixed weights.
+func TestMeasuredTimesAreUsedOnceReported(t *testing.T) {
+	is := is.New(t)
+	r, clock := newRouter(2)
+	r.cfg.Measure = MeasureReported
+	run(t, r, clock, Request{}, 100*time.Millisecond, 1, 0)
+	is.True(!r.times[testModel].inUse)
+	run(t, r, clock, Request{}, 100*time.Millisecond, 1, 150)
+	is.True(r.times[testModel].inUse)
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -275,7 +275,7 @@
 	weights.Block, weights.ServiceZone = promptBlockSeconds, gatewayServiceZoneWeight
 	g.routing = routing.New(routing.Config{
 		Now: time.Now, Zone: cfg.Zone, Region: cfg.Region, Routers: g.heartbeats.Routers, Position: g.position, Weights: weights,
-		SlowStart: gatewaySlowStart, MeasureTimes: true, ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
+		SlowStart: gatewaySlowStart, Measure: routing.MeasureReported, ColdOvershoot: cfg.ColdOvershoot, ColdSlack: cfg.ColdSlack,
 		Notify: routing.LogChanges(logger),
 	})
 	publishSpeeds(g.routing)
--- a/internal/standin/simulation.go
+++ b/internal/standin/simulation.go
@@ -54,8 +54,8 @@
 	FailingEngines int
 	// UnbudgetedRetries makes each router retry a request up to three times, without a retry budget.
 	UnbudgetedRetries bool
-	// MeasureTimes is that of routing.Config.
-	MeasureTimes bool
+	// Measure is that of routing.Config.
+	Measure routing.MeasureMode
 	// Forwarded makes the routers learn of the engines only from responses and from the speeds that other routers
 	// measure, and makes the prompts of a team have a prefix that all routers prefer the same engine for. Otherwise
 	// there are load reports, cache events and heartbeats.
@@ -257,8 +257,8 @@
 		r := &simRouter{outstanding: make(map[string]int)}
 		r.router = routing.New(routing.Config{
 			Now: s.clock.Now, Zone: fmt.Sprint("zone-", i%s.cfg.Zones), Region: "r",
-			MeasureTimes: s.cfg.MeasureTimes,
-			Routers:      func() int { return s.cfg.Routers }, Rand: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i+2))),
+			Measure: s.cfg.Measure,
+			Routers: func() int { return s.cfg.Routers }, Rand: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i+2))),
 		})
 		r.router.Update(snapshot)
 		r.admission = admission.New(admission.Config{Now: s.clock.Now, Capacity: func(string) int {
--- a/internal/standin/speeds_test.go
+++ b/internal/standin/speeds_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/routing"
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 )
 
@@ -89,10 +90,10 @@
 	var mean, slow95 [2]time.Duration
 	var finished [2]int
 	for seed := range uint64(3) {
-		for i, measured := range []bool{false, true} {
+		for i, mode := range []routing.MeasureMode{routing.MeasureNone, routing.MeasureAll} {
 			cfg := SimulationConfig{
 				Seed: *loadSeed + seed, Engines: 24, Zones: 3, Routers: 20, Policy: PolicyRouter, Duration: 40 * time.Second,
-				Forwarded: true, Rate: p.rate, MeasureTimes: measured,
+				Forwarded: true, Rate: p.rate, Measure: mode,
 			}
 			p.change(&cfg)
 			r := Simulate(cfg)
