--- a/internal/coordination/routing/evacuation.go
+++ b/internal/coordination/routing/evacuation.go
@@ -22,9 +22,8 @@
 	r.evacuated = zones
 }
 
-// barred reports whether the operator's word keeps a request from the upstream, whatever the upstream's state: its zone is
-// evacuated,
-// or the request must not reach its region.
+// barred reports whether the configuration keeps a request from the upstream, whatever the upstream's state: its zone is
+// evacuated, or the request must not reach its region.
 func (s *upstreamState) barred(req *Request) bool {
 	return s.evacuated || !req.Regions.Allow(s.upstream.Region)
 }
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -50,7 +50,7 @@
 		}
 		if s.server == callers {
 			limited = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
-			limited.Hold = g.inbound.Full
+			limited.Hold = g.holdAccept
 			if n := g.inbound.AcceptQueue(); n > 0 {
 				if err := limited.SetAcceptQueue(n); err != nil {
 					return nil, nil, err
@@ -65,6 +65,15 @@
 	return servers, limited, nil
 }
 
+// holdAccept reports whether no connection of callers should be accepted at present.
+func (g *Gateway) holdAccept() bool {
+	full := g.inbound.Full()
+	if full {
+		obs.AcceptHoldsTotal.Add(1)
+	}
+	return full
+}
+
 func (g *Gateway) noteUndelivered(u httpapi.UndeliveredResponse) {
 	obs.ResponsesUndeliveredTotal.Add(1)
 	fields := logrus.Fields{"request_id": u.RequestID, "unacknowledged": u.Unacknowledged}
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -56,6 +56,8 @@
 	DemandsMalformedTotal = newMetric("demands_malformed_total")
 	// LinkRefusalsTotal counts requests that were refused because the router's network link is full.
 	LinkRefusalsTotal = newMetric("link_refusals_total")
+	// AcceptHoldsTotal counts the steps of 10 ms for which no connection was accepted because the link received too much.
+	AcceptHoldsTotal = newMetric("accept_holds_total")
 	// UpstreamFailuresTotal counts failed attempts, except those that ended with the caller's connection or the
 	// deadline.
 	UpstreamFailuresTotal = newMetric("upstream_failures_total")
