Know the size of the fleet at once after a restart

Cause: a process took a hundredth of the rate of log calls for its first 3 s, also where its VM had run another process before. The log has the heartbeats of the fleet from before, so a process that follows another one on its VM counts them from its first read on. A process without a predecessor may be one of many that start for the first time and still takes the small part.

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -371,9 +371,13 @@
 const fleetSettleTime = 3 * time.Second
 
 // FleetSize returns the number of live routers as Routers does. known is false until the heartbeats were read and
-// fleetSettleTime has passed.
+// fleetSettleTime has passed. A process that follows another one on its VM need not wait: the log has the heartbeats of the
+// fleet from before, also if all routers restart at once.
 func (m *Monitor) FleetSize() (routers int, known bool) {
-	return m.Routers(), m.replica.Loaded() && m.cfg.Now().Sub(m.started) >= fleetSettleTime
+	loaded := m.replica.Loaded()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live, loaded && (m.predecessor.known || m.cfg.Now().Sub(m.started) >= fleetSettleTime)
 }
 
 // Position returns the index of this router, in order of VM names, among those that may send requests: the live ones and
--- a/internal/coordination/heartbeat/monitor_test.go
+++ b/internal/coordination/heartbeat/monitor_test.go
@@ -265,3 +265,29 @@
 	a.update()
 	is.Equal(a.Routers(), 1)
 }
+
+// Guards against routers that all restart after a power loss and take the smallest part of a rate for seconds, although
+// the log has the heartbeats of the fleet.
+func TestFleetSizeIsKnownAfterRestart(t *testing.T) {
+	is := is.New(t)
+	c, log := newClock(), keyedlog.NewMemory()
+	for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+		is.NoErr(newMonitor(log, vm, "before", c).send(context.Background()))
+	}
+	size := func(vm string) (routers int, known bool) {
+		m := newMonitor(log, vm, "after", c)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		go m.replica.Run(ctx)
+		for ctx.Err() == nil && !m.replica.Loaded() {
+			time.Sleep(time.Millisecond)
+		}
+		m.update()
+		return m.FleetSize()
+	}
+	routers, known := size("vm-2")
+	is.True(known)
+	is.Equal(routers, 3)
+	_, known = size("vm-4") // may be one of many that start for the first time
+	is.True(!known)
+}
