Review case 10: a notice of leaving is lost between routers

Cause: what an answer says about its server is not noted when it comes from another router, although it is passed on to the client.

The rig can give a router paths of its own to the servers.

--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,6 +74,11 @@
 	Settings []string
 	// Network is the second and third part of the routers' addresses.
 	Network string
+	// Down is true while the store turns all calls away.
+	Down atomic.Bool
+
+	// storeAddresses are those of routers whose paths to the servers can be cut.
+	storeAddresses map[int]string
 
 	dir          string
 	storeAddress string
@@ -96,7 +102,7 @@
 		return nil, err
 	}
 	d.storeAddress = listener.Addr().String()
-	go func() { _ = http.Serve(listener, d.storeHandler()) }()
+	go func() { _ = http.Serve(listener, d.delayed(d.Store)) }()
 	ends := make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -113,14 +119,14 @@
 	callTime   = time.Millisecond
 )
 
-func (d *Deployment) storeHandler() http.Handler {
+func (d *Deployment) delayed(store http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "log-append") {
 			time.Sleep(appendTime)
 		} else {
 			time.Sleep(callTime)
 		}
-		d.Store.ServeHTTP(w, r)
+		store.ServeHTTP(w, r)
 	})
 }
 
@@ -145,6 +151,55 @@
 	exited          chan struct{}
 }
 
+// OwnPaths gives the router with an index paths of its own to the servers that have been added, which can be cut. Their entries do
+// not change then. It is called before StartRouters.
+func (d *Deployment) OwnPaths(router int) (*standin.Uplinks, error) {
+	paths := standin.NewUplinks(d.Store, "127.0.0.1")
+	for _, s := range d.servers {
+		s.mu.Lock()
+		id := s.id
+		s.mu.Unlock()
+		entry, err := s.entry(time.Now())
+		if err != nil {
+			return nil, err
+		}
+		if err := paths.Add(id, entry); err != nil {
+			return nil, err
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	if d.storeAddresses == nil {
+		d.storeAddresses = make(map[int]string)
+	}
+	d.storeAddresses[router] = listener.Addr().String()
+	go func() { _ = http.Serve(listener, d.delayed(d.whileUp(paths))) }()
+	return paths, nil
+}
+
+// whileUp passes calls to the store itself while it is down.
+func (d *Deployment) whileUp(paths http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.Down.Load() {
+			d.Store.ServeHTTP(w, r)
+			return
+		}
+		paths.ServeHTTP(w, r)
+	})
+}
+
+// SetDown takes the store down, so that it turns all calls away, or up again.
+func (d *Deployment) SetDown(down bool) {
+	d.Down.Store(down)
+	if down {
+		d.Store.SetFaults(standin.Faults{DownStatus: http.StatusServiceUnavailable})
+	} else {
+		d.Store.SetFaults(standin.Faults{})
+	}
+}
+
 // StartRouters starts routers and waits until they are ready and know each other.
 func (d *Deployment) StartRouters(n int, zones []string) error {
 	var seeds []string
@@ -154,7 +209,10 @@
 		if err != nil {
 			return err
 		}
-		zone := zones[i%len(zones)]
+		zone, store := zones[i%len(zones)], d.storeAddress
+		if own, ok := d.storeAddresses[i]; ok {
+			store = own
+		}
 		r := &Router{
 			Name: fmt.Sprintf("edge-%s-%d", zone, i+1), Address: free[0], ready: free[1], d: d,
 			settings: filepath.Join(d.dir, fmt.Sprintf("router-%d.conf", i+1)),
@@ -169,7 +227,7 @@
 			"limits.memory_limit_mb=284", "limits.max_open_files=4100", "limits.link_bandwidth_mbps=1000.0", "discovery=platform",
 			"ingress=virtual_ip", "heartbeat_interval_ms=1200", "bounds.contact_ms=3000", "bounds.drain_timeout_ms=2000",
 			"bounds.grace_period_s=8", "bounds.config_apply_ms=2000", "bounds.retry_budget_ratio=0.2", "bounds.retry_window_s=10",
-			"bounds.retry_min_extra=58", "platform.address=" + d.storeAddress, "platform.form=log", "platform.writes_per_s=800",
+			"bounds.retry_min_extra=58", "platform.address=" + store, "platform.form=log", "platform.writes_per_s=800",
 			"platform.reads_per_s=2000", "platform.parts=8",
 		}
 		for _, z := range zones {
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -113,10 +113,7 @@
 	}
 	born := time.Now()
 	last := born
-	value, err := json.Marshal(map[string]any{
-		"service": s.Service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": "healthy",
-		"cold_remaining_ms": 0, "sequence": 1, "born": born.UnixMilli(),
-	})
+	value, err := s.entry(born)
 	if err != nil {
 		return
 	}
@@ -135,6 +132,14 @@
 	s.d.Store.Put("servers", id, nil)
 }
 
+// entry returns what a lifetime writes about itself.
+func (s *Server) entry(born time.Time) ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"service": s.Service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": "healthy",
+		"cold_remaining_ms": 0, "sequence": 1, "born": born.UnixMilli(),
+	})
+}
+
 // Kill kills the process.
 func (s *Server) Kill() {
 	s.mu.Lock()
