Log why a lost connection does not count as a crash

A request whose upstream refuses new connections after the loss leaves line 1504 if the loss counts as a crash, and nothing otherwise.

Line 1516 now names the cause, and losses_without_crash_total counts such requests. What counts as a crash is unchanged, except that a lost path ends the further probes of the upstream: they are for listeners that close later than the connections.

--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -40,6 +40,9 @@
 			"lacks capacity, or the upstream runs fewer requests than it states.")
 	EventRejectionLimitMalformed = register(1515, logrus.WarnLevel, "upstream names a rejection limit that is no sound number",
 		"The field \"text\" has what it sent. The limit is ignored. Repair the upstream. Logged once for each upstream.")
+	EventLossWithoutCrash = register(1516, logrus.InfoLevel, "upstream lost a request without a crash",
+		"It refuses new connections, but the loss does not count as a crash (1504). The field \"cause\" says why: \"path lost\" "+
+			"means that the router reaches no other upstream of the service. If this repeats, check the network of the VM.")
 	EventZoneEvacuated = register(1530, logrus.WarnLevel, "zone evacuated",
 		"The operator has evacuated the zone. Its upstreams get nothing more from this router; running requests end there.")
 	EventZoneEvacuationEnded = register(1531, logrus.WarnLevel, "evacuation of a zone taken back",
@@ -84,7 +87,9 @@
 	ZonesEvacuated           = newMetric("zones_evacuated")
 	RequestsQuarantinedTotal = newMetric("requests_quarantined_total")
 	// PartsQuarantinedTotal counts quarantines of a part of requests, CrashesObservedTotal the requests of this
-	// router that were running when their upstream crashed.
-	PartsQuarantinedTotal = newMetric("parts_quarantined_total")
-	CrashesObservedTotal  = newMetric("crashes_observed_total")
+	// router that were running when their upstream crashed, and LossesWithoutCrashTotal those whose upstream refused new
+	// connections for another reason.
+	PartsQuarantinedTotal   = newMetric("parts_quarantined_total")
+	CrashesObservedTotal    = newMetric("crashes_observed_total")
+	LossesWithoutCrashTotal = newMetric("losses_without_crash_total")
 )
--- a/internal/transport/httpapi/crash.go
+++ b/internal/transport/httpapi/crash.go
@@ -101,17 +101,39 @@
 	}
 }
 
-// noteCrash records a crash of the upstream after the attempt in progress has lost its connection. Connections are
-// lost for other reasons too, so the upstream must also refuse new ones, as refuses reports.
-func (x *exchange) noteCrash(upstreamName string, refuses func(ctx context.Context) bool) {
+// lossCause is why an upstream has lost the connection of an attempt, as far as the router can tell.
+type lossCause int
+
+const (
+	// causeUnknown means that the upstream does not refuse new connections. Its process probably lives.
+	causeUnknown lossCause = iota
+	// causeCrash means that the process of the upstream has ended.
+	causeCrash
+	// causePathLost means that the router has probably lost its path to the upstreams of the service.
+	causePathLost
+)
+
+// String returns the cause as it appears in logs.
+func (c lossCause) String() string {
+	switch c {
+	case causeCrash:
+		return "crash"
+	case causePathLost:
+		return "path lost"
+	}
+	return "unknown"
+}
+
+// noteCrash records a crash of the upstream if that is why the attempt in progress has lost its connection, as examine
+// finds out.
+func (x *exchange) noteCrash(upstreamName string, examine func(ctx context.Context) lossCause) {
 	if x.ctx.Err() != nil || x.progress.crashChecked || x.api.Quarantine == nil {
 		return
 	}
 	x.progress.crashChecked = true
-	probe := func(ctx context.Context) bool { return x.api.probeRefuses(ctx, upstreamName, refuses) }
-	if probe(x.ctx) {
-		x.crashedUpstream = x.progress.stage() == quarantine.StageBegun
-		x.recordCrash(upstreamName, x.progress)
+	if cause := x.api.examineLoss(x.ctx, upstreamName, examine); cause != causeUnknown {
+		x.crashedUpstream = cause == causeCrash && x.progress.stage() == quarantine.StageBegun
+		x.recordLoss(upstreamName, cause, x.progress)
 		return
 	}
 	// The listener of a process that ends may be closed a little later than its connections. The request need not wait.
@@ -119,8 +141,8 @@
 	go func() {
 		for _, delay := range crashReprobeDelays {
 			time.Sleep(delay)
-			if probe(ctx) {
-				x.recordCrash(upstreamName, progress)
+			if cause := x.api.examineLoss(ctx, upstreamName, examine); cause != causeUnknown {
+				x.recordLoss(upstreamName, cause, progress)
 				return
 			}
 		}
@@ -130,15 +152,27 @@
 // crashReprobeDelays are the pauses before the further probes of an upstream that still accepted a connection.
 var crashReprobeDelays = [...]time.Duration{30 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
 
-// probeRefuses calls refuses with a timeout. Requests that lose their connections to an upstream together share one
-// probe.
-func (a *API) probeRefuses(ctx context.Context, upstreamName string, refuses func(ctx context.Context) bool) bool {
-	refused, _, _ := a.crashProbes.Do(upstreamName, func() (any, error) {
+// examineLoss calls examine with a timeout. Requests that lose their connections to an upstream together share one call.
+func (a *API) examineLoss(ctx context.Context, upstreamName string, examine func(ctx context.Context) lossCause) lossCause {
+	cause, _, _ := a.crashProbes.Do(upstreamName, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
 		defer cancel()
-		return refuses(ctx), nil
+		return examine(ctx), nil
+	})
+	return cause.(lossCause)
+}
+
+// recordLoss records a crash, and logs another cause of a lost connection.
+func (x *exchange) recordLoss(upstreamName string, cause lossCause, progress attemptProgress) {
+	if cause == causeCrash {
+		x.recordCrash(upstreamName, progress)
+		return
+	}
+	obs.LossesWithoutCrashTotal.Add(1)
+	obs.EventLossWithoutCrash.Log(x.api.Logger, logrus.Fields{
+		"request_id": x.id, "upstream": upstreamName, "cause": cause.String(), "begun": progress.begun, "events": progress.events,
+		"content": x.subjects[0].String(),
 	})
-	return refused.(bool)
 }
 
 // recordCrash logs and records that the request was running when its upstream crashed. It uses only fields that do not
--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -446,7 +446,12 @@
 	x := &exchange{api: &API{Quarantine: recorder, Logger: logrus.New(), Now: time.Now}, ctx: context.Background(),
 		subjects: []quarantine.Subject{1}}
 	began := time.Now()
-	x.noteCrash("e1", func(context.Context) bool { return time.Since(began) > 350*time.Millisecond })
+	x.noteCrash("e1", func(context.Context) lossCause {
+		if time.Since(began) > 350*time.Millisecond {
+			return causeCrash
+		}
+		return causeUnknown
+	})
 	for range 200 {
 		if crashes, _ := recorder.counts(); crashes == 1 {
 			return
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -440,9 +440,7 @@
 		op.countAttempt(x, err)
 		if errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, errAttemptTimeout) {
 			target, service := op.relayTarget(x), op.service.Name
-			x.noteCrash(op.upstream, func(ctx context.Context) bool {
-				return x.api.Forwarding.Forwarder.RefusesConnections(ctx, target) && !x.api.Forwarding.Reach.Confirm(ctx, service, target.Address)
-			})
+			x.noteCrash(op.upstream, func(ctx context.Context) lossCause { return x.api.Forwarding.examineLoss(ctx, service, target) })
 		}
 		if !op.mayRetry(x, err, retryBudget) {
 			if op.isLastResort(x) {
@@ -455,6 +453,17 @@
 	}
 }
 
+// examineLoss returns why an upstream of a service has lost a connection.
+func (f *Forwarding) examineLoss(ctx context.Context, service string, target relay.Target) lossCause {
+	switch {
+	case !f.Forwarder.RefusesConnections(ctx, target):
+		return causeUnknown
+	case f.Reach.Confirm(ctx, service, target.Address):
+		return causePathLost
+	}
+	return causeCrash
+}
+
 // countAttempt counts and logs a failed attempt.
 func (op *forwardOp) countAttempt(x *exchange, err error) {
 	op.cause = err
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -69,7 +69,12 @@
 		return
 	}
 	target := x.attempt.Upstream()
-	x.noteCrash(target.Name, func(ctx context.Context) bool { return upstream.RefusesConnections(ctx, target.Address) })
+	x.noteCrash(target.Name, func(ctx context.Context) lossCause {
+		if upstream.RefusesConnections(ctx, target.Address) {
+			return causeCrash
+		}
+		return causeUnknown
+	})
 }
 
 // runAttempt makes one attempt and reports its result to the routing.
