Count crashes of a service whose other upstreams had crashed before

Cause: a loss counts as a crash only if another upstream of the service can be reached, since otherwise the router may be cut off from all of them. When the request had crashed the others too, each further crash was taken for a lost path. The count stayed at two.

The other routers had the reports of the earlier crashes all the while. Ruled out: the probe (the port refuses), the reports (quarantined once a third crash counts), clears (no answer to that content).

Now an upstream that is known to have crashed half a second or more before the loss is no sign of a lost path. Upstreams that fail together, and any that fails without a known crash, still are.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -228,6 +228,19 @@
 	return c
 }
 
+// Crashed returns the upstreams that are known to have crashed before a time.
+func (r *Registry) Crashed(before time.Time) map[string]struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	upstreams := make(map[string]struct{})
+	for _, c := range r.crashes {
+		if c.at.Before(before) {
+			upstreams[c.upstream] = struct{}{}
+		}
+	}
+	return upstreams
+}
+
 // crashesInRow returns the crashes since the subject was last cleared. Of crashes at the same time only one
 // counts, because upstreams may fail together: a request that counts was sent after the last counted crash. Copies of
 // one content count each, unless upstreams have answered it: many callers may send the same sound request. A
--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -34,6 +34,9 @@
 	minCheckPause   = time.Second
 	maxCheckPause   = 8 * time.Second
 	checkPauseReset = 30 * time.Second
+	// endTogetherWindow is the time within which upstreams that one cause ends, such as a power loss, are noticed to have ended,
+	// and within which a lost path shows at all of them.
+	endTogetherWindow = 500 * time.Millisecond
 	// checkInterval is the time between two checks of an unreachable service.
 	checkInterval = 200 * time.Millisecond
 )
@@ -46,6 +49,9 @@
 	Services func() []string
 	// Check opens a connection to an upstream of a service and reports it with Monitor.Connected. No request is sent.
 	Check func(ctx context.Context, service, address string) error
+	// Ended returns the addresses of those upstreams of a service whose processes are known to have ended before a time. It may
+	// be nil.
+	Ended func(service string, before time.Time) map[string]struct{}
 	// Notify is called without a lock held when a conclusion changes.
 	Notify func(Change)
 	// Choose returns an index below n; nil means the first.
@@ -342,24 +348,63 @@
 	m.service(c.service).checking = false
 }
 
-// Confirm reports whether the router probably reaches no upstream of the service, after a connection attempt at one of them
-// failed. It tries others until one can be reached.
-func (m *Monitor) Confirm(ctx context.Context, name, failed string) bool {
+// Path is what is known of the path to the upstreams of a service after one of them has refused a connection.
+type Path int
+
+const (
+	// PathUntested means that nothing shows whether the path works: the service has no other upstream, or the processes of
+	// all others had ended before.
+	PathUntested Path = iota
+	// PathWorks means that another upstream of the service accepts connections.
+	PathWorks
+	// PathLost means that the path is probably lost: other upstreams fail that had not been known to have ended.
+	PathLost
+)
+
+// CheckPath tells a lost path from the end of an upstream that had lost a connection at lostAt and refuses new ones. It tries
+// other upstreams until one can be reached.
+func (m *Monitor) CheckPath(ctx context.Context, name, refusing string, lostAt time.Time) Path {
 	if m == nil {
-		return false
+		return PathUntested
 	}
-	others := slices.DeleteFunc(slices.Clone(m.cfg.Upstreams(name)), func(a string) bool { return a == failed })
-	if len(others) == 0 {
-		return m.anyOtherUnreachable(name)
+	var hadEnded map[string]struct{}
+	if m.cfg.Ended != nil {
+		hadEnded = m.cfg.Ended(name, lostAt.Add(-endTogetherWindow))
 	}
-	for range min(confirmations, len(others)) {
-		i := m.choose(len(others))
-		if m.cfg.Check(ctx, name, others[i]) == nil {
-			return false
+	var others, ended []string
+	for _, address := range m.cfg.Upstreams(name) {
+		if address == refusing {
+			continue
+		}
+		if _, ok := hadEnded[address]; ok {
+			ended = append(ended, address)
+		} else {
+			others = append(others, address)
 		}
-		others = slices.Delete(others, i, i+1)
 	}
-	return true
+	switch {
+	case m.anyAccepts(ctx, name, others):
+		return PathWorks
+	case len(others) > 0:
+		return PathLost
+	case m.anyAccepts(ctx, name, ended): // they may be back
+		return PathWorks
+	case m.anyOtherUnreachable(name):
+		return PathLost
+	}
+	return PathUntested
+}
+
+// anyAccepts reports whether one of up to confirmations upstreams at random accepts a connection.
+func (m *Monitor) anyAccepts(ctx context.Context, name string, addresses []string) bool {
+	for range min(confirmations, len(addresses)) {
+		i := m.choose(len(addresses))
+		if m.cfg.Check(ctx, name, addresses[i]) == nil {
+			return true
+		}
+		addresses = slices.Delete(addresses, i, i+1)
+	}
+	return false
 }
 
 // anyOtherUnreachable reports whether another service is unreachable.
--- a/internal/coordination/reach/reach_test.go
+++ b/internal/coordination/reach/reach_test.go
@@ -224,22 +224,50 @@
 }
 
 // Guards against a crash of one upstream, or of the only one, that counts as a partition, and the other way round.
-func TestConfirm(t *testing.T) {
+func TestCheckPath(t *testing.T) {
 	is := is.New(t)
 	up := map[string]bool{"b": true}
 	c := newChecker(map[string][]string{"s": {"a", "b"}, "t": {"c"}}, func(address string) bool { return up[address] })
-	is.True(!c.Confirm(t.Context(), "s", "a"))
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathWorks)
 	c.connect("t", "c", errConnect)
 	is.True(c.Unreachable("t"))
-	is.True(!c.Confirm(t.Context(), "t", "c"))
+	is.Equal(c.CheckPath(t.Context(), "t", "c", c.now), PathUntested)
 	up["b"] = false
 	c.connect("s", "a", errConnect)
-	is.True(c.Confirm(t.Context(), "s", "a"))
-	is.True(c.Confirm(t.Context(), "t", "c"))
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost)
+	is.Equal(c.CheckPath(t.Context(), "t", "c", c.now), PathLost)
 	up["b"] = true
-	is.True(!c.Confirm(t.Context(), "s", "a")) // one connection is enough to doubt
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathWorks) // one connection is enough to doubt
 	var none *Monitor
-	is.True(!none.Confirm(t.Context(), "s", "a"))
+	is.Equal(none.CheckPath(t.Context(), "s", "a", c.now), PathUntested)
+}
+
+// Guards against a crash that counts as a partition because the other upstreams had crashed before, and against a partition or
+// an end of all upstreams together that counts as a crash.
+func TestCheckPathWithoutUpstreamsThatHadEnded(t *testing.T) {
+	is := is.New(t)
+	up := make(map[string]bool)
+	c := newChecker(map[string][]string{"s": {"a", "b", "d"}}, func(address string) bool { return up[address] })
+	endedAt := make(map[string]time.Time)
+	c.cfg.Ended = func(_ string, before time.Time) map[string]struct{} {
+		ended := make(map[string]struct{})
+		for address, at := range endedAt {
+			if at.Before(before) {
+				ended[address] = struct{}{}
+			}
+		}
+		return ended
+	}
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost)
+	endedAt["b"] = c.now.Add(-time.Second)
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost) // "d" fails too
+	endedAt["d"] = c.now.Add(-2 * time.Second)
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathUntested)
+	up["d"] = true // it is back
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathWorks)
+	up["d"] = false
+	endedAt["d"] = c.now.Add(-endTogetherWindow / 2)
+	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost) // they ended together
 }
 
 // Guards against conclusions that do not follow from the results since the last sign of a path, and against returns that do
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -440,7 +440,10 @@
 		op.countAttempt(x, err)
 		if errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, errAttemptTimeout) {
 			target, service := op.relayTarget(x), op.service.Name
-			x.noteCrash(op.upstream, func(ctx context.Context) lossCause { return x.api.Forwarding.examineLoss(ctx, service, target) })
+			lostAt := x.api.Now()
+			x.noteCrash(op.upstream, func(ctx context.Context) lossCause {
+				return x.api.Forwarding.examineLoss(ctx, service, target, lostAt)
+			})
 		}
 		if !op.mayRetry(x, err, retryBudget) {
 			if op.isLastResort(x) {
@@ -453,12 +456,12 @@
 	}
 }
 
-// examineLoss returns why an upstream of a service has lost a connection.
-func (f *Forwarding) examineLoss(ctx context.Context, service string, target relay.Target) lossCause {
+// examineLoss returns why an upstream of a service lost a connection at lostAt.
+func (f *Forwarding) examineLoss(ctx context.Context, service string, target relay.Target, lostAt time.Time) lossCause {
 	switch {
 	case !f.Forwarder.RefusesConnections(ctx, target):
 		return causeUnknown
-	case f.Reach.Confirm(ctx, service, target.Address):
+	case f.Reach.CheckPath(ctx, service, target.Address, lostAt) == reach.PathLost:
 		return causePathLost
 	}
 	return causeCrash
