Ask other routers before a refused connection counts as a crash

What callers saw: a router loses the path to the only upstream of a service, or to one of several, while a sound request runs there, three times. Each time counts as a crash of the upstream, and all routers then refuse the request as quarantined.

Cause: the only sign of a lost path is that other upstreams of the service fail too. With none, or with a path lost to one upstream only, there is no such sign.

Without responses the loss counts as before. Upstreams are named, since their addresses may differ from router to router. Considered: to wait for the store to remove the entry of the upstream (needs the store, and takes three reports of it), to withdraw a crash later (another message, and the refusals until then). If all that are asked have lost the same path, the crash counts.

--- a/internal/daemon/gateway_budget.go
+++ b/internal/daemon/gateway_budget.go
@@ -75,7 +75,7 @@
 	repayTimeout = time.Second
 )
 
-// registerHandlers registers the handlers of loans, of the ages of heartbeats, of crashes and of request limits.
+// registerHandlers registers the handlers of loans, of the ages of heartbeats, of crashes and of upstreams.
 func (p *gatewayPeers) registerHandlers(m *prepaid.Manager, crashes *quarantine.Registry, router *routing.Router) {
 	if p.server == nil {
 		return
@@ -84,6 +84,7 @@
 	registerLimitHandler(p.server, router)
 	registerBrittleHandler(p.server, router)
 	registerSpeedHandler(p.server, router)
+	p.registerReachHandler(p.server)
 	registerHandler(p.server, methodBorrow, func(_ context.Context, _ peerapi.Identity, r loanRequest) (any, error) {
 		return loanResponse{Lent: m.Lend(r.Entry, r.ID, r.Amount)}, nil
 	})
--- a/internal/transport/httpapi/crash.go
+++ b/internal/transport/httpapi/crash.go
@@ -9,8 +9,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/quarantine"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/reach"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
+	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 )
 
 const (
@@ -124,6 +126,26 @@
 	return "unknown"
 }
 
+// lostConnection is the connection of an attempt that has ended before the response was complete.
+type lostConnection struct {
+	service, upstream string
+	target            relay.Target
+	at                time.Time
+}
+
+// examine returns why a connection was lost. The process of the upstream has ended if its host refuses connections of this
+// router and of others.
+func (f *Forwarding) examine(ctx context.Context, l lostConnection) lossCause {
+	switch {
+	case !f.Forwarder.RefusesConnections(ctx, l.target):
+		return causeUnknown
+	case f.Reach.CheckPath(ctx, l.service, l.target.Address, l.at) == reach.PathLost,
+		f.ReachedByOthers != nil && f.ReachedByOthers(ctx, l.upstream):
+		return causePathLost
+	}
+	return causeCrash
+}
+
 // noteCrash records a crash of the upstream if that is why the attempt in progress has lost its connection, as examine
 // finds out.
 func (x *exchange) noteCrash(upstreamName string, examine func(ctx context.Context) lossCause) {
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -122,6 +122,8 @@
 	Busy func() bool
 	// Reach is told what upstreams send. It may be nil.
 	Reach *reach.Monitor
+	// ReachedByOthers reports whether another router reaches the upstream with a name. It may be nil.
+	ReachedByOthers func(ctx context.Context, upstream string) bool
 	// Hops is nil if requests are not passed on to other routers.
 	Hops *Hops
 }
@@ -439,11 +441,8 @@
 		}
 		op.countAttempt(x, err)
 		if errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, errAttemptTimeout) {
-			target, service := op.relayTarget(x), op.service.Name
-			lostAt := x.api.Now()
-			x.noteCrash(op.upstream, func(ctx context.Context) lossCause {
-				return x.api.Forwarding.examineLoss(ctx, service, target, lostAt)
-			})
+			loss := lostConnection{service: op.service.Name, upstream: op.upstream, target: op.relayTarget(x), at: x.api.Now()}
+			x.noteCrash(op.upstream, func(ctx context.Context) lossCause { return x.api.Forwarding.examine(ctx, loss) })
 		}
 		if !op.mayRetry(x, err, retryBudget) {
 			if op.isLastResort(x) {
@@ -456,17 +455,6 @@
 	}
 }
 
-// examineLoss returns why an upstream of a service lost a connection at lostAt.
-func (f *Forwarding) examineLoss(ctx context.Context, service string, target relay.Target, lostAt time.Time) lossCause {
-	switch {
-	case !f.Forwarder.RefusesConnections(ctx, target):
-		return causeUnknown
-	case f.Reach.CheckPath(ctx, service, target.Address, lostAt) == reach.PathLost:
-		return causePathLost
-	}
-	return causeCrash
-}
-
 // countAttempt counts and logs a failed attempt.
 func (op *forwardOp) countAttempt(x *exchange, err error) {
 	op.cause = err
