Try several upstreams at once to learn whether the path works

A crash counts only if another upstream of the service accepts a connection. The others were tried one after the other within 0.3 s, so that one without power, which does not respond, used up the time, and the crash did not count (cause "path lost") although others were up.

The next one is now tried after 50 ms without a response. TestCheckPathDespiteSilentUpstreams failed before.

--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -395,16 +395,38 @@
 	return PathUntested
 }
 
+// confirmStagger is the time after which the next upstream is tried although an earlier one has not responded. Those without
+// power do not.
+const confirmStagger = 50 * time.Millisecond
+
 // anyAccepts reports whether one of up to confirmations upstreams at random accepts a connection.
 func (m *Monitor) anyAccepts(ctx context.Context, name string, addresses []string) bool {
-	for range min(confirmations, len(addresses)) {
-		i := m.choose(len(addresses))
-		if m.cfg.Check(ctx, name, addresses[i]) == nil {
-			return true
+	ctx, cancel := context.WithCancel(ctx)
+	var attempts conc.WaitGroup
+	defer attempts.Wait()
+	defer cancel()
+	results := make(chan error, confirmations)
+	started, failed := 0, 0
+	for {
+		if started < confirmations && len(addresses) > 0 {
+			i := m.choose(len(addresses))
+			address := addresses[i]
+			addresses = slices.Delete(addresses, i, i+1)
+			started++
+			attempts.Go(func() { results <- m.cfg.Check(ctx, name, address) })
+		}
+		if failed == started {
+			return false
+		}
+		select {
+		case err := <-results:
+			if err == nil {
+				return true
+			}
+			failed++
+		case <-time.After(confirmStagger):
 		}
-		addresses = slices.Delete(addresses, i, i+1)
 	}
-	return false
 }
 
 // anyOtherUnreachable reports whether another service is unreachable.
--- a/internal/coordination/reach/reach_test.go
+++ b/internal/coordination/reach/reach_test.go
@@ -270,6 +270,21 @@
 	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost) // they ended together
 }
 
+// Guards against upstreams without power that use up the time in which one that lives would show that the path works.
+func TestCheckPathDespiteSilentUpstreams(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string][]string{"s": {"a", "b", "d", "e"}})
+	f.cfg.Check = func(ctx context.Context, _, address string) error {
+		if address != "e" {
+			<-ctx.Done()
+		}
+		return ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*confirmStagger)
+	defer cancel()
+	is.Equal(f.CheckPath(ctx, "s", "a", f.now), PathWorks)
+}
+
 // Guards against conclusions that do not follow from the results since the last sign of a path, and against returns that do
 // not follow from connections, in any order.
 func TestConclusionsFollowFromResults(t *testing.T) {
