Take neither a planned stop nor a connection that times out for a crash

What callers saw: a sound request that runs for longer than its upstream keeps serving after it has begun to leave, and comes again while the upstreams of its service are replaced one after the other, is refused as quarantined after the third one. The same by a connection that times out (no packets for 2.5 s) and whose host then refuses connections, because it restarts.

Cause: any lost connection counted whose upstream then refuses new ones. A process that is draining, has said that it leaves or is no longer listed ends as planned; such a loss is now logged as 1516 "stop". The end of a process closes its connections, so one that times out shows a lost path or host.

TestTimeoutOfConnectionIsNoCrash checks the condition, which was part of runForward before and had no such exception; a real timeout was not played.

--- a/internal/coordination/routing/attempt.go
+++ b/internal/coordination/routing/attempt.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// UpstreamLeaves reports whether the upstream is known to leave: it is draining or no longer listed.
+func (a *Attempt) UpstreamLeaves() bool {
+	a.router.mu.Lock()
+	defer a.router.mu.Unlock()
+	return a.state.draining(a.router.cfg.Now())
+}
+
 // Done records the result of the attempt. Further calls have no effect.
 func (a *Attempt) Done(result Result) {
 	r := a.router
--- a/internal/obs/events_routing.go
+++ b/internal/obs/events_routing.go
@@ -42,8 +42,8 @@
 		"The field \"text\" has what it sent. The limit is ignored. Repair the upstream. Logged once for each upstream.")
 	EventLossWithoutCrash = register(1516, logrus.InfoLevel, "upstream lost a request without a crash",
 		"It refuses new connections, but the loss does not count as a crash (1504). The field \"cause\" says why: \"path lost\" "+
-			"means that the router reaches no other upstream of the service, or that other routers reach this one. If this repeats, "+
-			"check the network of the VM.")
+			"means that the router reaches no other upstream of the service, or that other routers reach this one; if this repeats, "+
+			"check the network of the VM. \"stop\" means that the upstream was known to leave.")
 	EventZoneEvacuated = register(1530, logrus.WarnLevel, "zone evacuated",
 		"The operator has evacuated the zone. Its upstreams get nothing more from this router; running requests end there.")
 	EventZoneEvacuationEnded = register(1531, logrus.WarnLevel, "evacuation of a zone taken back",
--- a/internal/transport/httpapi/crash.go
+++ b/internal/transport/httpapi/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
+	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
 const (
@@ -113,6 +115,8 @@
 	causeCrash
 	// causePathLost means that the router has probably lost its path to the upstreams of the service.
 	causePathLost
+	// causeStop means that the upstream was known to leave, and has ended as planned.
+	causeStop
 )
 
 // String returns the cause as it appears in logs.
@@ -122,6 +126,8 @@
 		return "crash"
 	case causePathLost:
 		return "path lost"
+	case causeStop:
+		return "stop"
 	}
 	return "unknown"
 }
@@ -131,6 +137,20 @@
 	service, upstream string
 	target            relay.Target
 	at                time.Time
+	// leaving is true if the upstream was known to leave.
+	leaving bool
+}
+
+// LeavingUpstream is an Attempt that knows whether its upstream leaves. Not every Attempt implements it.
+type LeavingUpstream interface {
+	UpstreamLeaves() bool
+}
+
+// maySignalCrash reports whether an attempt that failed with an error may have lost its connection because the process of the
+// upstream has ended. That closes the connection; one that times out has lost its path or its host.
+func maySignalCrash(err error) bool {
+	return errors.Is(err, upstream.ErrIncomplete) &&
+		!errors.IsAny(err, errAttemptTimeout, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH)
 }
 
 // examine returns why a connection was lost. The process of the upstream has ended if its host refuses connections of this
@@ -139,6 +159,8 @@
 	switch {
 	case !f.Forwarder.RefusesConnections(ctx, l.target):
 		return causeUnknown
+	case l.leaving:
+		return causeStop
 	case f.Reach.CheckPath(ctx, l.service, l.target.Address, l.at) == reach.PathLost,
 		f.ReachedByOthers != nil && f.ReachedByOthers(ctx, l.upstream):
 		return causePathLost
--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -12,9 +12,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
@@ -23,6 +25,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/chat"
 	"github.com/dotterelthread/dotterelthread/internal/standin"
+	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
 func newEngine() (*standin.Engine, http.Handler) {
@@ -461,6 +464,18 @@
 	is.Fail() // the crash was not recorded
 }
 
+// Guards against a lost path or host that counts as a crash of the upstream's process, because the host refuses connections once
+// it is back.
+func TestTimeoutOfConnectionIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	is.True(maySignalCrash(errors.Mark(io.ErrUnexpectedEOF, upstream.ErrIncomplete)))
+	is.True(maySignalCrash(errors.Mark(&net.OpError{Op: "read", Err: syscall.ECONNRESET}, upstream.ErrIncomplete)))
+	for _, err := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		is.True(!maySignalCrash(errors.Mark(errors.Wrap(&net.OpError{Op: "read", Err: err}, "response body"), upstream.ErrIncomplete)))
+	}
+	is.True(!maySignalCrash(errors.Mark(syscall.ECONNRESET, upstream.ErrNotSent)))
+}
+
 // Guards against a run that continues after the caller has disconnected, and against a bill for more than was
 // used.
 func TestCallerDisconnects(t *testing.T) {
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -440,8 +440,11 @@
 			return nil
 		}
 		op.countAttempt(x, err)
-		if errors.Is(err, upstream.ErrIncomplete) && !errors.Is(err, errAttemptTimeout) {
+		if maySignalCrash(err) {
 			loss := lostConnection{service: op.service.Name, upstream: op.upstream, target: op.relayTarget(x), at: x.api.Now()}
+			if a, ok := attempt.(LeavingUpstream); ok {
+				loss.leaving = a.UpstreamLeaves()
+			}
 			x.noteCrash(op.upstream, func(ctx context.Context) lossCause { return x.api.Forwarding.examine(ctx, loss) })
 		}
 		if !op.mayRetry(x, err, retryBudget) {
