Count crashes of a request that waited beside answers that had just begun

Cause: a request that waited does not count for a crash in which the answer to another one had just begun. With pauses of 450 ms between events there is nearly always such an answer on a busy engine, so no crash counted.

The content of the request now counts in such crashes, but four of them are needed instead of three, since a sound request that waits is caught more easily. Parts, which many requests share, count as before.

TestCrashBesideBegunAnswersCounts failed before. TestRepeatedSoundRequestsAreNotQuarantined (3,000 sound requests, one run in ten caught in a crash while it waits, and repeated) bounds the other side; it holds before and after.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -143,6 +143,9 @@
 	specific []Subject
 }
 
+// doubtful reports whether another request is the more likely cause: its answer had just begun while this one waited.
+func (o crashRecord) doubtful() bool { return o.stage == StageWaiting && o.crash.begun }
+
 // content returns the subject of the request's content, and moreSpecificParts those of its parts that are more
 // specific than the subject that the record belongs to.
 func (o crashRecord) content() []Subject           { return o.specific[:min(1, len(o.specific))] }
@@ -244,14 +247,15 @@
 // crashesInRow returns the crashes since the subject was last cleared. Of crashes at the same time only one
 // counts, because upstreams may fail together: a request that counts was sent after the last counted crash. Copies of
 // one content count each, unless upstreams have answered it: many callers may send the same sound request. A
-// request does not count if it waited while the answer to another one had just begun, or if a more specific part
+// request does not count for its parts if it waited while the answer to another one had just begun, or if a more specific part
 // of it is quarantined.
 func (r *Registry) crashesInRow(s *subjectState) []crashRecord {
 	var counted []crashRecord
 	last := s.clearedAt
 	for _, o := range s.records {
-		copied := len(o.specific) == 0 && !o.answered
-		if o.crash.at.Before(s.clearedAt) || o.stage == StageWaiting && o.crash.begun || len(counted) > 0 && o.sentAt.Before(last) && !copied ||
+		isContent := len(o.specific) == 0
+		copied := isContent && !o.answered
+		if o.crash.at.Before(s.clearedAt) || o.doubtful() && !isContent || len(counted) > 0 && o.sentAt.Before(last) && !copied ||
 			slices.ContainsFunc(o.moreSpecificParts(), r.quarantined) {
 			continue
 		}
@@ -269,7 +273,19 @@
 // suspected reports whether a subject is quarantined or nearly so.
 func (r *Registry) suspected(s Subject) bool {
 	known := r.subjects[s]
-	return known != nil && (known.verdict.Active || len(r.crashesInRow(known)) >= retryCrashes)
+	return known != nil && (known.verdict.Active || atLeast(r.crashesInRow(known), retryCrashes))
+}
+
+// atLeast reports whether there are n crashes, or one more if some of them are doubtful. On a busy upstream the answer to some
+// request has nearly always just begun, so that all crashes by a request which never gets an answer are.
+func atLeast(counted []crashRecord, n int) bool {
+	certain := 0
+	for _, o := range counted {
+		if !o.doubtful() {
+			certain++
+		}
+	}
+	return certain >= n || len(counted) > n
 }
 
 // conclusive reports whether crashes show that a subject causes them. They do not if all of them may be due to one
@@ -278,7 +294,7 @@
 func conclusive(counted []crashRecord) bool {
 	sameContent := mostCommon(counted, crashRecord.content)
 	samePart := mostCommon(counted, crashRecord.moreSpecificParts)
-	return len(counted) >= QuarantineCrashes && sameContent < len(counted) &&
+	return atLeast(counted, QuarantineCrashes) && sameContent < len(counted) &&
 		(samePart < retryCrashes || len(counted)-samePart >= retryCrashes)
 }
 
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -170,6 +170,61 @@
 	is.True(!blocked(r, "first"))
 }
 
+// Guards against a request that crashes upstreams before its answer begins, and never counts because on a busy upstream the answer
+// to some other request has always just begun; and against quarantining what those others have in common.
+func TestCrashBesideBegunAnswersCounts(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRegistry(c)
+	crash := func(i int) {
+		sent := c.now
+		c.advance(100 * time.Millisecond)
+		up := fmt.Sprint("u", i)
+		r.RecordCrash(up, parts(fmt.Sprint("begun", i), fmt.Sprint("own", i), "first"), sent, StageBegun)
+		r.RecordCrash(up, parts("deadly", "dead", "first"), sent, StageWaiting)
+		c.advance(time.Second)
+		r.RecordAnswer(parts(fmt.Sprint("sound", i), fmt.Sprint("other", i), "first"))
+	}
+	for i := range QuarantineCrashes {
+		is.True(!blocked(r, "deadly", "dead", "first"))
+		crash(i)
+	}
+	is.True(!blocked(r, "deadly", "dead", "first")) // a request that waited is caught more easily
+	crash(QuarantineCrashes)
+	is.True(blocked(r, "deadly", "dead", "first"))
+	is.True(!blocked(r, "other", "dead", "first"))
+}
+
+// Guards against quarantining sound requests that come again after each failure while upstreams crash for reasons of their own,
+// and one request in ten that runs is caught in a crash, mostly while it waits.
+func TestRepeatedSoundRequestsAreNotQuarantined(t *testing.T) {
+	c := newClock()
+	r := newRegistry(c)
+	random := rand.New(rand.NewPCG(7, 8))
+	refused := 0
+	for i := range 3000 {
+		subjects := parts(fmt.Sprint("content", i), fmt.Sprint("own", random.IntN(60)), "first")
+		for answered := false; !answered; {
+			c.advance(50 * time.Millisecond)
+			up := fmt.Sprint("u", c.now.Unix())
+			switch {
+			case r.Check(subjects) != nil:
+				refused++
+				answered = true
+			case random.IntN(10) == 0:
+				r.RecordCrash(up, parts(fmt.Sprint("cause", c.now.UnixNano())), c.now.Add(-40*time.Millisecond), StageBegun)
+				r.RecordCrash(up, subjects, c.now.Add(-40*time.Millisecond), StageWaiting)
+			default:
+				r.RecordAnswer(subjects)
+				answered = true
+			}
+		}
+	}
+	if refused > 3 {
+		t.Errorf("%d of 3000 sound requests were refused", refused)
+	}
+}
+
 // Guards against quarantining a part of which many requests run when many upstreams fail at the same time.
 func TestSimultaneousCrashesCountOnce(t *testing.T) {
 	is := is.New(t)
