Check that the upstream lives at the end of a response without a length

Cause: the end of a process closes its connections like the end of a response. The end of a stream asks whether the upstream lives (Forwarder.Lives); forwardBuffered took any end for that of the body.

Now a buffered response without a length or chunks counts only if its upstream keeps a connection open or accepts one 50 ms later. Otherwise the attempt has failed: it is repeated if it may be, else the caller gets 502. Cost: such responses come 50 ms later, and a whole one whose process ends within that time is answered with 502.

--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -45,7 +45,9 @@
 	StreamEventsOutOfOrderTotal = newMetric("stream_events_out_of_order_total")
 	StreamEndsUnprovenTotal     = newMetric("stream_ends_unproven_total")
 	StreamEndsUnmarkedTotal     = newMetric("stream_ends_unmarked_total")
-	ChargedTokensTotal          = newMetric("charged_tokens_total")
+	// ResponseEndsUnprovenTotal is StreamEndsUnprovenTotal for responses that are no streams.
+	ResponseEndsUnprovenTotal = newMetric("response_ends_unproven_total")
+	ChargedTokensTotal        = newMetric("charged_tokens_total")
 	// OutcomeUnknownTotal counts requests that may have run, but whose response was lost.
 	OutcomeUnknownTotal = newMetric("outcome_unknown_total")
 	// ConfigRecordsSkipped counts malformed records of the config stream.
--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -127,13 +127,19 @@
 }
 
 // forwardBuffered writes a response that is not a stream to the caller once its body is complete. It stores a
-// server error in errorResponse instead, because another attempt may succeed.
+// server error in errorResponse instead, because another attempt may succeed. A body with neither a length nor chunks is
+// complete only if the upstream lives.
 func (op *forwardOp) forwardBuffered(x *exchange, response *relay.Response) error {
 	body := x.api.Forwarding.Buffers.NewBuffer(op.upstream, maxBufferedBytes)
 	if err := body.ReadAll(response.Body); err != nil {
 		body.Release()
 		return errors.Mark(errors.Wrap(err, "response body"), upstream.ErrIncomplete)
 	}
+	if !response.Framed && !op.upstreamLives(x) {
+		body.Release()
+		obs.ResponseEndsUnprovenTotal.Add(1)
+		return errors.Mark(errors.WithStack(errUnprovenEnd), upstream.ErrIncomplete)
+	}
 	if response.Status < http.StatusMultipleChoices {
 		x.reportComplete() // a refusal takes no work
 	}
--- a/internal/transport/httpapi/forward_stream_end.go
+++ b/internal/transport/httpapi/forward_stream_end.go
@@ -12,9 +12,9 @@
 	"github.com/dotterelthread/dotterelthread/internal/transport/upstream"
 )
 
-// errUnprovenEnd reports a stream that ended with the upstream's connection and had neither a length nor chunks, while the
+// errUnprovenEnd reports a response that ended with the upstream's connection and had neither a length nor chunks, while the
 // upstream's process may have ended. Its connections are closed in the same way.
-var errUnprovenEnd = errors.New("the end of the stream is not proven")
+var errUnprovenEnd = errors.New("the end of the response is not proven")
 
 // errUnmarkedEnd reports a stream that ended in that way at an upstream that lives. Another upstream is asked for the rest,
 // because a faulty one may cut its response short.
