--- a/internal/transport/httpapi/forward_send.go
+++ b/internal/transport/httpapi/forward_send.go
@@ -172,9 +172,11 @@
 		header[name] = values
 	}
 	x.announceClose()
+	// Another router can't ask whether the upstream lives.
+	framed := response.framed || x.hop != nil
 	switch {
-	case !response.framed:
-		// Nothing proves that the body is complete, so no length is stated either.
+	case !framed:
+		// Nothing in the response proves that the body is complete, so no length is stated either.
 		header.Set("Transfer-Encoding", "identity")
 	case x.httpReq.Method != http.MethodHead && response.status != http.StatusNoContent:
 		header.Set("Content-Length", strconv.Itoa(response.body.Len()))
@@ -182,12 +184,12 @@
 	op.status = response.status
 	op.firstByteAt = x.api.Now()
 	x.setWriteDeadline()
-	if !response.framed {
+	if !framed {
 		resetCallerConn(x.httpReq.Context())
 	}
 	x.w.WriteHeader(response.status)
 	_, err := x.w.Write(response.body.Bytes())
-	if !response.framed {
+	if !framed {
 		op.finishUnframed(x, err)
 	}
 }
