--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -11,6 +11,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/reach"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
+	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/transport/hop"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
 	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
@@ -64,6 +65,19 @@
 	return addresses
 }
 
+// upstreamByInstance returns the upstream of a service with an instance ID, or nil.
+func (g *Gateway) upstreamByInstance(service, instance string) *catalogue.Upstream {
+	if instance == "" {
+		return nil
+	}
+	for u := range g.Current().Upstreams {
+		if u.Service == service && u.Instance == instance {
+			return u
+		}
+	}
+	return nil
+}
+
 func (g *Gateway) upstreamServices() (names []string) {
 	listed := make(map[string]struct{})
 	for u := range g.Current().Upstreams {
--- a/internal/daemon/upstream_reach.go
+++ b/internal/daemon/upstream_reach.go
@@ -24,6 +24,9 @@
 // reachRequest names an upstream. Its address may differ from router to router.
 type reachRequest struct {
 	Upstream string `json:"upstream"`
+	// Service and Instance are those of the upstream, if it registers itself.
+	Service  string `json:"service,omitempty"`
+	Instance string `json:"instance,omitempty"`
 }
 
 type reachResponse struct {
@@ -34,6 +37,9 @@
 func (p *gatewayPeers) registerReachHandler(server *peer.Server) {
 	registerHandler(server, methodReach, func(ctx context.Context, _ peerapi.Identity, r reachRequest) (any, error) {
 		u := p.gateway.Current().Upstream(r.Upstream)
+		if u == nil {
+			u = p.gateway.upstreamByInstance(r.Service, r.Instance)
+		}
 		if u == nil {
 			return reachResponse{}, nil
 		}
@@ -48,6 +54,10 @@
 	if p.pool == nil {
 		return false
 	}
+	request := reachRequest{Upstream: upstream}
+	if u := p.gateway.Current().Upstream(upstream); u != nil {
+		request.Service, request.Instance = u.Service, u.Instance
+	}
 	addresses := p.randomPeers(maxReachQueries)
 	responses := make(chan bool, len(addresses))
 	for _, address := range addresses {
@@ -56,7 +66,7 @@
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peerStallTimeout)
 			defer cancel()
 			var response reachResponse
-			err := p.pool.Call(callCtx, address, methodReach, reachRequest{Upstream: upstream}, &response)
+			err := p.pool.Call(callCtx, address, methodReach, request, &response)
 			responses <- err == nil && response.Reached // errors are counted by the pool
 		}()
 	}
