Note that an upstream leaves from an answer of another router

Cause: only an answer that comes from the upstream itself is read for what the upstream says about itself. The router does not know which upstream has answered its peer.

The peer now names the instance in a header of its response, and the router notes it as if the upstream had told it directly.

--- a/internal/coordination/routing/notice.go
+++ b/internal/coordination/routing/notice.go
@@ -49,14 +49,26 @@
 	r := a.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := a.state.notice
-	n.notedAt = r.cfg.Now()
 	a.state.gotDrainingResponse = true
-	if n.leaving {
-		return
+	r.noteLeaving(a.state)
+}
+
+// NoteLeaving is Attempt.Leaving for a response that another router has received.
+func (r *Router) NoteLeaving(upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.byName[upstream]; s != nil {
+		r.noteLeaving(s)
+	}
+}
+
+// noteLeaving is called with the lock held.
+func (r *Router) noteLeaving(s *upstreamState) {
+	s.notice.notedAt = r.cfg.Now()
+	if !s.notice.leaving {
+		s.notice.leaving = true
+		r.markDraining(s)
 	}
-	n.leaving = true
-	r.markDraining(a.state)
 }
 
 // Pause records that the upstream turned the attempt away and wants no requests from this router for some time, at most
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -78,6 +78,13 @@
 	return nil
 }
 
+// noteLeaving records that an upstream has said to another router that it leaves.
+func (g *Gateway) noteLeaving(service, instance string) {
+	if u := g.upstreamByInstance(service, instance); u != nil {
+		g.routing.NoteLeaving(u.Name)
+	}
+}
+
 func (g *Gateway) upstreamServices() (names []string) {
 	listed := make(map[string]struct{})
 	for u := range g.Current().Upstreams {
--- a/internal/transport/hop/hop.go
+++ b/internal/transport/hop/hop.go
@@ -21,6 +21,8 @@
 	HeaderAuth = "Router-Hop"
 	// HeaderResult says what a response of a router is, see Result.
 	HeaderResult = "Router-Hop-Result"
+	// HeaderLeaving names, in a response, the instances of upstreams that have said to the responding router that they leave.
+	HeaderLeaving = "Router-Hop-Leaving"
 )
 
 // Result is the value of HeaderResult.
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -89,6 +89,9 @@
 	}
 	if n.Leaving {
 		reporter.Leaving()
+		if x.hop != nil {
+			x.w.Header().Add(hop.HeaderLeaving, x.attempt.Upstream().Instance)
+		}
 	}
 	if n.PauseErr != nil {
 		obs.PausesMalformedTotal.Add(1)
@@ -124,6 +127,8 @@
 	Reach *reach.Monitor
 	// ReachedByOthers reports whether another router reaches the upstream with a name. It may be nil.
 	ReachedByOthers func(ctx context.Context, upstream string) bool
+	// NoteLeaving records that an upstream has said to another router that it leaves. It may be nil.
+	NoteLeaving func(service, instance string)
 	// Hops is nil if requests are not passed on to other routers.
 	Hops *Hops
 }
--- a/internal/transport/httpapi/forward_hop.go
+++ b/internal/transport/httpapi/forward_hop.go
@@ -311,6 +311,11 @@
 		return op.attemptError(ctx, err)
 	}
 	defer response.Close()
+	if note := x.api.Forwarding.NoteLeaving; note != nil {
+		for _, instance := range response.Header.Values(hop.HeaderLeaving) {
+			note(op.service.Name, instance)
+		}
+	}
 	switch result := hop.Result(response.Header.Get(hop.HeaderResult)); {
 	case result.NotRun():
 		return x.refusedByPeer(peer, result, response, tries)
--- a/internal/transport/httpapi/forward_request.go
+++ b/internal/transport/httpapi/forward_request.go
@@ -41,7 +41,7 @@
 // hopByHopHeaders are not forwarded: they apply to a single connection, or the router handles them itself.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", hop.HeaderAuth, hop.HeaderResult,
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", hop.HeaderAuth, hop.HeaderResult, hop.HeaderLeaving,
 }
 
 // endToEndHeaders returns a copy of the headers without the hop-by-hop headers, including those that the
