Close the longest idle connections when new callers find no room

Cause: the listener for callers accepts up to half of the sockets and then waits until one of them closes. Idle ones are closed after 30 s, so callers that use theirs every 8 s hold them for good, while the kernel goes on accepting.

When less than a sixteenth of the connections is left, those that have waited for a request for longest are closed, at least 0.1 s after their last response. A connection whose request has arrived is not closed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,6 +213,7 @@
 	resolver.Go(func() { d.api.UnknownOutcomes.Run(background) })
 	limited := netopt.LimitConnections(netopt.WithWriteLimits(public), d.cfg.MaxConnections)
 	loops.Go(func() { _ = d.server.Serve(d.callers.Listener(limited)) })
+	loops.Go(func() { every(background, roomCheckInterval, func() { keepRoom(limited, &d.callers) }) })
 	loops.Go(func() { _ = d.admin.Serve(admin) })
 	d.ready.Store(true)
 	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -58,6 +58,8 @@
 	DemandsMalformedTotal = newMetric("demands_malformed_total")
 	// LinkRefusalsTotal counts requests that were refused because the router's network link is full.
 	LinkRefusalsTotal = newMetric("link_refusals_total")
+	// IdleConnectionsClosedTotal counts the connections of callers that were closed to make room for new ones.
+	IdleConnectionsClosedTotal = newMetric("idle_connections_closed_total")
 	// AcceptHoldsTotal counts the steps of 10 ms for which no connection was accepted because the link received too much.
 	AcceptHoldsTotal = newMetric("accept_holds_total")
 	// UpstreamFailuresTotal counts failed attempts, except those that ended with the caller's connection or the
--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -127,6 +128,39 @@
 	}
 }
 
+// minIdleToClose is how long a connection must have waited for a request before CloseLongestIdle closes it. Callers that send
+// their next request at once keep theirs.
+const minIdleToClose = 100 * time.Millisecond
+
+// CloseLongestIdle is CloseIdle for the n connections that have waited for a request for longest, less those that are being
+// closed already. It returns their number.
+func (k *KeptConns) CloseLongestIdle(n int) (closed int) {
+	type idleConn struct {
+		conn  *keptConn
+		since time.Time
+	}
+	var idle []idleConn
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		c.mu.Lock()
+		switch {
+		case c.ending:
+			n--
+		case c.idle:
+			idle = append(idle, idleConn{c, c.idleSince})
+		}
+		c.mu.Unlock()
+	}
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, c := range idle[:max(0, min(n, len(idle)))] {
+		if c.conn.endIfIdle(minIdleToClose) {
+			closed++
+		}
+	}
+	return closed
+}
+
 // CloseIncomplete lets the server close the connections on which the head of a request has been incomplete for the given time.
 func (k *KeptConns) CloseIncomplete(after time.Duration) {
 	k.mu.Lock()
@@ -184,13 +218,16 @@
 	}
 }
 
-// endIfIdle only moves the read deadline: the goroutine that reads the connection decides whether it ends.
-func (c *keptConn) endIfIdle(after time.Duration) {
+// endIfIdle only moves the read deadline: the goroutine that reads the connection decides whether it ends. It reports whether
+// it has moved the deadline.
+func (c *keptConn) endIfIdle(after time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle && time.Since(c.idleSince) >= after {
 		c.endUnlessUnread()
+		return c.ending
 	}
+	return false
 }
 
 func (c *keptConn) endIfIncomplete(after time.Duration) {
--- a/internal/transport/httpapi/kept_conns_test.go
+++ b/internal/transport/httpapi/kept_conns_test.go
@@ -211,3 +211,32 @@
 		})
 	}
 }
+
+// Guards against closing connections that callers have used last, or more of them than are needed.
+func TestCloseLongestIdle(t *testing.T) {
+	is := is.New(t)
+	var k KeptConns
+	listener := startKept(t, &k, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	const conns = 6
+	var callers []net.Conn
+	var readers []*bufio.Reader
+	for range conns {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+		callers, readers = append(callers, c), append(readers, bufio.NewReader(c))
+	}
+	for i := range conns {
+		_, err := exchangeOne(callers[i], readers[i])
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(k.CloseLongestIdle(conns), 0) // they have not waited for long enough
+	time.Sleep(2 * minIdleToClose)
+	is.Equal(k.CloseLongestIdle(2), 2)
+	time.Sleep(50 * time.Millisecond)
+	for i := range conns {
+		_, err := exchangeOne(callers[i], readers[i])
+		is.Equal(err != nil, i < 2)
+	}
+}
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -178,6 +178,9 @@
 	return errors.Wrap(errors.CombineErrors(err, listenErr), "set accept queue")
 }
 
+// Limit returns the number of connections that may be open.
+func (l *LimitedListener) Limit() int { return cap(l.slots) }
+
 // Open returns the number of open connections. A call of Accept in progress counts as one.
 func (l *LimitedListener) Open() int { return len(l.slots) }
 
