--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -89,8 +89,8 @@
 	}
 	if n.Leaving {
 		reporter.Leaving()
-		if x.hop != nil {
-			x.w.Header().Add(hop.HeaderLeaving, x.attempt.Upstream().Instance)
+		if instance := x.attempt.Upstream().Instance; x.hop != nil && instance != "" {
+			x.w.Header().Add(hop.HeaderLeaving, instance)
 		}
 	}
 	if n.PauseErr != nil {
