Record a crash only after a second look at the other upstreams

What callers saw: a service loses power while a sound request runs there, and again when it comes again. After the third time all routers refuse it as quarantined.

Cause: upstreams do not end at the same instant. The loss at the first one is examined within a millisecond, while the others still accept connections, and counts as a crash.

A crash is now recorded 0.2 s later, if the other upstreams still show a path, or are known to have ended apart: those that crashed earlier, and those that a request which is sent again met one after the other. Until it is recorded it counts for the decision to send the request again. Other routers are asked in that time, so that no request waits for them.

Failed on the way: to take any upstream that lost the same content as ended apart. Equal requests run at several upstreams, so that a lost path counted as crashes (TestPartitionIsNoCrash); the order of losses and sends decides now.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -108,6 +108,7 @@
 	crashes  []*crash
 	subjects map[Subject]*subjectState
 	answered recentSubjects
+	losses   []loss
 	report   Report
 }
 
@@ -166,16 +167,24 @@
 	StageBegun
 )
 
-// RecordCrash records that a request with the given subjects was running when its upstream crashed. The first
-// subject is that of its content, the others those of parts, the most specific one first. The request was sent at
-// sentAt.
-func (r *Registry) RecordCrash(upstream string, subjects []Subject, sentAt time.Time, stage Stage) {
+// Crash is a crash of an upstream, as seen from a request that was running there.
+type Crash struct {
+	Upstream string
+	// Subjects are that of the request's content and those of its parts, the most specific one first.
+	Subjects []Subject
+	// SentAt is when the request was sent, and At when the upstream crashed.
+	SentAt, At time.Time
+	Stage      Stage
+}
+
+// RecordCrash records a crash that this router has seen.
+func (r *Registry) RecordCrash(c Crash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	s := Observation{
-		Upstream: upstream, Subjects: subjects, Begun: stage == StageBegun, Streaming: stage == StageStreaming, Answered: len(subjects) > 0 && r.answered.contains(subjects[0], now),
-		sentAt: sentAt, at: now,
+		Upstream: c.Upstream, Subjects: c.Subjects, Begun: c.Stage == StageBegun, Streaming: c.Stage == StageStreaming,
+		Answered: len(c.Subjects) > 0 && r.answered.contains(c.Subjects[0], now), sentAt: c.SentAt, at: c.At,
 	}
 	r.addObservation(s, false)
 	r.report.Observations = append(r.report.Observations, s)
@@ -231,19 +240,6 @@
 	return c
 }
 
-// Crashed returns the upstreams that are known to have crashed before a time.
-func (r *Registry) Crashed(before time.Time) map[string]struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	upstreams := make(map[string]struct{})
-	for _, c := range r.crashes {
-		if c.at.Before(before) {
-			upstreams[c.upstream] = struct{}{}
-		}
-	}
-	return upstreams
-}
-
 // crashesInRow returns the crashes since the subject was last cleared. Of crashes at the same time only one
 // counts, because upstreams may fail together: a request that counts was sent after the last counted crash. Copies of
 // one content count each, unless upstreams have answered it: many callers may send the same sound request. A
@@ -270,10 +266,13 @@
 	return known != nil && known.verdict.Active
 }
 
-// suspected reports whether a subject is quarantined or nearly so.
-func (r *Registry) suspected(s Subject) bool {
+// suspected reports whether a subject is quarantined or nearly so after a number of further crashes.
+func (r *Registry) suspected(s Subject, further int) bool {
 	known := r.subjects[s]
-	return known != nil && (known.verdict.Active || atLeast(r.crashesInRow(known), retryCrashes))
+	if known == nil {
+		return further >= retryCrashes
+	}
+	return known.verdict.Active || atLeast(r.crashesInRow(known), retryCrashes-further)
 }
 
 // atLeast reports whether there are n crashes, or one more if some of them are doubtful. On a busy upstream the answer to some
@@ -340,11 +339,11 @@
 }
 
 // Suspected reports whether a request that has failed must not be sent again, because a subject of it is
-// quarantined or nearly so.
-func (r *Registry) Suspected(subjects []Subject) bool {
+// quarantined or nearly so. unrecorded is the number of its crashes that are not recorded yet.
+func (r *Registry) Suspected(subjects []Subject, unrecorded int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(subjects, r.suspected)
+	return slices.ContainsFunc(subjects, func(s Subject) bool { return r.suspected(s, unrecorded) })
 }
 
 // expire forgets what is too old or too much.
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -20,6 +20,12 @@
 func (c *clock) time() time.Time         { return c.now }
 func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
 func newRegistry(c *clock) *Registry     { return New(Config{Now: c.time}) }
+
+// recordCrash records a crash that happens now.
+func recordCrash(r *Registry, upstream string, subjects []Subject, sentAt time.Time, stage Stage) {
+	r.RecordCrash(Crash{Upstream: upstream, Subjects: subjects, SentAt: sentAt, At: r.cfg.Now(), Stage: stage})
+}
+
 func parts(names ...string) (all []Subject) {
 	for _, name := range names {
 		all = append(all, PartSubject(name))
@@ -36,7 +42,7 @@
 func crashWith(r *Registry, c *clock, names ...string) {
 	sent := c.now
 	c.advance(100 * time.Millisecond)
-	r.RecordCrash(fmt.Sprintf("u%d", c.now.UnixNano()), parts(names...), sent, StageBegun)
+	recordCrash(r, fmt.Sprintf("u%d", c.now.UnixNano()), parts(names...), sent, StageBegun)
 	c.advance(300 * time.Millisecond)
 }
 
@@ -107,10 +113,12 @@
 	c := newClock()
 	r := newRegistry(c)
 	crashWith(r, c, "a", "dead")
-	is.True(!r.Suspected(parts("dead")))
+	is.True(!r.Suspected(parts("dead"), 0))
 	crashWith(r, c, "b", "dead")
-	is.True(r.Suspected(parts("dead")))
-	is.True(!r.Suspected(parts("sound")))
+	is.True(r.Suspected(parts("dead"), 0))
+	is.True(!r.Suspected(parts("other"), 1))
+	is.True(r.Suspected(parts("other"), 2))
+	is.True(!r.Suspected(parts("sound"), 0))
 }
 
 // Guards against quarantining requests that waited at an upstream while another one crashed it.
@@ -122,8 +130,8 @@
 		sent := c.now
 		c.advance(100 * time.Millisecond)
 		up := fmt.Sprint("u", i)
-		r.RecordCrash(up, parts(fmt.Sprint("other", i), "waiting"), sent, StageWaiting)
-		r.RecordCrash(up, parts(fmt.Sprint("content", i), "dead"), sent, StageBegun)
+		recordCrash(r, up, parts(fmt.Sprint("other", i), "waiting"), sent, StageWaiting)
+		recordCrash(r, up, parts(fmt.Sprint("content", i), "dead"), sent, StageBegun)
 		c.advance(time.Second)
 	}
 	is.True(blocked(r, "dead"))
@@ -138,8 +146,8 @@
 	for i := range QuarantineCrashes {
 		sent := c.now
 		c.advance(100 * time.Millisecond)
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "dead"), sent, StageWaiting)
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("other", i), fmt.Sprint("own", i)), sent, StageWaiting)
+		recordCrash(r, fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "dead"), sent, StageWaiting)
+		recordCrash(r, fmt.Sprint("u", i), parts(fmt.Sprint("other", i), fmt.Sprint("own", i)), sent, StageWaiting)
 		c.advance(time.Second)
 	}
 	is.True(blocked(r, "dead"))
@@ -157,9 +165,9 @@
 		c.advance(100 * time.Millisecond)
 		up := fmt.Sprint("u", i)
 		for n := range 5 {
-			r.RecordCrash(up, parts(fmt.Sprint("stream", i, n), fmt.Sprint("own", n), "first"), sent, StageStreaming)
+			recordCrash(r, up, parts(fmt.Sprint("stream", i, n), fmt.Sprint("own", n), "first"), sent, StageStreaming)
 		}
-		r.RecordCrash(up, parts(fmt.Sprint("content", i), "dead", "first"), sent, StageWaiting)
+		recordCrash(r, up, parts(fmt.Sprint("content", i), "dead", "first"), sent, StageWaiting)
 		c.advance(time.Second)
 		for n := range 5 {
 			r.RecordAnswer(parts(fmt.Sprint("stream", i, n), fmt.Sprint("own", n), "first"))
@@ -180,8 +188,8 @@
 		sent := c.now
 		c.advance(100 * time.Millisecond)
 		up := fmt.Sprint("u", i)
-		r.RecordCrash(up, parts(fmt.Sprint("begun", i), fmt.Sprint("own", i), "first"), sent, StageBegun)
-		r.RecordCrash(up, parts("deadly", "dead", "first"), sent, StageWaiting)
+		recordCrash(r, up, parts(fmt.Sprint("begun", i), fmt.Sprint("own", i), "first"), sent, StageBegun)
+		recordCrash(r, up, parts("deadly", "dead", "first"), sent, StageWaiting)
 		c.advance(time.Second)
 		r.RecordAnswer(parts(fmt.Sprint("sound", i), fmt.Sprint("other", i), "first"))
 	}
@@ -212,8 +220,8 @@
 				refused++
 				answered = true
 			case random.IntN(10) == 0:
-				r.RecordCrash(up, parts(fmt.Sprint("cause", c.now.UnixNano())), c.now.Add(-40*time.Millisecond), StageBegun)
-				r.RecordCrash(up, subjects, c.now.Add(-40*time.Millisecond), StageWaiting)
+				recordCrash(r, up, parts(fmt.Sprint("cause", c.now.UnixNano())), c.now.Add(-40*time.Millisecond), StageBegun)
+				recordCrash(r, up, subjects, c.now.Add(-40*time.Millisecond), StageWaiting)
 			default:
 				r.RecordAnswer(subjects)
 				answered = true
@@ -233,7 +241,7 @@
 	sent := c.now
 	c.advance(200 * time.Millisecond)
 	for i := range 20 {
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "hot"), sent, StageBegun)
+		recordCrash(r, fmt.Sprint("u", i), parts(fmt.Sprint("content", i), "hot"), sent, StageBegun)
 		c.advance(5 * time.Millisecond)
 	}
 	is.True(!blocked(r, "hot"))
@@ -254,7 +262,7 @@
 			continue
 		}
 		if random.IntN(10) == 0 {
-			r.RecordCrash(fmt.Sprint("u", i/20), subjects, c.now.Add(-40*time.Millisecond), Stage(random.IntN(3)))
+			recordCrash(r, fmt.Sprint("u", i/20), subjects, c.now.Add(-40*time.Millisecond), Stage(random.IntN(3)))
 		} else {
 			r.RecordAnswer(subjects)
 		}
@@ -431,7 +439,7 @@
 	sent := c.now
 	c.advance(30 * time.Millisecond)
 	for i, r := range routers {
-		r.RecordCrash(fmt.Sprint("u", i), parts("deadly"), sent, StageWaiting)
+		recordCrash(r, fmt.Sprint("u", i), parts("deadly"), sent, StageWaiting)
 	}
 	for _, to := range routers {
 		for _, from := range routers {
@@ -451,7 +459,7 @@
 	sent := c.now
 	c.advance(200 * time.Millisecond)
 	for i := range 20 {
-		r.RecordCrash(fmt.Sprint("u", i), parts("popular"), sent, StageBegun)
+		recordCrash(r, fmt.Sprint("u", i), parts("popular"), sent, StageBegun)
 	}
 	is.True(!blocked(r, "popular"))
 	for range 2 {
@@ -466,7 +474,7 @@
 	c := newClock()
 	r := newRegistry(c)
 	for i := range 6000 {
-		r.RecordCrash(fmt.Sprint("u", i), parts(fmt.Sprint("content", i), fmt.Sprint("own", i)), c.now, StageBegun)
+		recordCrash(r, fmt.Sprint("u", i), parts(fmt.Sprint("content", i), fmt.Sprint("own", i)), c.now, StageBegun)
 		c.advance(time.Millisecond)
 		_ = r.TakeReport()
 	}
@@ -502,3 +510,44 @@
 	}
 	b.ReportMetric(float64(len(report))/QuarantineCrashes, "B/crash")
 }
+
+// Guards against a crash by a request that counts as a power loss because the request, sent again, has crashed the other upstream
+// at once; and against a power loss that counts as crashes by the requests that ran, some of which are equal.
+func TestEndedApart(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	r := newRegistry(c)
+	apart := func(upstream, from string) bool {
+		_, ok := r.EndedApart(from, c.now)[upstream]
+		return ok
+	}
+	lose := func(upstream, content string, sentAt time.Time) {
+		r.NoteLoss(Crash{Upstream: upstream, Subjects: parts(content), SentAt: sentAt, At: c.now})
+	}
+	sent := c.now
+	c.advance(10 * time.Millisecond)
+	lose("a", "one", sent)
+	lose("b", "one", sent)
+	is.True(!apart("a", "b"))
+	c.advance(time.Millisecond)
+	again := c.now
+	c.advance(time.Millisecond)
+	lose("d", "one", again)
+	is.True(apart("a", "d") && apart("d", "a"))
+	is.True(!apart("a", "a"))
+	lose("e", "two", again)
+	is.True(!apart("a", "e"))
+	c.advance(2 * lossRetention)
+	lose("f", "one", c.now)
+	is.True(!apart("a", "f"))
+	recordCrash(r, "g", parts("three"), c.now, StageWaiting)
+	is.True(!apart("g", "f"))
+	recordCrash(r, "h", parts("one"), c.now, StageWaiting)
+	is.True(apart("h", "f"))
+	c.advance(2 * endTogetherWindow)
+	is.True(apart("g", "f"))
+	for range 2 * maxLosses {
+		lose("i", "one", c.now)
+	}
+	is.Equal(len(r.losses), maxLosses)
+}
--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -34,9 +34,6 @@
 	minCheckPause   = time.Second
 	maxCheckPause   = 8 * time.Second
 	checkPauseReset = 30 * time.Second
-	// endTogetherWindow is the time within which upstreams that one cause ends, such as a power loss, are noticed to have ended,
-	// and within which a lost path shows at all of them.
-	endTogetherWindow = 500 * time.Millisecond
 	// checkInterval is the time between two checks of an unreachable service.
 	checkInterval = 200 * time.Millisecond
 )
@@ -49,9 +46,6 @@
 	Services func() []string
 	// Check opens a connection to an upstream of a service and reports it with Monitor.Connected. No request is sent.
 	Check func(ctx context.Context, service, address string) error
-	// Ended returns the addresses of those upstreams of a service whose processes are known to have ended before a time. It may
-	// be nil.
-	Ended func(service string, before time.Time) map[string]struct{}
 	// Notify is called without a lock held when a conclusion changes.
 	Notify func(Change)
 	// Choose returns an index below n; nil means the first.
@@ -352,31 +346,27 @@
 type Path int
 
 const (
-	// PathUntested means that nothing shows whether the path works: the service has no other upstream, or the processes of
-	// all others had ended before.
+	// PathUntested means that nothing shows whether the path works: the service has no other upstream, or all others are known
+	// to have ended for a reason of their own.
 	PathUntested Path = iota
 	// PathWorks means that another upstream of the service accepts connections.
 	PathWorks
-	// PathLost means that the path is probably lost: other upstreams fail that had not been known to have ended.
+	// PathLost means that the path is probably lost, or that the upstreams have ended together: others fail too.
 	PathLost
 )
 
-// CheckPath tells a lost path from the end of an upstream that had lost a connection at lostAt and refuses new ones. It tries
-// other upstreams until one can be reached.
-func (m *Monitor) CheckPath(ctx context.Context, name, refusing string, lostAt time.Time) Path {
+// CheckPath tells a lost path from the end of an upstream that refuses connections. It tries other upstreams until one can be
+// reached. Those at the addresses in apart are known to have ended for a reason of their own, so that they show nothing.
+func (m *Monitor) CheckPath(ctx context.Context, name, refusing string, apart map[string]struct{}) Path {
 	if m == nil {
 		return PathUntested
 	}
-	var hadEnded map[string]struct{}
-	if m.cfg.Ended != nil {
-		hadEnded = m.cfg.Ended(name, lostAt.Add(-endTogetherWindow))
-	}
 	var others, ended []string
 	for _, address := range m.cfg.Upstreams(name) {
 		if address == refusing {
 			continue
 		}
-		if _, ok := hadEnded[address]; ok {
+		if _, ok := apart[address]; ok {
 			ended = append(ended, address)
 		} else {
 			others = append(others, address)
--- a/internal/coordination/reach/reach_test.go
+++ b/internal/coordination/reach/reach_test.go
@@ -228,46 +228,34 @@
 	is := is.New(t)
 	up := map[string]bool{"b": true}
 	c := newChecker(map[string][]string{"s": {"a", "b"}, "t": {"c"}}, func(address string) bool { return up[address] })
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathWorks)
+	is.Equal(c.CheckPath(t.Context(), "s", "a", nil), PathWorks)
 	c.connect("t", "c", errConnect)
 	is.True(c.Unreachable("t"))
-	is.Equal(c.CheckPath(t.Context(), "t", "c", c.now), PathUntested)
+	is.Equal(c.CheckPath(t.Context(), "t", "c", nil), PathUntested)
 	up["b"] = false
 	c.connect("s", "a", errConnect)
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost)
-	is.Equal(c.CheckPath(t.Context(), "t", "c", c.now), PathLost)
+	is.Equal(c.CheckPath(t.Context(), "s", "a", nil), PathLost)
+	is.Equal(c.CheckPath(t.Context(), "t", "c", nil), PathLost)
 	up["b"] = true
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathWorks) // one connection is enough to doubt
+	is.Equal(c.CheckPath(t.Context(), "s", "a", nil), PathWorks) // one connection is enough to doubt
 	var none *Monitor
-	is.Equal(none.CheckPath(t.Context(), "s", "a", c.now), PathUntested)
+	is.Equal(none.CheckPath(t.Context(), "s", "a", nil), PathUntested)
 }
 
-// Guards against a crash that counts as a partition because the other upstreams had crashed before, and against a partition or
-// an end of all upstreams together that counts as a crash.
-func TestCheckPathWithoutUpstreamsThatHadEnded(t *testing.T) {
+// Guards against a crash that counts as a partition because the other upstreams had ended for reasons of their own, and against a
+// partition that counts as a crash.
+func TestCheckPathWithoutUpstreamsThatEndedApart(t *testing.T) {
 	is := is.New(t)
 	up := make(map[string]bool)
 	c := newChecker(map[string][]string{"s": {"a", "b", "d"}}, func(address string) bool { return up[address] })
-	endedAt := make(map[string]time.Time)
-	c.cfg.Ended = func(_ string, before time.Time) map[string]struct{} {
-		ended := make(map[string]struct{})
-		for address, at := range endedAt {
-			if at.Before(before) {
-				ended[address] = struct{}{}
-			}
-		}
-		return ended
-	}
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost)
-	endedAt["b"] = c.now.Add(-time.Second)
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost) // "d" fails too
-	endedAt["d"] = c.now.Add(-2 * time.Second)
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathUntested)
+	apart := make(map[string]struct{})
+	is.Equal(c.CheckPath(t.Context(), "s", "a", apart), PathLost)
+	apart["b"] = struct{}{}
+	is.Equal(c.CheckPath(t.Context(), "s", "a", apart), PathLost) // "d" fails too
+	apart["d"] = struct{}{}
+	is.Equal(c.CheckPath(t.Context(), "s", "a", apart), PathUntested)
 	up["d"] = true // it is back
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathWorks)
-	up["d"] = false
-	endedAt["d"] = c.now.Add(-endTogetherWindow / 2)
-	is.Equal(c.CheckPath(t.Context(), "s", "a", c.now), PathLost) // they ended together
+	is.Equal(c.CheckPath(t.Context(), "s", "a", apart), PathWorks)
 }
 
 // Guards against upstreams without power that use up the time in which one that lives would show that the path works.
@@ -282,7 +270,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*confirmStagger)
 	defer cancel()
-	is.Equal(f.CheckPath(ctx, "s", "a", f.now), PathWorks)
+	is.Equal(f.CheckPath(ctx, "s", "a", nil), PathWorks)
 }
 
 // Guards against conclusions that do not follow from the results since the last sign of a path, and against returns that do
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -384,7 +384,7 @@
 			Forwarder: g.pool, Headers: g.deps.Headers, Buffers: g.buffers, Retry: g.retries.forService, Routers: g.heartbeats.Routers,
 			ConfigStale: g.configStale, ConfigAge: g.configAge, Closing: g.closing.Load, ShouldShed: g.shedder.ShouldRefuse,
 			LinkFull: g.link.ShouldRefuse, Busy: g.busy,
-			Reach: g.reach, ReachedByOthers: g.peers.reachUpstream, NoteLeaving: g.noteLeaving, Hops: g.newHops(),
+			Reach: g.reach, EndedApart: g.endedApart, ReachedByOthers: g.peers.reachUpstream, NoteLeaving: g.noteLeaving, Hops: g.newHops(),
 		},
 		Requests: request.NewTable(request.Config{
 			Retention: gatewayRetention, MaxFinished: gatewayMaxFinished, Now: time.Now,
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -31,8 +31,8 @@
 // newReachMonitor returns a monitor that learns the results of all connection attempts to upstreams.
 func (g *Gateway) newReachMonitor() *reach.Monitor {
 	monitor := reach.New(reach.Config{
-		Upstreams: g.upstreamAddresses, Services: g.upstreamServices, Check: g.checkUpstream, Ended: g.endedUpstreams, Notify: g.reachChanged,
-		Choose: rand.IntN, Now: time.Now,
+		Upstreams: g.upstreamAddresses, Services: g.upstreamServices, Check: g.checkUpstream, Notify: g.reachChanged, Choose: rand.IntN,
+		Now: time.Now,
 	})
 	g.pool.OnConnect = func(t relay.Target, began time.Time, err error) { monitor.Connected(t.Service, t.Address, began, err) }
 	return monitor
@@ -101,25 +101,26 @@
 	return g.pool.Connect(ctx, relay.Target{Address: address, Service: service})
 }
 
-// endedUpstreams returns the addresses of a service at which all listed processes are known to have crashed before a time. A
-// process is listed for some seconds after its end, while the next one may be listed already.
-func (g *Gateway) endedUpstreams(service string, before time.Time) map[string]struct{} {
-	crashed, ended, others := g.crashes.Crashed(before), make(map[string]struct{}), make(map[string]struct{})
+// endedApart returns the addresses of a service at which all listed processes are known not to have ended together with an
+// upstream, see quarantine.Registry.EndedApart. A process is listed for some seconds after its end, while the next one may be
+// listed already.
+func (g *Gateway) endedApart(service, upstream string, at time.Time) map[string]struct{} {
+	apart, addresses, others := g.crashes.EndedApart(upstream, at), make(map[string]struct{}), make(map[string]struct{})
 	for u := range g.Current().Upstreams {
 		if u.Service != service {
 			continue
 		}
-		if _, ok := crashed[u.Name]; ok {
-			ended[u.Address] = struct{}{}
+		if _, ok := apart[u.Name]; ok {
+			addresses[u.Address] = struct{}{}
 		} else {
 			others[u.Address] = struct{}{}
 		}
 	}
-	maps.DeleteFunc(ended, func(address string, _ struct{}) bool {
+	maps.DeleteFunc(addresses, func(address string, _ struct{}) bool {
 		_, ok := others[address]
 		return ok
 	})
-	return ended
+	return addresses
 }
 
 func (g *Gateway) reachChanged(c reach.Change) {
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,6 +75,8 @@
 	// crashedUpstream is true if an upstream crashed as its answer to the request began. Hardly any other request is
 	// in that state when an upstream crashes, so the request is not sent again.
 	crashedUpstream bool
+	// unrecordedCrashes is the number of crashes by the request that are not recorded yet.
+	unrecordedCrashes atomic.Int32
 	// streaming is true once the response is being streamed to the caller.
 	streaming bool
 	// attempt is the attempt in progress.
--- a/internal/transport/httpapi/failure_test.go
+++ b/internal/transport/httpapi/failure_test.go
@@ -376,8 +376,9 @@
 	crashes, answers int
 }
 
-func (q *crashRecorder) Check([]quarantine.Subject) error    { return nil }
-func (q *crashRecorder) Suspected([]quarantine.Subject) bool { return false }
+func (q *crashRecorder) Check([]quarantine.Subject) error         { return nil }
+func (q *crashRecorder) Suspected([]quarantine.Subject, int) bool { return false }
+func (q *crashRecorder) NoteLoss(quarantine.Crash)                {}
 
 func (q *crashRecorder) RecordAnswer([]quarantine.Subject) {
 	q.mu.Lock()
@@ -385,7 +386,7 @@
 	q.answers++
 }
 
-func (q *crashRecorder) RecordCrash(string, []quarantine.Subject, time.Time, quarantine.Stage) {
+func (q *crashRecorder) RecordCrash(quarantine.Crash) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.crashes++
@@ -449,12 +450,7 @@
 	x := &exchange{api: &API{Quarantine: recorder, Logger: logrus.New(), Now: time.Now}, ctx: context.Background(),
 		subjects: []quarantine.Subject{1}}
 	began := time.Now()
-	x.noteCrash("e1", func(context.Context) lossCause {
-		if time.Since(began) > 350*time.Millisecond {
-			return causeCrash
-		}
-		return causeUnknown
-	})
+	x.noteCrash("e1", probedLoss(func(context.Context) bool { return time.Since(began) > 350*time.Millisecond }))
 	for range 200 {
 		if crashes, _ := recorder.counts(); crashes == 1 {
 			return
--- a/internal/transport/httpapi/forward.go
+++ b/internal/transport/httpapi/forward.go
@@ -125,6 +125,9 @@
 	Busy func() bool
 	// Reach is told what upstreams send. It may be nil.
 	Reach *reach.Monitor
+	// EndedApart returns the addresses of the upstreams of a service that are known not to have ended together with an upstream
+	// that lost a connection at a time. It may be nil.
+	EndedApart func(service, upstream string, at time.Time) map[string]struct{}
 	// ReachedByOthers reports whether another router reaches the upstream with a name. It may be nil.
 	ReachedByOthers func(ctx context.Context, upstream string) bool
 	// NoteLeaving records that an upstream has said to another router that it leaves. It may be nil.
@@ -446,11 +449,11 @@
 		}
 		op.countAttempt(x, err)
 		if maySignalCrash(err) {
-			loss := lostConnection{service: op.service.Name, upstream: op.upstream, target: op.relayTarget(x), at: x.api.Now()}
+			loss := &forwardLoss{forwarding: &x.api.Forwarding, service: op.service.Name, upstream: op.upstream, target: op.relayTarget(x), at: x.api.Now()}
 			if a, ok := attempt.(LeavingUpstream); ok {
 				loss.leaving = a.UpstreamLeaves()
 			}
-			x.noteCrash(op.upstream, func(ctx context.Context) lossCause { return x.api.Forwarding.examine(ctx, loss) })
+			x.noteCrash(op.upstream, loss)
 		}
 		if !op.mayRetry(x, err, retryBudget) {
 			if op.isLastResort(x) {
--- a/internal/transport/httpapi/run.go
+++ b/internal/transport/httpapi/run.go
@@ -69,12 +69,7 @@
 		return
 	}
 	target := x.attempt.Upstream()
-	x.noteCrash(target.Name, func(ctx context.Context) lossCause {
-		if upstream.RefusesConnections(ctx, target.Address) {
-			return causeCrash
-		}
-		return causeUnknown
-	})
+	x.noteCrash(target.Name, probedLoss(func(ctx context.Context) bool { return upstream.RefusesConnections(ctx, target.Address) }))
 }
 
 // runAttempt makes one attempt and reports its result to the routing.
