Let an answer clear a crash that is recorded later

Cause: a crash is recorded 0.2 s after the loss, and other routers learn of it 0.1 s later. An answer in that time cleared nothing, since there was nothing to clear yet. Upstreams that end again and again beside few answers then seem to crash in a row.

Routers now remember when they last saw a content or a part answered, and clear a crash that they learn of afterwards; the others are told.

TestAnswerClearsCrashRecordedLater failed before.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -107,9 +107,10 @@
 	mu       sync.Mutex
 	crashes  []*crash
 	subjects map[Subject]*subjectState
-	answered recentSubjects
-	losses   []loss
-	report   Report
+	// answered and answeredParts remember when contents and parts were last answered.
+	answered, answeredParts recentSubjects
+	losses                  []loss
+	report                  Report
 }
 
 // crash is one crash of an upstream.
@@ -184,7 +185,7 @@
 	now := r.cfg.Now()
 	s := Observation{
 		Upstream: c.Upstream, Subjects: c.Subjects, Begun: c.Stage == StageBegun, Streaming: c.Stage == StageStreaming,
-		Answered: len(c.Subjects) > 0 && r.answered.contains(c.Subjects[0], now), sentAt: c.SentAt, at: c.At,
+		Answered: len(c.Subjects) > 0 && !r.answered.last(c.Subjects[0], now).IsZero(), sentAt: c.SentAt, at: c.At,
 	}
 	r.addObservation(s, false)
 	r.report.Observations = append(r.report.Observations, s)
@@ -198,6 +199,7 @@
 	c.begun = c.begun || stage == StageBegun
 	for i, subject := range s.Subjects {
 		known := r.subject(subject)
+		r.clearAnswered(subject, known, i == 0, c.at)
 		o := crashRecord{crash: c, sentAt: s.sentAt, stage: stage, answered: s.Answered, specific: s.Subjects[:i]}
 		at := slices.IndexFunc(known.records, func(o crashRecord) bool { return o.crash == c })
 		switch {
@@ -214,6 +216,19 @@
 	}
 }
 
+// clearAnswered clears a subject that has been answered since a crash, of which this router learns only now.
+func (r *Registry) clearAnswered(s Subject, known *subjectState, content bool, crashedAt time.Time) {
+	recent := &r.answeredParts
+	if content {
+		recent = &r.answered
+	}
+	if at := recent.last(s, r.cfg.Now()); at.After(crashedAt) && at.After(known.clearedAt) {
+		known.clearedAt = at
+		known.records = slices.DeleteFunc(known.records, func(o crashRecord) bool { return o.crash.at.Before(at) })
+		r.report.Clears = append(r.report.Clears, Clear{Subject: s, at: at})
+	}
+}
+
 // subject returns what is known about a subject.
 func (r *Registry) subject(s Subject) *subjectState {
 	known := r.subjects[s]
@@ -315,10 +330,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
-	if len(subjects) > 0 {
-		r.answered.add(subjects[0], now)
-	}
-	for _, s := range subjects {
+	for i, s := range subjects {
+		if i == 0 {
+			r.answered.add(s, now)
+		} else {
+			r.answeredParts.add(s, now)
+		}
 		if known := r.subjects[s]; known != nil && (len(known.records) > 0 || known.verdict.Active) {
 			r.clear(s, known, now, false)
 			r.report.Clears = append(r.report.Clears, Clear{Subject: s, at: now})
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -487,6 +487,10 @@
 		r.RecordAnswer(parts(fmt.Sprint("content", i)))
 	}
 	is.True(len(r.answered.current)+len(r.answered.previous) <= 2*maxAnswered)
+	for i := range 5 * maxAnswered {
+		r.RecordAnswer(parts("content", fmt.Sprint("own", i)))
+	}
+	is.True(len(r.answeredParts.current)+len(r.answeredParts.previous) <= 2*maxAnswered)
 }
 
 // BenchmarkRequest checks a request and records its answer while another part is quarantined, and reports the size
@@ -511,6 +515,45 @@
 	b.ReportMetric(float64(len(report))/QuarantineCrashes, "B/crash")
 }
 
+// Guards against crashes that quarantine a sound request although it was answered after them, because they are recorded, or
+// reported by another router, later than the answer.
+func TestAnswerClearsCrashRecordedLater(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	crashes := func(name, content string) (all []Crash) {
+		for i := range QuarantineCrashes {
+			sent := c.now
+			c.advance(5 * time.Millisecond)
+			all = append(all, Crash{Upstream: fmt.Sprint(name, i), Subjects: parts(content, fmt.Sprint(content, i), "part"), SentAt: sent, At: c.now})
+			c.advance(5 * time.Millisecond)
+		}
+		return all
+	}
+	answering := newRegistry(c)
+	recorded := crashes("u", "content")
+	answering.RecordAnswer(parts("content", "part"))
+	c.advance(100 * time.Millisecond)
+	for _, crash := range recorded {
+		other := newRegistry(c)
+		other.RecordCrash(crash)
+		answering.Merge(other.TakeReport())
+	}
+	is.True(!blocked(answering, "content") && !blocked(answering, "own", "part"))
+	is.Equal(len(answering.TakeReport().Clears), 2) // the others learn of the answer
+
+	r := newRegistry(c)
+	recorded = crashes("v", "content")
+	r.RecordAnswer(parts("content", "part"))
+	for _, crash := range recorded {
+		r.RecordCrash(crash)
+	}
+	is.True(!blocked(r, "content") && !blocked(r, "own", "part"))
+	for _, crash := range crashes("w", "content") {
+		r.RecordCrash(crash)
+	}
+	is.True(blocked(r, "content")) // it has become deadly
+}
+
 // Guards against a crash by a request that counts as a power loss because the request, sent again, has crashed the other upstream
 // at once; and against a power loss that counts as crashes by the requests that ran, some of which are equal.
 func TestEndedApart(t *testing.T) {
--- a/internal/coordination/quarantine/recent.go
+++ b/internal/coordination/quarantine/recent.go
@@ -3,29 +3,31 @@
 import "time"
 
 const (
-	// answeredRetention is how long an answered content is remembered at least.
+	// answeredRetention is how long an answered subject is remembered at least.
 	answeredRetention = time.Minute
-	// maxAnswered limits the memory. With more contents they are remembered for a shorter time.
+	// maxAnswered limits the memory. With more subjects they are remembered for a shorter time.
 	maxAnswered = 8192
 )
 
-// recentSubjects remembers the subjects that were added last, in two generations. Its zero value is empty.
+// recentSubjects remembers when subjects were last added, in two generations. Its zero value is empty.
 type recentSubjects struct {
-	current, previous map[Subject]struct{}
+	current, previous map[Subject]time.Time
 	// currentSince is when the current generation began.
 	currentSince time.Time
 }
 
 func (g *recentSubjects) add(s Subject, now time.Time) {
 	g.rotate(now)
-	g.current[s] = struct{}{}
+	g.current[s] = now
 }
 
-func (g *recentSubjects) contains(s Subject, now time.Time) bool {
+// last returns when a subject was last added, or zero if it is not remembered.
+func (g *recentSubjects) last(s Subject, now time.Time) time.Time {
 	g.rotate(now)
-	_, inCurrent := g.current[s]
-	_, inPrevious := g.previous[s]
-	return inCurrent || inPrevious
+	if at, ok := g.current[s]; ok {
+		return at
+	}
+	return g.previous[s]
 }
 
 // rotate begins a new generation if the current one is full or old.
@@ -37,5 +39,5 @@
 	if age >= 2*answeredRetention {
 		g.current = nil
 	}
-	g.previous, g.current, g.currentSince = g.current, make(map[Subject]struct{}), now
+	g.previous, g.current, g.currentSince = g.current, make(map[Subject]time.Time), now
 }
