One way to clear an answered subject, one test of requests in turn

clearAnswered repeated clear without its release of a verdict, and chose the memory of answers as RecordAnswer does; the order of losses and sends was written twice. Each is one function now. The wait for other routers delays only the record of a crash, which its comment did not say any more. No rule, bound or message changes.

--- a/internal/coordination/quarantine/losses.go
+++ b/internal/coordination/quarantine/losses.go
@@ -21,8 +21,10 @@
 	sentAt, at time.Time
 }
 
-// follows reports whether the request was sent after a time.
-func (l loss) follows(at time.Time) bool { return !l.sentAt.Before(at) }
+// inTurnWith reports whether one of two requests was sent after the other one was lost.
+func (l loss) inTurnWith(sentAt, lostAt time.Time) bool {
+	return !l.sentAt.Before(lostAt) || !sentAt.Before(l.at)
+}
 
 // NoteLoss records that a request has lost its connection to an upstream. Whether the upstream has crashed is found out
 // afterwards, see RecordCrash.
@@ -65,13 +67,13 @@
 // was lost.
 func (r *Registry) addEndedApart(apart map[string]struct{}, l loss) {
 	for _, o := range r.losses {
-		if o.content == l.content && (l.follows(o.at) || o.follows(l.at)) {
+		if o.content == l.content && l.inTurnWith(o.sentAt, o.at) {
 			apart[o.upstream] = struct{}{}
 		}
 	}
 	if known := r.subjects[l.content]; known != nil {
 		for _, o := range known.records {
-			if l.follows(o.crash.at) || !o.sentAt.Before(l.at) {
+			if l.inTurnWith(o.sentAt, o.crash.at) {
 				apart[o.crash.upstream] = struct{}{}
 			}
 		}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -199,7 +199,10 @@
 	c.begun = c.begun || stage == StageBegun
 	for i, subject := range s.Subjects {
 		known := r.subject(subject)
-		r.clearAnswered(subject, known, i == 0, c.at)
+		if at := r.recentAnswers(i).last(subject, r.cfg.Now()); at.After(c.at) && at.After(known.clearedAt) {
+			// It was answered before this router learned of the crash.
+			r.clearAndReport(subject, known, at)
+		}
 		o := crashRecord{crash: c, sentAt: s.sentAt, stage: stage, answered: s.Answered, specific: s.Subjects[:i]}
 		at := slices.IndexFunc(known.records, func(o crashRecord) bool { return o.crash == c })
 		switch {
@@ -216,17 +219,12 @@
 	}
 }
 
-// clearAnswered clears a subject that has been answered since a crash, of which this router learns only now.
-func (r *Registry) clearAnswered(s Subject, known *subjectState, content bool, crashedAt time.Time) {
-	recent := &r.answeredParts
-	if content {
-		recent = &r.answered
-	}
-	if at := recent.last(s, r.cfg.Now()); at.After(crashedAt) && at.After(known.clearedAt) {
-		known.clearedAt = at
-		known.records = slices.DeleteFunc(known.records, func(o crashRecord) bool { return o.crash.at.Before(at) })
-		r.report.Clears = append(r.report.Clears, Clear{Subject: s, at: at})
+// recentAnswers returns the memory of answers for the subject of a request at an index: contents are far more than parts.
+func (r *Registry) recentAnswers(i int) *recentSubjects {
+	if i == 0 {
+		return &r.answered
 	}
+	return &r.answeredParts
 }
 
 // subject returns what is known about a subject.
@@ -331,18 +329,19 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Now()
 	for i, s := range subjects {
-		if i == 0 {
-			r.answered.add(s, now)
-		} else {
-			r.answeredParts.add(s, now)
-		}
+		r.recentAnswers(i).add(s, now)
 		if known := r.subjects[s]; known != nil && (len(known.records) > 0 || known.verdict.Active) {
-			r.clear(s, known, now, false)
-			r.report.Clears = append(r.report.Clears, Clear{Subject: s, at: now})
+			r.clearAndReport(s, known, now)
 		}
 	}
 }
 
+// clearAndReport clears a subject that this router has seen answered, and tells the others.
+func (r *Registry) clearAndReport(s Subject, known *subjectState, at time.Time) {
+	r.clear(s, known, at, false)
+	r.report.Clears = append(r.report.Clears, Clear{Subject: s, at: at})
+}
+
 // clear clears a subject of the crashes before a time. It ends a quarantine only if the answer came after this
 // router had learned of it.
 func (r *Registry) clear(s Subject, known *subjectState, at time.Time, reported bool) {
--- a/internal/daemon/upstream_reach.go
+++ b/internal/daemon/upstream_reach.go
@@ -17,7 +17,7 @@
 	maxReachQueries = 5
 	// reachDialTimeout limits the connection attempt of a router that is asked.
 	reachDialTimeout = 80 * time.Millisecond
-	// reachQueryWait limits the wait for the responses: a request that may be repeated waits as long.
+	// reachQueryWait limits the wait for the responses, which delays the record of a crash.
 	reachQueryWait = 100 * time.Millisecond
 )
 
