Bound what connections have received and the process has not read

Callers that sent many large bodies at once ended a router although its memory for requests was bounded. What a connection has received and the process has not read counts towards the memory of the VM, and no listener set a receive buffer: the kernel kept 128 KB for a refused caller and megabytes for one that was read. The crowd tests passed because they measured the resident memory, which has none of these bytes.

The tests now add the receive queues of the process's ports.

Listeners now set a receive buffer of 8 KB, of which the kernel makes 16.

Ruled out: to count unread bytes in the process (a system call for each connection), to read the rest of a refused body, to reset its connection.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -212,6 +212,11 @@
 	var resolver conc.WaitGroup
 	resolver.Go(func() { d.api.UnknownOutcomes.Run(background) })
 	limited := netopt.LimitConnections(netopt.WithWriteLimits(public), d.cfg.MaxConnections)
+	for _, l := range []net.Listener{public, admin} {
+		if err := netopt.LimitReceiveBuffer(l); err != nil {
+			return err
+		}
+	}
 	loops.Go(func() { _ = d.server.Serve(d.callers.Listener(limited)) })
 	loops.Go(func() { every(background, roomCheckInterval, func() { keepRoom(limited, &d.callers) }) })
 	loops.Go(func() { _ = d.admin.Serve(admin) })
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 	"github.com/dotterelthread/dotterelthread/internal/settings"
 	"github.com/dotterelthread/dotterelthread/internal/transport/logclient"
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/peer"
 )
 
@@ -104,6 +105,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
+	if err := netopt.LimitReceiveBuffer(listener); err != nil {
+		return errors.CombineErrors(err, listener.Close())
+	}
 	loops.Go(func() { _ = f.server.Serve(peerCtx, listener) })
 	loops.Go(func() { f.members.Run(peerCtx) })
 	loops.Go(func() { d.config.RunFetch(ctx, f.pool, d.reports) })
--- a/internal/e2e/memory_test.go
+++ b/internal/e2e/memory_test.go
@@ -1,6 +1,8 @@
 package e2e
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -23,6 +25,10 @@
 	crowdFilesBound  = 400
 	crowdWholeEvery  = 5
 	crowdEndlessBody = 24 << 20
+	// The crowds of many callers meet a smaller VM.
+	crowdManyMemoryMB  = 128
+	crowdManySoftLimit = "89MiB"
+	crowdManyCallers   = 800
 )
 
 // Guards against callers that end the router's process with large bodies that stop just short of their end, in one piece or
@@ -32,7 +38,6 @@
 		t.Skip("sends some hundred megabytes")
 	}
 	testcrowd.Exclusive(t)
-	t.Setenv("GOMEMLIMIT", crowdSoftLimit)
 	legal := testcrowd.Crowd{BodyBytes: crowdBodyBytes, WholeEvery: crowdWholeEvery, Piece: 64 << 10}
 	whole, pieces, largeChunks, smallChunks := legal, legal, legal, legal
 	whole.Piece, pieces.Piece = crowdBodyBytes, 16<<10
@@ -42,6 +47,12 @@
 	stopped := testcrowd.Crowd{BodyBytes: crowdBodyBytes, AnnouncedBytes: 1 << 30, Piece: 64 << 10}
 	sent := announced
 	sent.ChunkBytes = 64 << 10
+	many := testcrowd.Crowd{Callers: crowdManyCallers}
+	wholeOfMany, refused, singleBytes, small := many, many, many, many
+	wholeOfMany.BodyBytes, wholeOfMany.Piece = 1<<20, 1<<20
+	refused.BodyBytes, refused.AnnouncedBytes, refused.Piece = crowdBodyBytes, 50<<20, 64<<10
+	singleBytes.BodyBytes, singleBytes.Piece, singleBytes.ChunkBytes = 16<<10, 1<<10, 1
+	small.BodyBytes, small.Piece = 15_000, 15_000
 	service := func(caller int) (head, bodyStart string) { return "POST /v1/services/" + testService + "/add", "" }
 	completion := func(caller int) (head, bodyStart string) {
 		return "POST /v1/chat/completions", `{"model":"` + testModel + `","max_tokens":4,"messages":[{"role":"user","content":"`
@@ -55,38 +66,55 @@
 		{"small chunks", smallChunks, completion}, {"service", whole, service},
 		{"too large, announced", announced, completion}, {"too large, announced and stopped", stopped, completion},
 		{"too large, sent", sent, completion},
+		{"many, whole", wholeOfMany, completion}, {"many, too large, announced", refused, completion},
+		{"many, chunks of one byte", singleBytes, completion}, {"many, small", small, completion},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
+			memoryMB, softLimit := crowdMemoryMB, crowdSoftLimit
+			if c.crowd.Callers == crowdManyCallers {
+				memoryMB, softLimit = crowdManyMemoryMB, crowdManySoftLimit
+			}
+			t.Setenv("GOMEMLIMIT", softLimit)
 			logURL := startStandin(t, "log")
 			publishEngines(t, logURL, startStandin(t, "engine"))
 			r := startRouter(t, "vm-1", logURL, "--max-body-bytes", fmt.Sprint(crowdBodyBytes))
 			process := testcrowd.Process{PID: r.cmd.Process.Pid}
 			crowd := c.crowd
-			crowd.Address, crowd.Callers, crowd.BodyEnd = strings.TrimPrefix(r.url, "http://"), crowdCallers, `"}]}`
+			crowd.Address, crowd.Callers, crowd.BodyEnd = strings.TrimPrefix(r.url, "http://"), cmp.Or(crowd.Callers, crowdCallers), `"}]}`
 			crowd.Head = func(caller int) (head, bodyStart string) {
 				line, start := c.request(caller)
 				return line + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testCredential + "\r\n", start
 			}
-			files := process.WatchFiles()
+			stopWatch := process.WatchUsage(crowd.Address)
 			closeAll := crowd.Send()
 			defer closeAll()
-			waitWithin(t, 60*time.Second, func() bool {
-				resp, err := http.DefaultClient.Do(newCompletionRequest(t, r.url, chat.Request{
-					Model: testModel, MaxTokens: 2, Messages: []chat.Message{{Role: "user", Content: "tooth angle"}},
-				}))
-				if err != nil {
-					return false
-				}
-				defer resp.Body.Close()
-				return resp.StatusCode == http.StatusOK
-			})
-			openFiles := files()
-			peak, err := process.PeakMemory()
+			waitServed(t, r)
+			usage, err := stopWatch()
 			is.NoErr(err) // the process lives
-			t.Logf("%d MB of %d, %d open files", peak>>20, crowdMemoryMB, openFiles)
-			is.True(peak < crowdMemoryMB<<20)
-			is.True(openFiles < crowdFilesBound)
+			peak, err := process.PeakMemory()
+			is.NoErr(err)
+			t.Logf("%d MB with %d MB unread (resident %d MB) of %d MB, %d open files",
+				usage.Memory>>20, usage.Unread>>20, peak>>20, memoryMB, usage.Files)
+			is.True(max(peak, usage.Memory) < int64(memoryMB)<<20)
+			is.True(usage.Files < crowdFilesBound+c.crowd.Callers) // Callers is 0 in the crowds of crowdCallers
 		})
 	}
 }
+
+// waitServed waits until an ordinary request is answered.
+func waitServed(t *testing.T, r *router) {
+	t.Helper()
+	waitWithin(t, 60*time.Second, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		resp, err := http.DefaultClient.Do(newCompletionRequest(t, r.url, chat.Request{
+			Model: testModel, MaxTokens: 2, Messages: []chat.Message{{Role: "user", Content: "tooth angle"}},
+		}).WithContext(ctx))
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
--- a/internal/testcrowd/testcrowd.go
+++ b/internal/testcrowd/testcrowd.go
@@ -123,13 +123,16 @@
 type Process struct{ PID int }
 
 // PeakMemory returns the largest resident memory of the process so far, in bytes. It fails once the process has ended.
-func (p Process) PeakMemory() (int64, error) {
+func (p Process) PeakMemory() (int64, error) { return p.status("VmHWM:") }
+
+// status returns a size from the status of the process, in bytes.
+func (p Process) status(name string) (int64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID))
 	if err != nil {
 		return 0, err
 	}
 	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+		if value, ok := strings.CutPrefix(line, name); ok {
 			kib, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
 			return kib << 10, err
 		}
@@ -137,28 +140,6 @@
 	return 0, fmt.Errorf("process %d has ended", p.PID)
 }
 
-// WatchFiles samples the number of open descriptors until the returned function is called, which returns the largest one.
-func (p Process) WatchFiles() (stop func() int) {
-	done, result := make(chan struct{}), make(chan int)
-	go func() {
-		largest := 0
-		for {
-			files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID)) // none once the process has ended
-			largest = max(largest, len(files))
-			select {
-			case <-done:
-				result <- largest
-				return
-			case <-time.After(sampleInterval):
-			}
-		}
-	}()
-	return func() int { close(done); return <-result }
-}
-
-// sampleInterval is the time between two samples of WatchFiles.
-const sampleInterval = 20 * time.Millisecond
-
 // Exclusive waits until no other test of this machine that calls it runs, and excludes others until the test ends. Tests of
 // several packages run at the same time in processes of their own.
 func Exclusive(t testing.TB) {
--- a/internal/transport/netopt/netopt.go
+++ b/internal/transport/netopt/netopt.go
@@ -101,12 +101,15 @@
 	return &acceptedConn{countingConn: countingConn{c}}, nil
 }
 
-// Listen listens on an IPv4 address and port.
+// Listen listens on an IPv4 address and port. The receive buffers of its connections are limited as by LimitReceiveBuffer.
 func Listen(address string) (net.Listener, error) {
 	l, err := listenConfig.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
+	if err := LimitReceiveBuffer(l); err != nil {
+		return nil, errors.CombineErrors(err, l.Close())
+	}
 	return countingListener{l.(*net.TCPListener)}, nil
 }
 
@@ -261,7 +264,7 @@
 // another goroutine reads from the connection. It returns false for a connection without a file descriptor.
 func PeerHasClosed(c net.Conn) bool {
 	n, err := peek(c)
-	return err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR && !errors.Is(err, errNoPeek)
+	return err == nil && n == 0 || err != nil && err != unix.EAGAIN && err != unix.EINTR && !errors.Is(err, errNoDescriptor)
 }
 
 // HasUnread reports whether data has arrived on a connection that is not read yet. It may be called while another
@@ -271,25 +274,25 @@
 	return err == nil && n > 0
 }
 
-// errNoPeek reports a connection without a file descriptor.
-var errNoPeek = errors.New("the connection has no file descriptor")
+// errNoDescriptor reports a connection without a file descriptor.
+var errNoDescriptor = errors.New("the connection has no file descriptor")
 
 // peek returns the length of the unread data of a connection, 1 at most.
 func peek(c net.Conn) (n int, err error) {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, errNoPeek
+		return 0, errNoDescriptor
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return 0, errNoPeek
+		return 0, errNoDescriptor
 	}
 	var buf [1]byte
 	// Unlike Read, Control does not wait for the other reader.
 	if controlErr := raw.Control(func(fd uintptr) {
 		n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	}); controlErr != nil {
-		return 0, errNoPeek
+		return 0, errNoDescriptor
 	}
 	return n, err
 }
