Derive all limits of callers from the memory of the VM

Callers with small bodies that stop just short of their end took a router over the memory of its VM, although none of them counts towards the limit for requests: each connection holds some 40 KB (goroutine, buffers, a head up to 4 KB, a body up to 16 KB), and their number followed from the descriptors only. The parts for requests, responses and kept answers had no relation to each other, and the own fleet without GOMEMLIMIT allowed requests 256 MB on any machine.

membuf.Divide derives the parts from one limit, and they add up to it: runtime, connections, connections that are not accepted yet, their unread bytes, and what the runtime does not count.

Ruled out: to count small bodies towards the limit for requests, which refuses ordinary requests while a crowd holds it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +54,9 @@
 	// callers are the connections of server.
 	callers  httpapi.KeptConns
 	incoming *membuf.Incoming
-	holder   record.HolderID
+	// acceptQueue is as in membuf.Parts.
+	acceptQueue int
+	holder      record.HolderID
 	// started is when New was called.
 	started        time.Time
 	ready          atomic.Bool
@@ -66,6 +66,10 @@
 
 // New returns a router that stores its durable state in the given log.
 func New(cfg settings.Daemon, log logstream.Log, logger logrus.FieldLogger) (*Daemon, error) {
+	cfg, parts, err := limitMemory(cfg)
+	if err != nil {
+		return nil, err
+	}
 	// UUIDs of version 7 ascend with the start time, so that of two processes of a VM the newer one is known.
 	id, err := uuid.NewV7()
 	if err != nil {
@@ -74,7 +78,7 @@
 	d := &Daemon{
 		cfg: cfg, logger: logger, log: log, config: configsync.NewFollower(log, logger),
 		holder: record.HolderID(cfg.VM + "/" + id.String()), engines: upstream.New(membuf.NewLimiter(cfg.ResponseMemory)),
-		incoming:     membuf.NewIncoming(requestMemory(cfg.RequestMemory), time.Now),
+		incoming: membuf.NewIncoming(cfg.RequestMemory, time.Now), acceptQueue: parts.AcceptQueue,
 		crashHistory: routing.NewCrashHistory(time.Now), started: time.Now(), drainRequested: make(chan struct{}),
 	}
 	d.crashes = quarantine.New(quarantine.Config{
@@ -117,25 +121,6 @@
 	return public, admin
 }
 
-const (
-	// defaultRequestMemory is the memory for callers' requests of a process without a soft memory limit, in bytes.
-	defaultRequestMemory = 256 << 20
-	// requestMemoryPart is the part of the soft memory limit, as its inverse, that callers' requests may use otherwise.
-	requestMemoryPart = 4
-)
-
-// requestMemory returns the memory for callers' requests in bytes: the setting or, if it is 0, a part of the runtime's soft memory
-// limit (GOMEMLIMIT).
-func requestMemory(setting int64) int64 {
-	if setting > 0 {
-		return setting
-	}
-	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
-		return limit / requestMemoryPart
-	}
-	return defaultRequestMemory
-}
-
 func newClaimConfig(cfg settings.Daemon) claim.Config {
 	return claim.Config{
 		Partitions: cfg.ClaimPartitions, Interval: cfg.ClaimInterval, Queue: claim.DefaultQueue,
@@ -217,6 +202,9 @@
 			return err
 		}
 	}
+	if err := limited.SetAcceptQueue(d.acceptQueue); err != nil {
+		return err
+	}
 	loops.Go(func() { _ = d.server.Serve(d.callers.Listener(limited)) })
 	loops.Go(func() { every(background, roomCheckInterval, func() { keepRoom(limited, &d.callers) }) })
 	loops.Go(func() { _ = d.admin.Serve(admin) })
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -57,11 +57,9 @@
 	PeerKey   string
 	// MaxSockets limits the open sockets of the process.
 	MaxSockets int
-	// ResponseMemory limits the memory for upstreams' responses in progress, in bytes. One upstream may use half of
-	// it.
-	ResponseMemory int64
-	// RequestMemory limits the memory for callers' requests in progress, in bytes.
-	RequestMemory int64
+	// Memory is how the memory of the VM is divided. One upstream's responses may use half of Memory.Responses. The zero value
+	// means that of a VM with defaultMemory.
+	Memory membuf.Parts
 	// LinkBandwidth is the bandwidth of the VM's network link, in bytes per second; 0 means unknown.
 	LinkBandwidth float64
 	// GracePeriod is the time from the shutdown signal until the process is killed.
@@ -79,11 +77,12 @@
 	LogWritesPerSecond, LogReadsPerSecond float64
 }
 
+// defaultMemory is the memory limit of a VM whose limit is not known, in bytes.
+const defaultMemory = 256 << 20
+
 // Defaults of GatewayConfig.
 const (
 	DefaultGracePeriod        = 8 * time.Second
-	DefaultResponseMemory     = 32 << 20
-	DefaultRequestMemory      = 64 << 20
 	DefaultRetryRatio         = 0.1
 	DefaultRetryWindow        = 10 * time.Second
 	DefaultConfigApplyTimeout = 2 * time.Second
@@ -214,13 +213,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "generate process ID")
 	}
+	cfg.Memory = cmp.Or(cfg.Memory, membuf.Divide(defaultMemory))
 	g := &Gateway{
 		cfg: cfg, deps: deps, logger: logger, holder: record.HolderID(cfg.VM + "/" + id.String()),
-		buffers: membuf.NewLimiter(cmp.Or(cfg.ResponseMemory, DefaultResponseMemory)), shedder: overload.New(overload.Config{}), started: time.Now(),
+		buffers: membuf.NewLimiter(cfg.Memory.Responses), shedder: overload.New(overload.Config{}), started: time.Now(),
 		divider: capacityshare.New(cfg.VM), link: overload.NewLink(overload.LinkConfig{Bandwidth: cfg.LinkBandwidth}),
 		inbound: overload.NewInbound(cfg.LinkBandwidth, time.Now),
 	}
-	g.incoming = membuf.NewIncoming(cmp.Or(cfg.RequestMemory, DefaultRequestMemory), time.Now)
+	g.incoming = membuf.NewIncoming(cfg.Memory.Requests, time.Now)
 	g.callers.Incoming, g.hopCallers.Incoming = g.incoming, g.incoming
 	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -49,12 +49,14 @@
 			return nil, nil, err
 		}
 		if s.server == callers {
-			limited = netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/2))
+			limited = netopt.LimitConnections(listener, g.maxCallers())
 			limited.Hold = g.holdAccept
+			queue := g.cfg.Memory.AcceptQueue
 			if n := g.inbound.AcceptQueue(); n > 0 {
-				if err := limited.SetAcceptQueue(n); err != nil {
-					return nil, nil, err
-				}
+				queue = min(queue, n)
+			}
+			if err := limited.SetAcceptQueue(queue); err != nil {
+				return nil, nil, err
 			}
 			g.callers.OnUndelivered = g.noteUndelivered
 			g.callers.Attach(callers)
@@ -65,6 +67,9 @@
 	return servers, limited, nil
 }
 
+// maxCallers returns the number of callers' connections that the sockets and the memory allow.
+func (g *Gateway) maxCallers() int { return max(1, min(g.cfg.MaxSockets/2, g.cfg.Memory.Connections)) }
+
 const (
 	// newConnectionPart is the part of the callers' connections, as its inverse, that is kept free for new ones.
 	newConnectionPart = 16
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -14,7 +14,7 @@
 )
 
 // zeroAllowed lists the signed integers and durations for which 0 has a meaning. All others must be above 0.
-var zeroAllowed = []string{"drain-delay", "attempt-timeout", "budget-reserve", "request-memory"}
+var zeroAllowed = []string{"drain-delay", "attempt-timeout", "budget-reserve", "request-memory", "memory-limit"}
 
 // check returns the findings about the values. All values must have been parsed.
 func (d Daemon) check() []Finding {
