Enlarge the receive buffers of connections with large bodies

With a receive buffer of 8 KB a caller sends 8 to 12 KB a round trip, so that a body of 4 MB takes some 35 s at 100 ms (computed, not measured over a real delay), longer than the time for a body. When 16 KB of a body have arrived, the buffer of its connection is enlarged to 64 KB, if fewer connections have one than the memory of the VM allows (R/32 / 128 KB: 24 at 144 MB, 49 at 284 MB). A connection keeps it until it is closed, since a window that was announced cannot be taken back. Routers that have proven the key get one too, for their large messages.

Ruled out: larger buffers for all (244 MB at 1,950 connections), to reduce the buffer after the body (the kernel keeps what it has announced).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,9 +54,10 @@
 	// callers are the connections of server.
 	callers  httpapi.KeptConns
 	incoming *membuf.Incoming
-	// acceptQueue is as in membuf.Parts.
-	acceptQueue int
-	holder      record.HolderID
+	// acceptQueue and maxLargeWindows are as in membuf.Parts.
+	acceptQueue     int
+	maxLargeWindows int64
+	holder          record.HolderID
 	// started is when New was called.
 	started        time.Time
 	ready          atomic.Bool
@@ -78,7 +79,7 @@
 	d := &Daemon{
 		cfg: cfg, logger: logger, log: log, config: configsync.NewFollower(log, logger),
 		holder: record.HolderID(cfg.VM + "/" + id.String()), engines: upstream.New(membuf.NewLimiter(cfg.ResponseMemory)),
-		incoming: membuf.NewIncoming(cfg.RequestMemory, time.Now), acceptQueue: parts.AcceptQueue,
+		incoming: membuf.NewIncoming(cfg.RequestMemory, time.Now), acceptQueue: parts.AcceptQueue, maxLargeWindows: parts.LargeWindows,
 		crashHistory: routing.NewCrashHistory(time.Now), started: time.Now(), drainRequested: make(chan struct{}),
 	}
 	d.crashes = quarantine.New(quarantine.Config{
@@ -113,7 +114,7 @@
 		Handler: d.api.Handler(), ReadHeaderTimeout: d.cfg.ReadTimeout,
 		IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
 	}
-	d.callers.Incoming = d.incoming
+	d.callers.Incoming, d.callers.MaxLargeWindows = d.incoming, d.maxLargeWindows
 	d.callers.Attach(public)
 	admin = &http.Server{
 		Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: d.cfg.ReadTimeout, IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -222,6 +222,7 @@
 	}
 	g.incoming = membuf.NewIncoming(cfg.Memory.Requests, time.Now)
 	g.callers.Incoming, g.hopCallers.Incoming = g.incoming, g.incoming
+	g.callers.MaxLargeWindows = cfg.Memory.LargeWindows
 	g.pool, g.hopPool = relay.NewPool(deps.ResponseID, g.buffers), relay.NewPool(deps.ResponseID, g.buffers)
 	g.reach = g.newReachMonitor()
 	g.snapshot.Store(catalogue.NewSnapshot(0, catalogue.Catalogue{}, nil))
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -199,7 +199,7 @@
 func (x *exchange) readBody() *APIError {
 	_ = x.control.SetReadDeadline(time.Now().Add(x.api.Limits.BodyTimeout))
 	limit := x.api.Incoming.MaxBody(x.maxBodyBytes())
-	body, err := x.requestHold().ReadBody(x.httpReq.Body, limit, x.httpReq.ContentLength)
+	body, err := x.requestHold().ReadBody(x.bodyReader(), limit, x.httpReq.ContentLength)
 	if err != nil {
 		return x.bodyError(err, limit)
 	}
--- a/internal/transport/httpapi/incoming.go
+++ b/internal/transport/httpapi/incoming.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +16,8 @@
 	// headCopies times: it is read into a line and copied into the header.
 	freeHeadBytes = 4 << 10
 	headCopies    = 2
+	// largeBodyBytes is the part of a body after which the receive buffer of its connection is enlarged.
+	largeBodyBytes = 16 << 10
 	// memoryEventInterval is the shortest time between two events about used up memory.
 	memoryEventInterval = time.Second
 )
@@ -28,6 +31,31 @@
 	return x.api.Incoming.NewHold(x.endReads)
 }
 
+// bodyReader returns a reader of the request's body.
+func (x *exchange) bodyReader() io.Reader {
+	if c, ok := x.httpReq.Context().Value(keptConnKey{}).(*keptConn); ok {
+		return &bodyReader{Reader: x.httpReq.Body, conn: c}
+	}
+	return x.httpReq.Body
+}
+
+// bodyReader enlarges the receive buffer of a connection while it reads a large body.
+type bodyReader struct {
+	io.Reader
+	conn *keptConn
+	read int
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if before := b.read; before < largeBodyBytes && before+n >= largeBodyBytes {
+		b.conn.enlargeWindow()
+	}
+	b.read += n
+	return n, err
+}
+
 // endReads makes the reads from the caller's connection fail.
 func (x *exchange) endReads() { _ = x.control.SetReadDeadline(time.Unix(1, 0)) }
 
--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -30,6 +30,11 @@
 	// Incoming limits the memory of the requests. It may be nil, and is set before the first use.
 	Incoming *membuf.Incoming
 
+	// MaxLargeWindows is the number of connections whose receive buffers may be enlarged for large bodies. It is set before the
+	// first use.
+	MaxLargeWindows int64
+	largeWindows    atomic.Int64
+
 	closing atomic.Bool
 
 	mu    sync.Mutex
@@ -191,6 +196,8 @@
 	head headReader
 	// reset is true if a close shall drop what is not sent, and closed once Close has been called.
 	reset, closed bool
+	// largeWindow is true if the receive buffer has been enlarged.
+	largeWindow bool
 	// written is the ID of the request whose response was written last, and writeErr the error of the last write.
 	written  string
 	writeErr error
@@ -337,15 +344,42 @@
 	c.mu.Unlock()
 	if !lingers || c.CloseWrite() != nil {
 		c.reportUndelivered(unsent)
-		return c.Conn.Close()
+		return c.closeNow()
 	}
 	go c.linger()
 	return nil
 }
 
+func (c *keptConn) closeNow() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.largeWindow {
+		c.largeWindow = false
+		c.conns.largeWindows.Add(-1)
+	}
+	return err
+}
+
+// enlargeWindow lets a caller far away send a large body with fewer round trips, if few enough connections have that already.
+// They keep it until they are closed, since their callers may use it for any later request.
+func (c *keptConn) enlargeWindow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.largeWindow {
+		return
+	}
+	// Without a larger buffer the body only arrives more slowly.
+	if c.conns.largeWindows.Add(1) > c.conns.MaxLargeWindows || netopt.EnlargeReceiveBuffer(c.Conn) != nil {
+		c.conns.largeWindows.Add(-1)
+		return
+	}
+	c.largeWindow = true
+}
+
 // linger discards what the caller sends until the response is sent, and closes the connection.
 func (c *keptConn) linger() {
-	defer c.Conn.Close()
+	defer func() { _ = c.closeNow() }()
 	defer func() { c.reportUndelivered(netopt.Unsent(c.Conn)) }()
 	for end := time.Now().Add(lingerTimeout); netopt.Unsent(c.Conn) > 0 && time.Now().Before(end); {
 		if c.SetReadDeadline(time.Now().Add(lingerPollInterval)) != nil {
--- a/internal/transport/membuf/parts.go
+++ b/internal/transport/membuf/parts.go
@@ -2,8 +2,8 @@
 
 import "github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 
-// Parts is how the memory of a VM is divided. Its rows add up to the limit: Runtime, what Connections have received and the process has
-// not read, and fixedBytes. See docs/design/memory-limits.md.
+// Parts is how the memory of a VM is divided. Its rows add up to the limit: Runtime, what Connections and LargeWindows have received
+// and the process has not read, and fixedBytes. See docs/design/memory-limits.md.
 type Parts struct {
 	// Runtime is the soft limit of the Go runtime, in bytes. It contains Requests, Responses and Answers and the buffers of
 	// Connections; the rest is for the state of the router and for garbage.
@@ -13,6 +13,8 @@
 	Requests, Responses, Answers int64
 	// Connections is the number of callers' connections, and AcceptQueue the number of those that the kernel may accept ahead.
 	Connections, AcceptQueue int
+	// LargeWindows is the number of connections with an enlarged receive buffer.
+	LargeWindows int64
 }
 
 const (
@@ -24,6 +26,7 @@
 	requestPart, responsePart, answerPart = 4, 6, 12
 	// The connections' buffers may use connectionNumerator/connectionDenominator of Runtime.
 	connectionNumerator, connectionDenominator = 2, 5
+	largeWindowPart                            = 32
 	// ConnectionBytes is what the runtime holds for a connection: goroutines, buffers, and a head and a body that are too small
 	// to count towards Requests.
 	ConnectionBytes = 40 << 10
@@ -41,7 +44,7 @@
 }
 
 // kernelRatio is what the kernel may hold for all connections in proportion to Runtime.
-const kernelRatio = float64(connectionNumerator) / connectionDenominator / ConnectionBytes * netopt.UnreadBytes * (1 + 1.0/queuePart)
+const kernelRatio = float64(connectionNumerator)/connectionDenominator/ConnectionBytes*netopt.UnreadBytes*(1+1.0/queuePart) + 1.0/largeWindowPart
 
 // DivideRuntime divides the memory of a VM whose soft limit of the runtime is given.
 func DivideRuntime(limit int64) Parts {
@@ -49,5 +52,6 @@
 	return Parts{
 		Runtime: limit, Requests: limit / requestPart, Responses: limit / responsePart, Answers: limit / answerPart,
 		Connections: int(connections), AcceptQueue: int(max(1, connections/queuePart)),
+		LargeWindows: limit / largeWindowPart / netopt.EnlargedUnreadBytes,
 	}
 }
--- a/internal/transport/membuf/parts_test.go
+++ b/internal/transport/membuf/parts_test.go
@@ -14,7 +14,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		limit := rapid.Int64Range(48<<20, 64<<30).Draw(rt, "limit")
 		p := Divide(limit)
-		kernel := int64(p.Connections+p.AcceptQueue) * netopt.UnreadBytes
+		kernel := int64(p.Connections+p.AcceptQueue)*netopt.UnreadBytes + p.LargeWindows*netopt.EnlargedUnreadBytes
 		if total := p.Runtime + kernel + fixedBytes; total > limit {
 			rt.Fatalf("%d of %d bytes: %+v", total, limit, p)
 		}
@@ -31,5 +31,6 @@
 	const largestBody = 4 << 20
 	smallest := Divide(144 << 20)
 	is.Equal(NewIncoming(smallest.Requests, nil).MaxBody(largestBody), int64(largestBody))
+	is.True(smallest.LargeWindows > 0)
 	is.True(Divide(284<<20).Connections >= (4100-200)/2)
 }
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 )
 
 // acceptRetryDelay is the wait after a failed accept, for example when file descriptors are exhausted.
@@ -127,6 +128,8 @@
 		s.rejectHandshake(raw, err)
 		return
 	}
+	// Messages of peers may be large. Without a larger buffer they only arrive more slowly.
+	_ = netopt.EnlargeReceiveBuffer(raw)
 	session := &session{server: s, from: from, slots: make(chan struct{}, maxCallsPerConn)}
 	st := &messageStream{
 		conn: conn, reader: h.reader, codec: peerapi.NewCodec(from.Version, s.cfg.MaxMessageBytes, from, s.cfg.Self),
