End stalled requests when callers' connections run out

Only connections that wait for a request were closed to make room, and only requests with counted memory were ended. What the server of net/http discards of a body had no read deadline.

When a sixteenth of the connections is not free, idle ones are closed and then incomplete requests without progress for 0.5 s, the longest first. Their callers get 408 (not run). What the server discards counts as an incomplete request and has 5 s. Event 1620 and a counter tell. A request no longer counts as incomplete between its head and its body, where its end was undone by the body's read deadline.

Ruled out: a shorter time for bodies, which ends slow callers although there is room; to end stalled requests before idle connections are closed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -207,7 +207,7 @@
 		return err
 	}
 	loops.Go(func() { _ = d.server.Serve(d.callers.Listener(limited)) })
-	loops.Go(func() { every(background, roomCheckInterval, func() { keepRoom(limited, &d.callers) }) })
+	loops.Go(func() { keepRoom(background, limited, &d.callers, d.logger) })
 	loops.Go(func() { _ = d.admin.Serve(admin) })
 	d.ready.Store(true)
 	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -443,7 +443,7 @@
 	var budgetLoops conc.WaitGroup
 	budgetLoops.Go(func() { g.budget.Run(budgets) })
 	loops.Go(func() { every(background, updateInterval, g.admission.Advance) })
-	loops.Go(func() { every(background, roomCheckInterval, func() { keepRoom(callers, &g.callers) }) })
+	loops.Go(func() { keepRoom(background, callers, &g.callers, g.logger) })
 	loops.Go(func() { g.sampleLoad(background) })
 	loops.Go(func() { g.shareCapacity(background) })
 	loops.Go(func() { every(background, time.Second, g.pool.CloseExpired) })
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -70,22 +70,6 @@
 // maxCallers returns the number of callers' connections that the sockets and the memory allow.
 func (g *Gateway) maxCallers() int { return max(1, min(g.cfg.MaxSockets/2, g.cfg.Memory.Connections)) }
 
-const (
-	// newConnectionPart is the part of the callers' connections, as its inverse, that is kept free for new ones.
-	newConnectionPart = 16
-	// roomCheckInterval is the time between two checks of that.
-	roomCheckInterval = 20 * time.Millisecond
-)
-
-// keepRoom closes connections that wait for a request when there are hardly any left for new callers, who would otherwise
-// wait until another caller closes its connection.
-func keepRoom(listener *netopt.LimitedListener, callers *httpapi.KeptConns) {
-	room := max(1, listener.Limit()/newConnectionPart)
-	if free := listener.Limit() - listener.Open(); free < room {
-		obs.IdleConnectionsClosedTotal.Add(int64(callers.CloseLongestIdle(room - free)))
-	}
-}
-
 // holdAccept reports whether no connection of callers should be accepted at present.
 func (g *Gateway) holdAccept() bool {
 	full := g.inbound.Full()
--- a/internal/e2e/memory_test.go
+++ b/internal/e2e/memory_test.go
@@ -118,3 +118,46 @@
 		return resp.StatusCode == http.StatusOK
 	})
 }
+
+// Guards against callers that take all connections with small bodies that stop just short of their end, so that nobody else is
+// answered while they wait.
+func TestStalledBodiesLeaveRoom(t *testing.T) {
+	if testing.Short() {
+		t.Skip("sends some hundred requests")
+	}
+	testcrowd.Exclusive(t)
+	const (
+		connections   = 100
+		stalled       = 250
+		openFileLimit = 600
+	)
+	for name, admin := range map[string]bool{"callers' port": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			t.Setenv("GOMEMLIMIT", crowdManySoftLimit)
+			logURL := startStandin(t, "log")
+			publishEngines(t, logURL, startStandin(t, "engine"))
+			r := startRouter(t, "vm-1", logURL, "--max-connections", fmt.Sprint(connections), "--read-timeout", "10m")
+			callers, operators := strings.TrimPrefix(r.url, "http://"), strings.TrimPrefix(r.admin, "http://")
+			crowd := testcrowd.Crowd{Address: callers, Callers: stalled, BodyBytes: 15_000, Piece: 15_000}
+			if admin {
+				crowd.Address, crowd.BodyBytes, crowd.Callers = operators, 1<<20, crowdManyCallers
+			}
+			crowd.Head = func(int) (head, bodyStart string) {
+				path := "/v1/chat/completions"
+				if admin {
+					path = "/admin/catalogue"
+				}
+				return "POST " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testCredential + "\r\n", ""
+			}
+			stopWatch := testcrowd.Process{PID: r.cmd.Process.Pid}.WatchUsage(callers, operators)
+			defer crowd.Send()()
+			waitServed(t, r)
+			usage, err := stopWatch()
+			is.NoErr(err) // the process lives
+			t.Logf("%d MB with %d MB unread, %d open files", usage.Memory>>20, usage.Unread>>20, usage.Files)
+			is.True(usage.Memory < crowdManyMemoryMB<<20)
+			is.True(usage.Files < openFileLimit)
+		})
+	}
+}
--- a/internal/obs/events_forward.go
+++ b/internal/obs/events_forward.go
@@ -30,6 +30,9 @@
 	EventIncomingMemoryUsedUp = register(1619, logrus.WarnLevel, "memory for callers' requests used up",
 		"Requests hold \"bytes\". Since the start, \"refused\" were refused for it, and \"stalled\" were ended because their callers sent "+
 			"nothing. At most one line per second. See docs/operations/overload.md.")
+	EventConnectionsUsedUp = register(1620, logrus.WarnLevel, "connections for callers used up",
+		"Nearly all of the \"limit\" connections were open. Since the start, \"stalled\" were closed because their requests made no "+
+			"progress, and \"idle\" because they waited for a request. At most one line per second. See docs/operations/overload.md.")
 	EventLinkFullChanged = register(1628, logrus.WarnLevel, "network link full or no longer full",
 		"What the admitted requests need fills the network link (\"full\"). Others are refused, and their callers use other routers. "+
 			"\"link\" is the fraction of the bandwidth in use. Add routers if it lasts, or spread the callers.")
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -60,6 +60,8 @@
 	LinkRefusalsTotal = newMetric("link_refusals_total")
 	// IdleConnectionsClosedTotal counts the connections of callers that were closed to make room for new ones.
 	IdleConnectionsClosedTotal = newMetric("idle_connections_closed_total")
+	// StalledConnectionsClosedTotal counts those whose request was incomplete and made no progress.
+	StalledConnectionsClosedTotal = newMetric("stalled_connections_closed_total")
 	// AcceptHoldsTotal counts the steps of 10 ms for which no connection was accepted because the link received too much.
 	AcceptHoldsTotal = newMetric("accept_holds_total")
 	// UpstreamFailuresTotal counts failed attempts, except those that ended with the caller's connection or the
--- a/internal/transport/httpapi/exchange.go
+++ b/internal/transport/httpapi/exchange.go
@@ -226,7 +226,7 @@
 	case errors.Is(err, membuf.ErrStalled):
 		x.noteStalled()
 		return refusal(http.StatusRequestTimeout, CodeRequestTimeout,
-			"the body made no progress while other requests needed the memory").withRetryAfter(defaultRetryAfter)
+			"the body made no progress while other requests needed its memory or its connection").withRetryAfter(defaultRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal(http.StatusRequestTimeout, CodeRequestTimeout, "the body did not arrive in time")
 	default:
--- a/internal/transport/httpapi/kept_conns.go
+++ b/internal/transport/httpapi/kept_conns.go
@@ -74,16 +74,34 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// A request that the server has read together with the one before does not pass through keptConn.Read.
-		if c, ok := r.Context().Value(keptConnKey{}).(*keptConn); ok {
+		c, ok := r.Context().Value(keptConnKey{}).(*keptConn)
+		if ok {
 			c.setBusy()
+			_ = c.hold.Complete() // the head; the error of a request that was ended comes from the read of its body
 		}
 		if k.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
+		if ok && r.ContentLength != 0 {
+			c.limitDiscard(w.Header().Get("Connection") != "close")
+		}
 	})
 }
 
+// discardTimeout limits the time in which the server discards what a handler has not read of a body. The server has no limit of
+// its own, and sends the response afterwards.
+const discardTimeout = 5 * time.Second
+
+// limitDiscard lets what the server discards of a body count as an incomplete request until the connection is idle. It does not
+// extend the time of a connection that is not kept.
+func (c *keptConn) limitDiscard(kept bool) {
+	if kept {
+		_ = c.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only if the connection is closed
+	}
+	c.hold.Begin()
+}
+
 // AnnounceClose makes the responses to requests that are handled from now on the last ones of their connections.
 func (k *KeptConns) AnnounceClose() { k.closing.Store(true) }
 
@@ -133,18 +151,33 @@
 	}
 }
 
-// minIdleToClose is how long a connection must have waited for a request before CloseLongestIdle closes it. Callers that send
+// minIdleToClose is how long a connection must have waited for a request before MakeRoom closes it. Callers that send
 // their next request at once keep theirs.
 const minIdleToClose = 100 * time.Millisecond
 
-// CloseLongestIdle is CloseIdle for the n connections that have waited for a request for longest, less those that are being
-// closed already. It returns their number.
-func (k *KeptConns) CloseLongestIdle(n int) (closed int) {
-	type idleConn struct {
-		conn  *keptConn
-		since time.Time
-	}
-	var idle []idleConn
+// MakeRoom closes n connections: those that have waited for a request for longest and, if these are too few, those whose requests
+// are incomplete and have made no progress for longest. It returns their numbers. Those that are being closed already count
+// towards n.
+func (k *KeptConns) MakeRoom(n int) (idle, stalled int) {
+	idle, left := k.closeLongestIdle(n)
+	return idle, k.closeStalled(left)
+}
+
+// waitingConn is a connection on which nothing has arrived since a time.
+type waitingConn struct {
+	conn  *keptConn
+	since time.Time
+}
+
+// longestWaiting returns up to n connections, the one that has waited for longest first.
+func longestWaiting(conns []waitingConn, n int) []waitingConn {
+	slices.SortFunc(conns, func(a, b waitingConn) int { return a.since.Compare(b.since) })
+	return conns[:max(0, min(n, len(conns)))]
+}
+
+// closeLongestIdle is CloseIdle for up to n connections. left is the number that it lacks.
+func (k *KeptConns) closeLongestIdle(n int) (closed, left int) {
+	var idle []waitingConn
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c := range k.conns {
@@ -153,17 +186,36 @@
 		case c.ending:
 			n--
 		case c.idle:
-			idle = append(idle, idleConn{c, c.idleSince})
+			idle = append(idle, waitingConn{c, c.idleSince})
 		}
 		c.mu.Unlock()
 	}
-	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
-	for _, c := range idle[:max(0, min(n, len(idle)))] {
+	for _, c := range longestWaiting(idle, n) {
 		if c.conn.endIfIdle(minIdleToClose) {
 			closed++
 		}
 	}
-	return closed
+	return closed, max(0, n-closed)
+}
+
+// closeStalled ends up to n requests, whose callers get a refusal if their heads have arrived.
+func (k *KeptConns) closeStalled(n int) (ended int) {
+	var stalled []waitingConn
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		if c.hold.Ended() {
+			n--
+		} else if since, ok := c.hold.Stalled(); ok {
+			stalled = append(stalled, waitingConn{c, since})
+		}
+	}
+	for _, c := range longestWaiting(stalled, n) {
+		if c.conn.hold.EndStalled() {
+			ended++
+		}
+	}
+	return ended
 }
 
 // CloseIncomplete lets the server close the connections on which the head of a request has been incomplete for the given time.
--- a/internal/transport/httpapi/kept_conns_test.go
+++ b/internal/transport/httpapi/kept_conns_test.go
@@ -231,9 +231,11 @@
 		is.NoErr(err)
 		time.Sleep(10 * time.Millisecond)
 	}
-	is.Equal(k.CloseLongestIdle(conns), 0) // they have not waited for long enough
+	closed, _ := k.MakeRoom(conns)
+	is.Equal(closed, 0) // they have not waited for long enough
 	time.Sleep(2 * minIdleToClose)
-	is.Equal(k.CloseLongestIdle(2), 2)
+	closed, _ = k.MakeRoom(2)
+	is.Equal(closed, 2)
 	time.Sleep(50 * time.Millisecond)
 	for i := range conns {
 		_, err := exchangeOne(callers[i], readers[i])
--- a/internal/transport/membuf/incoming.go
+++ b/internal/transport/membuf/incoming.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrStalled reports a request that was ended before it was complete, because it made no progress while others needed the
-// memory.
-var ErrStalled = errors.New("the request made no progress while the memory was needed")
+// ErrStalled reports a request that was ended before it was complete, because it made no progress while others needed its memory
+// or its connection.
+var ErrStalled = errors.New("the request made no progress while others needed its memory or its connection")
 
 const (
 	// stallTime is how long an incomplete request may make no progress before it is ended for others. A caller whose packets
@@ -127,6 +127,49 @@
 	return h.ended
 }
 
+// Stalled reports whether the request is incomplete and has made no progress for stallTime, and since when.
+func (h *Hold) Stalled() (since time.Time, stalled bool) {
+	if h == nil {
+		return time.Time{}, false
+	}
+	h.in.mu.Lock()
+	defer h.in.mu.Unlock()
+	_, incomplete := h.in.incomplete[h]
+	return h.progressed, incomplete && h.stalled(h.in.now())
+}
+
+// stalled is called with the lock held. A request that waits for memory cannot make progress.
+func (h *Hold) stalled(now time.Time) bool {
+	return !h.waiting && now.Sub(h.progressed) >= stallTime
+}
+
+// EndStalled ends the request for others if it has stalled, and reports whether it has.
+func (h *Hold) EndStalled() bool {
+	if h == nil || !h.markStalled() {
+		return false
+	}
+	h.end()
+	return true
+}
+
+func (h *Hold) markStalled() bool {
+	h.in.mu.Lock()
+	defer h.in.mu.Unlock()
+	_, incomplete := h.in.incomplete[h]
+	if !incomplete || !h.stalled(h.in.now()) {
+		return false
+	}
+	h.markEnded()
+	return true
+}
+
+// markEnded is called with the lock held, before end.
+func (h *Hold) markEnded() {
+	h.ended = true
+	h.in.ending += h.used
+	delete(h.in.incomplete, h)
+}
+
 // Progress notes that bytes of the request have arrived.
 func (h *Hold) Progress(n int) {
 	if h == nil || n <= 0 {
@@ -198,7 +241,7 @@
 	in.nextScan = now.Add(scanInterval)
 	var stalled []*Hold
 	for h := range in.incomplete {
-		if h.used > 0 && !h.waiting && now.Sub(h.progressed) >= stallTime {
+		if h.used > 0 && h.stalled(now) {
 			stalled = append(stalled, h)
 		}
 	}
@@ -207,9 +250,7 @@
 		if in.used-in.ending+n <= in.limit {
 			break
 		}
-		h.ended = true
-		in.ending += h.used
-		delete(in.incomplete, h)
+		h.markEnded()
 		ended = append(ended, h)
 	}
 	return ended
