Limit the connections at the ports for operators and the platform

A crowd at the port for operators took as many descriptors as it had connections: only the ports for callers and for requests of other routers had a limit. All servers are opened the same way now, with 64 connections at the ports for readiness checks, metrics and operators, as many that the kernel accepts ahead, room for new ones as at the callers' port, and a limit of time for what is discarded of a body. The operators' port has the write timeout of the callers' port.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,8 +51,9 @@
 	admission    *admission.Controller
 	server       *http.Server
 	admin        *http.Server
-	// callers are the connections of server.
-	callers  httpapi.KeptConns
+	// callers are the connections of server, and operators those of admin.
+	callers, operators httpapi.KeptConns
+
 	incoming *membuf.Incoming
 	// acceptQueue and maxLargeWindows are as in membuf.Parts.
 	acceptQueue     int
@@ -118,7 +119,10 @@
 	d.callers.Attach(public)
 	admin = &http.Server{
 		Handler: httpapi.AdminHandler(d), ReadHeaderTimeout: d.cfg.ReadTimeout, IdleTimeout: d.cfg.IdleTimeout, MaxHeaderBytes: d.cfg.MaxHeaderBytes,
+		WriteTimeout: d.cfg.WriteTimeout,
 	}
+	d.operators.Incoming = d.incoming
+	d.operators.Attach(admin)
 	return public, admin
 }
 
@@ -198,17 +202,19 @@
 	var resolver conc.WaitGroup
 	resolver.Go(func() { d.api.UnknownOutcomes.Run(background) })
 	limited := netopt.LimitConnections(netopt.WithWriteLimits(public), d.cfg.MaxConnections)
-	for _, l := range []net.Listener{public, admin} {
-		if err := netopt.LimitReceiveBuffer(l); err != nil {
+	limitedAdmin := netopt.LimitConnections(netopt.WithWriteLimits(admin), maxInternalConnections)
+	for _, err := range []error{
+		netopt.LimitReceiveBuffer(public), netopt.LimitReceiveBuffer(admin),
+		limited.SetAcceptQueue(d.acceptQueue), limitedAdmin.SetAcceptQueue(maxInternalConnections),
+	} {
+		if err != nil {
 			return err
 		}
 	}
-	if err := limited.SetAcceptQueue(d.acceptQueue); err != nil {
-		return err
-	}
 	loops.Go(func() { _ = d.server.Serve(d.callers.Listener(limited)) })
 	loops.Go(func() { keepRoom(background, limited, &d.callers, d.logger) })
-	loops.Go(func() { _ = d.admin.Serve(admin) })
+	loops.Go(func() { _ = d.admin.Serve(d.operators.Listener(limitedAdmin)) })
+	loops.Go(func() { keepRoom(background, limitedAdmin, &d.operators, d.logger) })
 	d.ready.Store(true)
 	obs.EventStarted.Log(d.logger, logrus.Fields{"address": public.Addr().String(), "admin": admin.Addr().String()})
 	select {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -418,7 +417,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	servers, callers, err := g.listen()
+	servers, err := g.listen()
 	if err != nil {
 		return err
 	}
@@ -427,7 +426,8 @@
 	}
 	var loops conc.WaitGroup
 	for _, s := range servers {
-		loops.Go(func() { _ = s.server.Serve(s.listener) })
+		loops.Go(s.serve)
+		loops.Go(func() { keepRoom(background, s.limited, s.conns, g.logger) })
 	}
 	loops.Go(func() { g.config.Run(background) })
 	loops.Go(func() { g.upstreams.Run(background) })
@@ -443,7 +443,6 @@
 	var budgetLoops conc.WaitGroup
 	budgetLoops.Go(func() { g.budget.Run(budgets) })
 	loops.Go(func() { every(background, updateInterval, g.admission.Advance) })
-	loops.Go(func() { keepRoom(background, callers, &g.callers, g.logger) })
 	loops.Go(func() { g.sampleLoad(background) })
 	loops.Go(func() { g.shareCapacity(background) })
 	loops.Go(func() { every(background, time.Second, g.pool.CloseExpired) })
@@ -465,7 +464,7 @@
 	g.heartbeats.Leave(returnCtx)
 	err = errors.CombineErrors(err, g.origins.Flush(returnCtx))
 	stop()
-	left := g.closeServers(servers, callers)
+	left := g.closeServers(servers)
 	g.pool.Close()
 	g.hopPool.Close()
 	loops.Wait()
@@ -501,9 +500,3 @@
 
 // shareReturnTimeout limits the time to return the unspent tokens of the shares at shutdown.
 const shareReturnTimeout = 700 * time.Millisecond
-
-// gatewayServer is one HTTP server of the process.
-type gatewayServer struct {
-	server   *http.Server
-	listener net.Listener
-}
--- a/internal/daemon/gateway_fetch.go
+++ b/internal/daemon/gateway_fetch.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/peerapi"
+	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 )
 
 const (
@@ -92,7 +93,7 @@
 	if p.server == nil {
 		return
 	}
-	listener, err := listenTCP(p.gateway.cfg.PeerListen)
+	listener, err := netopt.Listen(p.gateway.cfg.PeerListen)
 	if err != nil {
 		obs.EventStartOrStopFailed.Log(p.gateway.logger, logrus.Fields{"error": err.Error()})
 		return
--- a/internal/daemon/gateway_reach.go
+++ b/internal/daemon/gateway_reach.go
@@ -14,7 +14,6 @@
 	"github.com/dotterelthread/dotterelthread/internal/state/catalogue"
 	"github.com/dotterelthread/dotterelthread/internal/transport/hop"
 	"github.com/dotterelthread/dotterelthread/internal/transport/httpapi"
-	"github.com/dotterelthread/dotterelthread/internal/transport/netopt"
 	"github.com/dotterelthread/dotterelthread/internal/transport/relay"
 )
 
@@ -153,21 +152,19 @@
 		return gatewayServer{}, false
 	}
 	var lastErr error
+	limit := max(1, g.cfg.MaxSockets/hopSocketPart)
 	for _, address := range g.cfg.HopListen {
-		listener, err := netopt.Listen(address)
+		server, err := newGatewayServer(address, &http.Server{
+			Handler: g.api.HopHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: hopIdleTimeout,
+			MaxHeaderBytes: gatewayMaxHeaderBytes + hopHeaderBytes, ConnContext: httpapi.WithCallerConn,
+		}, &g.hopCallers, limit, limit)
 		if err != nil {
 			lastErr = err
 			continue
 		}
-		hops.Address = listener.Addr().String()
+		hops.Address = server.limited.Addr().String()
 		g.heartbeats.SetHopAddress(hops.Address)
-		server := &http.Server{
-			Handler: g.api.HopHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: hopIdleTimeout,
-			MaxHeaderBytes: gatewayMaxHeaderBytes + hopHeaderBytes, ConnContext: httpapi.WithCallerConn,
-		}
-		g.hopCallers.Attach(server)
-		limited := netopt.LimitConnections(listener, max(1, g.cfg.MaxSockets/hopSocketPart))
-		return gatewayServer{server: server, listener: g.hopCallers.Listener(limited)}, true
+		return server, true
 	}
 	obs.EventStartOrStopFailed.Log(g.logger, logrus.Fields{"error": lastErr.Error()})
 	return gatewayServer{}, false
--- a/internal/daemon/gateway_serve.go
+++ b/internal/daemon/gateway_serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
@@ -25,46 +24,67 @@
 	MetricsPath = "/debug/vars"
 )
 
-// listen opens the listening sockets for callers, readiness checks and metrics, in this order. The listener for callers is
-// also returned by itself.
-func (g *Gateway) listen() (servers []gatewayServer, limited *netopt.LimitedListener, err error) {
-	callers := &http.Server{
+// maxInternalConnections is the number of connections for readiness checks, metrics or operators, and of those that the kernel may
+// accept ahead.
+const maxInternalConnections = 64
+
+// gatewayServer is one HTTP server of the process.
+type gatewayServer struct {
+	server  *http.Server
+	limited *netopt.LimitedListener
+	conns   *httpapi.KeptConns
+}
+
+// newGatewayServer returns a server with up to limit connections, and up to queue that the kernel may accept ahead.
+func newGatewayServer(address string, server *http.Server, conns *httpapi.KeptConns, limit, queue int) (gatewayServer, error) {
+	listener, err := netopt.Listen(address)
+	if err != nil {
+		return gatewayServer{}, errors.Wrapf(err, "listen on %s", address)
+	}
+	limited := netopt.LimitConnections(listener, limit)
+	if err := limited.SetAcceptQueue(queue); err != nil {
+		return gatewayServer{}, errors.CombineErrors(err, limited.Close())
+	}
+	conns.Attach(server)
+	return gatewayServer{server: server, limited: limited, conns: conns}, nil
+}
+
+func (s gatewayServer) serve() { _ = s.server.Serve(s.conns.Listener(s.limited)) }
+
+// listen opens the listening sockets for callers, readiness checks and metrics, in this order.
+func (g *Gateway) listen() (servers []gatewayServer, err error) {
+	queue := g.cfg.Memory.AcceptQueue
+	if n := g.inbound.AcceptQueue(); n > 0 {
+		queue = min(queue, n)
+	}
+	callers, err := newGatewayServer(g.cfg.Listen, &http.Server{
 		Handler: g.api.ForwardHandler(), ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: gatewayMaxHeaderBytes, ConnContext: httpapi.WithCallerConn,
+	}, &g.callers, g.maxCallers(), queue)
+	if err != nil {
+		return nil, err
 	}
+	callers.limited.Hold = g.holdAccept
+	g.callers.OnUndelivered = g.noteUndelivered
+	servers = append(servers, callers)
 	ready := httprouter.New()
 	ready.GET(g.deps.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { g.serveReady(w) })
 	metrics := httprouter.New()
 	metrics.Handler(http.MethodGet, MetricsPath, expvar.Handler())
 	for _, s := range []struct {
 		address string
-		server  *http.Server
-	}{
-		{g.cfg.Listen, callers},
-		{g.cfg.ReadyListen, newInternalServer(ready)},
-		{g.cfg.MetricsListen, newInternalServer(metrics)},
-	} {
-		listener, err := listenTCP(s.address)
+		handler http.Handler
+	}{{g.cfg.ReadyListen, ready}, {g.cfg.MetricsListen, metrics}} {
+		server, err := newGatewayServer(s.address, &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: gatewayHeaderTimeout, WriteTimeout: gatewayWriteTimeout, IdleTimeout: gatewayIdleTimeout,
+			MaxHeaderBytes: gatewayMaxHeaderBytes,
+		}, &httpapi.KeptConns{Incoming: g.incoming}, maxInternalConnections, maxInternalConnections)
 		if err != nil {
-			return nil, nil, err
-		}
-		if s.server == callers {
-			limited = netopt.LimitConnections(listener, g.maxCallers())
-			limited.Hold = g.holdAccept
-			queue := g.cfg.Memory.AcceptQueue
-			if n := g.inbound.AcceptQueue(); n > 0 {
-				queue = min(queue, n)
-			}
-			if err := limited.SetAcceptQueue(queue); err != nil {
-				return nil, nil, err
-			}
-			g.callers.OnUndelivered = g.noteUndelivered
-			g.callers.Attach(callers)
-			listener = g.callers.Listener(limited)
+			return nil, err
 		}
-		servers = append(servers, gatewayServer{server: s.server, listener: listener})
+		servers = append(servers, server)
 	}
-	return servers, limited, nil
+	return servers, nil
 }
 
 // maxCallers returns the number of callers' connections that the sockets and the memory allow.
@@ -88,19 +108,6 @@
 	obs.EventResponseUndelivered.Log(g.logger, fields)
 }
 
-// newInternalServer returns a server for requests whose responses are ready at once.
-func newInternalServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: gatewayHeaderTimeout, WriteTimeout: gatewayWriteTimeout, IdleTimeout: gatewayIdleTimeout,
-		MaxHeaderBytes: gatewayMaxHeaderBytes,
-	}
-}
-
-func listenTCP(address string) (net.Listener, error) {
-	listener, err := netopt.Listen(address)
-	return listener, errors.Wrapf(err, "listen on %s", address)
-}
-
 // serveReady responds to the load balancer's readiness check with 200 if this router accepts new connections,
 // and with 503 otherwise.
 func (g *Gateway) serveReady(w http.ResponseWriter) {
@@ -141,8 +148,9 @@
 	closed int
 }
 
-// closeServers ends the requests in progress and closes the servers. The one for callers first completes its responses.
-func (g *Gateway) closeServers(servers []gatewayServer, callers *netopt.LimitedListener) callersLeft {
+// closeServers ends the requests in progress and closes the servers. The first one, for callers, completes its responses before.
+func (g *Gateway) closeServers(servers []gatewayServer) callersLeft {
+	callers := servers[0].limited
 	g.api.EndRequests()
 	left := callersLeft{queued: callers.Queued()}
 	_ = callers.Close()
--- a/internal/e2e/memory_test.go
+++ b/internal/e2e/memory_test.go
@@ -120,7 +120,7 @@
 }
 
 // Guards against callers that take all connections with small bodies that stop just short of their end, so that nobody else is
-// answered while they wait.
+// answered while they wait. A crowd of the same size at the operators' port must not change that.
 func TestStalledBodiesLeaveRoom(t *testing.T) {
 	if testing.Short() {
 		t.Skip("sends some hundred requests")
@@ -131,7 +131,7 @@
 		stalled       = 250
 		openFileLimit = 600
 	)
-	for name, admin := range map[string]bool{"callers' port": false} {
+	for name, admin := range map[string]bool{"callers' port": false, "operators' port": true} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			t.Setenv("GOMEMLIMIT", crowdManySoftLimit)
