--- a/internal/e2e/memory_test.go
+++ b/internal/e2e/memory_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -161,3 +162,60 @@
 		})
 	}
 }
+
+// Guards against a process that does not stop because callers hold requests that are incomplete, whether their bodies are read
+// or were refused before.
+func TestStopBesideStalledRequests(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for the time for a body")
+	}
+	testcrowd.Exclusive(t)
+	const stalled = 100
+	logURL := startStandin(t, "log")
+	publishEngines(t, logURL, startStandin(t, "engine"))
+	r := startRouter(t, "vm-1", logURL, "--read-timeout", "5s")
+	for _, credential := range []string{testCredential, "unknown"} {
+		crowd := testcrowd.Crowd{
+			Address: strings.TrimPrefix(r.url, "http://"), Callers: stalled, BodyBytes: 15_000, Piece: 15_000,
+			Head: func(int) (head, bodyStart string) {
+				return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + credential + "\r\n", ""
+			},
+		}
+		defer crowd.Send()()
+	}
+	waitServed(t, r)
+	is := is.New(t)
+	is.NoErr(r.cmd.Process.Signal(syscall.SIGTERM))
+	waitWithin(t, 60*time.Second, func() bool { return hasEnded(r.cmd.Process.Pid) })
+}
+
+// Guards against a process that takes callers' connections until it has no descriptors left for upstreams and the log, because
+// its limit of connections does not follow from that of its descriptors.
+func TestCrowdLeavesDescriptors(t *testing.T) {
+	if testing.Short() {
+		t.Skip("sends some hundred requests")
+	}
+	testcrowd.Exclusive(t)
+	const (
+		files   = 300
+		callers = 600
+	)
+	is := is.New(t)
+	logURL := startStandin(t, "log")
+	publishEngines(t, logURL, startStandin(t, "engine"))
+	t.Setenv(openFilesEnv, fmt.Sprint(files))
+	r := startRouter(t, "vm-1", logURL, "--read-timeout", "10m")
+	crowd := testcrowd.Crowd{
+		Address: strings.TrimPrefix(r.url, "http://"), Callers: callers, BodyBytes: 15_000, Piece: 15_000,
+		Head: func(int) (head, bodyStart string) {
+			return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testCredential + "\r\n", ""
+		},
+	}
+	stopWatch := testcrowd.Process{PID: r.cmd.Process.Pid}.WatchUsage(crowd.Address)
+	defer crowd.Send()()
+	waitServed(t, r)
+	usage, err := stopWatch()
+	is.NoErr(err) // the process lives
+	t.Logf("%d open files of %d", usage.Files, files)
+	is.True(usage.Files < files)
+}
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -58,6 +58,9 @@
 	os.Exit(code)
 }
 
+// openFilesEnv limits the descriptors of the processes that are started while it is set.
+const openFilesEnv = "E2E_OPEN_FILES"
+
 // process is a child process, which is killed at the end of the test.
 type process struct {
 	cmd         *exec.Cmd
@@ -67,6 +70,9 @@
 func startProcess(t *testing.T, name string, args ...string) *process {
 	t.Helper()
 	cmd := exec.Command(filepath.Join(binDir, name), args...)
+	if files := os.Getenv(openFilesEnv); files != "" {
+		cmd = exec.Command("sh", append([]string{"-c", "ulimit -n " + files + " && exec \"$0\" \"$@\"", cmd.Path}, args...)...)
+	}
 	cmd.Stderr = os.Stderr
 	out, err := cmd.StdoutPipe()
 	if err != nil {
