Review: show a machine that uses a worker after passing on that it leaves

Cause: a notice of leaving that comes through a peer is looked up in the service that this router has drawn, while the peer may have drawn another one of the route.

--- a/review/standins3/store.go
+++ b/review/standins3/store.go
@@ -136,3 +136,12 @@
 	}
 	return nil
 }
+
+// Remove removes the entry of a worker.
+func (s *Store) Remove(w *Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.views {
+		v.workers.Put("servers", w.ID, nil)
+	}
+}
--- a/review/standins3/worker.go
+++ b/review/standins3/worker.go
@@ -40,6 +40,8 @@
 	TokensPerEvent int64
 	// Leaving makes the worker say in all its answers that it leaves.
 	Leaving atomic.Bool
+	// OnArrival is called for each request that reaches the worker.
+	OnArrival func(Run)
 	// OnRun is called for each request that the worker begins to work on.
 	OnRun func(Run)
 
@@ -125,6 +127,13 @@
 	_ = server.Close()
 }
 
+// Exit ends the worker as the end of its process does.
+func (w *Worker) Exit() {
+	for machine := range w.paths {
+		w.Cut(machine)
+	}
+}
+
 // Close ends the worker.
 func (w *Worker) Close() {
 	for _, p := range w.paths {
@@ -147,6 +156,11 @@
 	if err != nil {
 		return
 	}
+	input, output, streams := tokenUsage(r)
+	run := Run{ID: id, Worker: w.ID, Service: w.Service, Machine: machine, At: time.Now(), Body: string(body), URI: r.RequestURI, Input: input}
+	if w.OnArrival != nil {
+		w.OnArrival(run)
+	}
 	if expected := r.Header.Get(headerPrefix + "Expected-Instance"); expected != "" && expected != w.ID {
 		h.Set(headerPrefix+"Not-Executed", "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -160,9 +174,8 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	input, output, streams := tokenUsage(r)
 	if w.OnRun != nil {
-		w.OnRun(Run{ID: id, Worker: w.ID, Service: w.Service, Machine: machine, At: time.Now(), Body: string(body), URI: r.RequestURI, Input: input})
+		w.OnRun(run)
 	}
 	if streams {
 		w.stream(rw, r, output)
