Review: show a tenant that gets more than its tokens after a restart

Cause: a heartbeat without a response starts the gap and the ramp of a share's limit anew. If it was never executed, the successor of the process takes one long gap for what were two short ones, and releases tokens that were spent.

--- a/review/12/main.go
+++ b/review/12/main.go
@@ -1,69 +1,112 @@
-// Command 12 shows that a machine which passes requests on to others falls back to an older configuration, see claim.txt.
+// Command 12 shows that a tenant gets more tokens than its reserved total after the restart of a process, see claim.txt.
 package main
 
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/dotterelthread/dotterelthread/review/standins3"
 )
 
 const (
-	machines = 4
-	// cutMachine takes the requests; staleMachine is turned away by the store.
-	cutMachine, staleMachine = 0, 2
-	// rollbackSlack is the bound rollback_slack_ms of the settings.
-	rollbackSlack = 250 * time.Millisecond
-	// watchTime is how long requests are sent after the change, with a pause between them.
-	watchTime = 2600 * time.Millisecond
-	pause     = 40 * time.Millisecond
-	host      = "ficu95.example"
-	key       = "n2ctnfzs989anu6wsjnb"
-	// newVersion moves route r-order from shop to shop-next and adds route r-fresh.
-	oldVersion, newVersion = 7, 9
+	machines = 6
+	// hit is the machine that takes the tenant's requests and is disturbed.
+	hit       = 0
+	host, key = "ficu95.example", "n2ctnfzs989anu6wsjnb"
+	// timeLimit is that of kerf-check on the sheet, and tokensPerEvent the stride of the engines.
+	timeLimit      = 3 * time.Second
+	tokensPerEvent = 7
+	reserved       = 1_740_000
+	// The tenant sends usualRate requests a second with usualPrompt tokens each, and hotFactor times as many later.
+	usualRate, usualPrompt, hotFactor = 50, 1000, 3
+	usualTime                         = 13 * time.Second
+	// busyTime is how long the store answers the machine 503, and silentTime how long it does not answer it after that.
+	busyTime, silentTime = 2300 * time.Millisecond, 2200 * time.Millisecond
+	restartDelay         = 50 * time.Millisecond
 )
 
-func config(version int, service string) map[string]any {
-	route := func(name, prefix, service string) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "type": "non_idempotent", "timeout_ms": 1000, "target_latency_ms": 150,
-			"priority": 2, "service": service, "max_attempts": 1, "public": false, "resumable": false,
-		}
-	}
-	routes := []any{route("r-order", "/order/", service), route("r-other", "/other/", "shop")}
-	if version >= newVersion {
-		routes = append(routes, route("r-fresh", "/fresh/", service))
-	}
-	services := []map[string]any{}
-	for _, name := range []string{"shop", "shop-next"} {
-		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false})
-	}
+func config() map[string]any {
 	return map[string]any{
-		"version": version, "routes": routes, "services": services,
+		"version": 7,
+		"routes": []any{map[string]any{
+			"name": "r-check", "host": host, "path_prefix": "/check/", "type": "streaming", "timeout_ms": timeLimit.Milliseconds(),
+			"target_latency_ms": 500, "priority": 2, "service": "setter", "max_attempts": 1, "public": false, "sticky": true, "resumable": false,
+		}},
+		"services": []any{map[string]any{
+			"name": "setter", "health_path": "/healthz", "max_connections": 600, "protocol": "h1", "tls": false,
+			"runtime": map[string]any{"slots": 64, "kv_capacity": 513916, "stride": tokensPerEvent, "models": []any{map[string]any{"name": "m"}}},
+		}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{key}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{key}, "priority": 1, "reserved": reserved}},
 	}
 }
 
-// runs are the runs that workers have reported.
-type runs struct {
-	mu   sync.Mutex
-	byID map[string]standins3.Run
+// usage is what the tenant has consumed: the prompts of the requests that have run, each once, and the events that have
+// reached clients.
+type usage struct {
+	mu       sync.Mutex
+	input    map[string]int64
+	output   int64
+	statuses map[int]int
+}
+
+func (u *usage) ran(run standins3.Run) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.input[run.ID] = run.Input
+}
+
+func (u *usage) delivered(a standins3.Answer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.output += int64(strings.Count(a.Body, "\n\n")) * tokensPerEvent
+	u.statuses[a.Status]++
+}
+
+func (u *usage) total() (tokens int64, text string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	input := int64(0)
+	for _, n := range u.input {
+		input += n
+	}
+	tokens = input + u.output
+	return tokens, fmt.Sprintf("%d requests have run with %d prompt tokens, and %d output tokens were delivered: %d of %d reserved tokens; statuses %v",
+		len(u.input), input, u.output, tokens, reserved, u.statuses)
 }
 
-func (r *runs) add(run standins3.Run) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.byID[run.ID] = run
+// fleet is what the steps of the case share.
+type fleet struct {
+	*standins3.Fleet
+	client *standins3.Client
+	used   *usage
+	record *standins3.Record
+	open   sync.WaitGroup
 }
 
-func (r *runs) of(id string) (standins3.Run, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	run, ok := r.byID[id]
-	return run, ok
+// send sends a request with a prompt to a machine and returns its status.
+func (f *fleet) send(machine int, prompt int64) int {
+	headers := fmt.Sprintf("X-Dotterelthread-Model: m\r\nX-Dotterelthread-Token-Usage: %d,%d\r\n", prompt, tokensPerEvent)
+	a := f.client.Do(f.Routers[machine].Frontend(), "POST", "/check/1", headers, "x", timeLimit)
+	f.used.delivered(a)
+	return a.Status
+}
+
+// load sends requests at a rate for a time, whether or not earlier ones are answered.
+func (f *fleet) load(perSecond int, duration time.Duration) {
+	for range int(duration.Seconds() * float64(perSecond)) {
+		f.open.Go(func() { f.send(hit, usualPrompt) })
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+}
+
+func (f *fleet) note(step string) {
+	_, text := f.used.total()
+	f.record.Line("%s: %s", step, text)
 }
 
 func main() {
@@ -77,7 +120,6 @@
 	}
 }
 
-// check runs the case and reports whether the rule was broken.
 func check(folder string, trouble bool) (broken bool, err error) {
 	record, err := standins3.NewRecord(folder + "/record.txt")
 	if err != nil {
@@ -89,80 +131,83 @@
 		return false, err
 	}
 	defer os.RemoveAll(temp)
-	f, err := standins3.StartFleet(temp, machines)
+	started, err := standins3.StartFleet(temp, machines)
 	if err != nil {
 		return false, err
 	}
-	defer f.Close()
-	seen := &runs{byID: make(map[string]standins3.Run)}
+	defer started.Close()
+	f := &fleet{
+		Fleet: started, client: &standins3.Client{Host: host, Key: key, Prefix: "a"}, record: record,
+		used: &usage{input: make(map[string]int64), statuses: make(map[int]int)},
+	}
 	for i := range 4 {
-		if _, err := f.AddWorker(fmt.Sprintf("i-shop-%d", i), "shop", seen.add); err != nil {
+		w, err := f.AddWorker(fmt.Sprintf("i-setter-%d", i), "setter", f.used.ran)
+		if err != nil {
 			return false, err
 		}
+		w.TokensPerEvent = tokensPerEvent
+		w.SetFirstEvent(10 * time.Millisecond)
 	}
-	next, err := f.AddWorker("i-next-0", "shop-next", seen.add)
-	if err != nil {
-		return false, err
-	}
-	if _, err := f.Store.PutConfig(config(oldVersion, "shop")); err != nil {
+	if _, err := f.Store.PutConfig(config()); err != nil {
 		return false, err
 	}
 	if err := f.StartRouters(20 * time.Second); err != nil {
 		return false, err
 	}
-	client := &standins3.Client{Host: host, Key: key, Prefix: "a"}
-	front := f.Routers[cutMachine].Frontend()
 	time.Sleep(3 * time.Second) // the machines learn of one another
-	for range 5 {
-		if a := client.Do(front, "POST", "/order/1", "", "x", time.Second); a.Status != 200 {
-			return false, fmt.Errorf("before the disruption: status %d, %v", a.Status, a.Err)
-		}
-	}
+	f.load(usualRate, usualTime)
+	f.note("after the usual load")
 	if trouble {
-		record.Line("disruption: the path between machine %d and worker %s is cut; new connections are refused", cutMachine, next.ID)
-		next.Cut(cutMachine)
-		record.Line("disruption: the store turns machine %d away with 503", staleMachine)
-		f.Views[staleMachine].SetBusy(true)
-	}
-	acknowledged, err := f.Store.PutConfig(config(newVersion, "shop-next"))
-	if err != nil {
-		return false, err
-	}
-	record.LineAt(acknowledged, "configuration 9 is acknowledged: route r-order goes to shop-next instead of shop, and route r-fresh is new")
-	var answers []standins3.Answer
-	for i := 0; time.Since(acknowledged) < watchTime; i++ {
-		answers = append(answers, client.Do(front, "POST", []string{"/order/1", "/fresh/1"}[i%2], "", "x", time.Second))
-		time.Sleep(pause)
-	}
-	return judge(record, answers, seen), nil
+		if err := f.disturb(); err != nil {
+			return false, err
+		}
+	} else {
+		f.load(usualRate, busyTime+silentTime)
+	}
+	f.open.Wait()
+	f.note("after the disruptions")
+	time.Sleep(2 * time.Second)
+	f.useUp()
+	tokens, text := f.used.total()
+	record.Line("%s", text)
+	fmt.Println(text)
+	return tokens > reserved, nil
 }
 
-// judge looks for requests that the machine has handled as configuration 7 alone allows, and that were sent more than
-// rollbackSlack after a worker had seen the effect of configuration 9 through the same machine.
-func judge(record *standins3.Record, answers []standins3.Answer, seen *runs) bool {
-	var effect time.Time
-	old, denied, fresh := 0, 0, 0
-	for _, a := range answers {
-		run, ran := seen.of(a.ID)
-		record.LineAt(a.SentAt, "request %s: status %d; ran at %q of service %q, which machine %d sent", a.ID, a.Status, run.Worker, run.Service, run.Machine)
-		switch {
-		case ran && run.Service == "shop-next":
-			fresh++
-			if effect.IsZero() {
-				effect = run.At
-				record.LineAt(run.At, "worker %s sees the first effect of configuration 9", run.Worker)
-			}
-		case !effect.IsZero() && a.SentAt.Sub(effect) > rollbackSlack && (ran && run.Service == "shop" || a.Status == 401 || a.Status == 403 || a.Status == 404):
-			old++
-			if !ran {
-				denied++
+// disturb lets the store turn the machine away while the tenant sends more, and kills its process.
+func (f *fleet) disturb() error {
+	f.record.Line("disruption: the tenant sends %d times its usual; the store answers machine %d with 503", hotFactor, hit)
+	f.Views[hit].SetBusy(true)
+	f.load(usualRate*hotFactor, busyTime)
+	f.note("at the end of that")
+	f.record.Line("disruption: the store does not answer machine %d", hit)
+	f.Views[hit].SetSilent(true)
+	f.load(usualRate*hotFactor, silentTime)
+	f.note("at the end of that")
+	f.record.Line("disruption: the process of machine %d is killed; the store serves the machine again", hit)
+	f.Routers[hit].Signal(syscall.SIGKILL)
+	<-f.Routers[hit].Exited()
+	f.Views[hit].SetBusy(false)
+	time.Sleep(restartDelay)
+	if err := f.Routers[hit].Start(); err != nil {
+		return err
+	}
+	f.record.Line("the process of machine %d is started again", hit)
+	return nil
+}
+
+// useUp sends requests to all machines until the budget covers none any more.
+func (f *fleet) useUp() {
+	for _, prompt := range []int64{20_000, 3000, 400, 50, 5} {
+		refused := 0
+		for i, end := 0, time.Now().Add(10*time.Second); refused < 3*machines && time.Now().Before(end); i++ {
+			if f.send(i%machines, prompt) == 200 {
+				refused = 0
+			} else {
+				refused++
+				time.Sleep(50 * time.Millisecond)
 			}
-			record.LineAt(a.SentAt, "BROKEN: request %s is handled as only configuration 7 allows, sent %d ms after the effect of 9", a.ID, a.SentAt.Sub(effect).Milliseconds())
 		}
+		f.note(fmt.Sprintf("after requests with %d prompt tokens", prompt))
 	}
-	text := fmt.Sprintf("%d requests, %d handled by configuration 9, %d by configuration 7 over 250 ms after its effect, %d of them refused with 401, 403 or 404",
-		len(answers), fresh, old, denied)
-	record.Line("%s", text)
-	fmt.Println(text)
-	return old > 0
 }
--- a/review/standins3/store.go
+++ b/review/standins3/store.go
@@ -31,8 +31,8 @@
 	server  *http.Server
 
 	mu sync.Mutex
-	// busy makes the store answer this machine 503. Nothing is done then.
-	busy bool
+	// busy makes the store answer this machine 503, and silent not at all. Nothing is done then.
+	busy, silent bool
 	// endReads ends the reads that wait; served counts the calls in progress.
 	endReads context.CancelFunc
 	reads    context.Context
@@ -59,13 +59,18 @@
 func (v *View) Address() string { return v.address }
 
 // SetBusy sets whether the store turns the machine away with 503. Reads that wait are answered with what there is before.
-func (v *View) SetBusy(busy bool) {
+func (v *View) SetBusy(busy bool) { v.set(busy, false) }
+
+// SetSilent is SetBusy for a store that does not answer the machine.
+func (v *View) SetSilent(silent bool) { v.set(false, silent) }
+
+func (v *View) set(busy, silent bool) {
 	v.mu.Lock()
-	v.busy = busy
+	v.busy, v.silent = busy, silent
 	v.endReads()
 	v.reads, v.endReads = context.WithCancel(context.Background())
 	v.mu.Unlock()
-	if busy {
+	if busy || silent {
 		v.served.Wait()
 	}
 }
@@ -89,11 +94,15 @@
 // ServeHTTP implements http.Handler.
 func (v *View) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v.mu.Lock()
-	busy, reads := v.busy, v.reads
-	if !busy {
+	busy, silent, reads := v.busy, v.silent, v.reads
+	if !busy && !silent {
 		v.served.Add(1)
 	}
 	v.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if busy {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/review/standins3/worker.go
+++ b/review/standins3/worker.go
@@ -127,6 +127,16 @@
 	_ = server.Close()
 }
 
+// Restore ends the cut of a path.
+func (w *Worker) Restore(machine int) error {
+	l, err := net.Listen("tcp", w.paths[machine].address)
+	if err != nil {
+		return err
+	}
+	w.paths[machine].serve(l)
+	return nil
+}
+
 // Exit ends the worker as the end of its process does.
 func (w *Worker) Exit() {
 	for machine := range w.paths {
