Log what a successor concludes about a share, and from what

heartbeat.Monitor knows the last confirmed heartbeat beside the pending one (Gaps), with the limits of shares as before. New: 1822 for a heartbeat without a response, 1819 and shares_above_limit_total for a share of which more is used than a successor would count, "counted" and "reported" in 1813.

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -16,7 +16,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
@@ -71,9 +70,10 @@
 	Timestamp func() Timestamp
 	Now       func() time.Time
 	// HeartbeatUsage returns the usage that a heartbeat reports: the used tokens of each share of
-	// which more is used than its base limit in the log, which only a gap allows. It is called after
-	// Gap was reset. undo is called if the heartbeat did not take effect. The function may be nil.
-	HeartbeatUsage func() (usage map[string]int64, undo func())
+	// which more is used than its base limit in the log, which only a gap allows. It is called when the
+	// heartbeat counts as pending. resolve is called once it is known whether the heartbeat took effect. The function
+	// may be nil.
+	HeartbeatUsage func() (usage map[string]int64, resolve func(tookEffect bool))
 	// Notice returns data for the other routers, which a heartbeat carries, and OnNotice is called with that of
 	// each other router, and of a predecessor of this process, when it changes. Both may be nil.
 	Notice   func() []byte
@@ -129,12 +129,10 @@
 	live      int
 	// silent holds the routers that expired without having left, and when.
 	silent map[string]time.Time
-	// lastSent is the last heartbeat that may have reached the log.
-	lastSent Record
-	// lastSentAt is when it was created, by the monotonic clock.
-	lastSentAt time.Time
-	// unresolved is true while a heartbeat without a response may still take effect.
-	unresolved  bool
+	// confirmedAt is when the last heartbeat that the log has confirmed was created, by the monotonic clock.
+	confirmedAt time.Time
+	// pending is the heartbeat that is being sent, or may still take effect; nil if there is none.
+	pending     *pendingHeartbeat
 	predecessor predecessor
 	reads       readHistory
 }
@@ -178,88 +176,6 @@
 	return max(m.cfg.Interval, time.Duration(m.Routers())*time.Second/fleetHeartbeatsPerSecond)
 }
 
-// send appends one heartbeat.
-func (m *Monitor) send(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	next, undo := m.nextHeartbeat()
-	value, err := cbor.Marshal(next)
-	if err != nil {
-		return errors.Wrap(err, "encode heartbeat")
-	}
-	end, err := m.cfg.Log.Append(ctx, m.cfg.Stream, []keyedlog.Record{{Key: m.cfg.VM, Value: value}}, keyedlog.AnyOffset)
-	if err != nil {
-		obs.HeartbeatsFailedTotal.Add(1)
-		if errors.Is(err, keyedlog.ErrUnavailable) {
-			undo()
-			return err
-		}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.unresolved = err != nil
-	if err == nil {
-		m.cfg.Self.Previous, m.cfg.Self.PreviousEnd = next.Timestamp, end
-	}
-	return err
-}
-
-// nextHeartbeat returns the heartbeat to send. A heartbeat without a response may still take effect,
-// so it is sent again unchanged: the gap that a successor measures from it must not be shorter than
-// Gap. undo reverts a heartbeat that did not take effect.
-//
-// Gap is reset before HeartbeatUsage is called. Once the usage is collected, the process can thus no
-// longer use what only the gap allowed. undo reverts the reported usage before it restores Gap.
-func (m *Monitor) nextHeartbeat() (r Record, undo func()) {
-	m.mu.Lock()
-	if m.unresolved {
-		defer m.mu.Unlock()
-		return m.lastSent, func() {}
-	}
-	previous, previousAt := m.lastSent, m.lastSentAt
-	record := m.cfg.Self
-	m.lastSentAt, record.Timestamp = m.cfg.Now(), m.cfg.Timestamp()
-	m.mu.Unlock()
-	undoUsage := func() {}
-	if m.cfg.HeartbeatUsage != nil {
-		record.Usage, undoUsage = m.cfg.HeartbeatUsage()
-	}
-	record.Notice = m.notice()
-	if m.cfg.Unreachable != nil {
-		record.Unreachable = m.cfg.Unreachable()
-	}
-	if m.cfg.Demand != nil {
-		record.Demand = m.cfg.Demand()
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lastSent = record
-	return record, func() {
-		undoUsage()
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.lastSent, m.lastSentAt = previous, previousAt
-	}
-}
-
-func (m *Monitor) notice() []byte {
-	if m.cfg.Notice == nil {
-		return nil
-	}
-	return m.cfg.Notice()
-}
-
-// Gap is the time since the last heartbeat that may have reached the log. A successor never
-// measures less.
-func (m *Monitor) Gap() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.lastSentAt.IsZero() {
-		return 0
-	}
-	return m.cfg.Now().Sub(m.lastSentAt)
-}
-
 // Leave removes this router's record, or leaves its notice behind if it has one.
 func (m *Monitor) Leave(ctx context.Context) {
 	last := keyedlog.Record{Key: m.cfg.VM}
--- a/internal/coordination/heartbeat/monitor_test.go
+++ b/internal/coordination/heartbeat/monitor_test.go
@@ -68,13 +68,13 @@
 	down := errors.Mark(errors.New("down"), keyedlog.ErrUnavailable)
 	log.FaultHook = func(string, keyedlog.Stream, bool) error { return down }
 	for i := range 13 {
-		is.Equal(m.Gap(), time.Duration(i)*500*time.Millisecond)
+		is.Equal(m.Gaps(), Gaps{SinceConfirmed: time.Duration(i) * 500 * time.Millisecond, Confirmed: true})
 		c.advance(500 * time.Millisecond)
 		is.True(m.send(context.Background()) != nil)
 	}
 	log.FaultHook = nil
 	is.NoErr(m.send(context.Background()))
-	is.Equal(m.Gap(), time.Duration(0))
+	is.Equal(m.Gaps(), Gaps{Confirmed: true})
 }
 
 // Guards against a heartbeat that is sent again with a newer timestamp while the earlier one may
@@ -91,12 +91,12 @@
 		return nil
 	}
 	is.True(m.send(context.Background()) != nil)
-	timestamp := m.lastSent.Timestamp
+	timestamp := m.pending.record.Timestamp
 	c.advance(2 * time.Second)
 	is.True(m.send(context.Background()) != nil)
-	is.Equal(m.lastSent.Timestamp, timestamp)
+	is.Equal(m.pending.record.Timestamp, timestamp)
 	c.advance(testMaxGap - time.Second)
-	is.Equal(m.Gap(), testMaxGap+time.Second)
+	is.Equal(m.Gaps(), Gaps{SincePending: testMaxGap + time.Second, Pending: true})
 }
 
 // Guards against a proof of a short gap when the predecessor may have run longer, the VM was
@@ -141,11 +141,18 @@
 	clocks, log := newClock(), keyedlog.NewMemory()
 	first := newMonitor(log, "vm-1", "p1", clocks)
 	undone := 0
-	first.cfg.HeartbeatUsage = func() (map[string]int64, func()) {
-		is.Equal(first.Gap(), time.Duration(0))
-		return map[string]int64{"team": 7}, func() {
-			is.Equal(first.Gap(), time.Duration(0))
-			undone++
+	confirmed := 0
+	first.cfg.HeartbeatUsage = func() (map[string]int64, func(bool)) {
+		is.True(first.Gaps().Pending)
+		is.Equal(first.Gaps().SincePending, time.Duration(0))
+		return map[string]int64{"team": 7}, func(tookEffect bool) {
+			is.True(first.Gaps().Pending)
+			is.Equal(first.Gaps().SincePending, time.Duration(0))
+			if tookEffect {
+				confirmed++
+			} else {
+				undone++
+			}
 		}
 	}
 	is.NoErr(first.send(context.Background()))
@@ -155,7 +162,8 @@
 	}
 	is.True(first.send(context.Background()) != nil)
 	is.Equal(undone, 1)
-	is.Equal(first.Gap(), 2*time.Second)
+	is.Equal(confirmed, 1)
+	is.Equal(first.Gaps(), Gaps{SinceConfirmed: 2 * time.Second, Confirmed: true})
 	log.FaultHook = nil
 	successor := newMonitor(log, "vm-1", "p2", clocks)
 	successor.readStream(is, log)
@@ -171,9 +179,9 @@
 	is := is.New(t)
 	clocks, log := newClock(), keyedlog.NewMemory()
 	oldest, first := newMonitor(log, "vm-1", "p0", clocks), newMonitor(log, "vm-1", "p1", clocks)
-	late, _ := oldest.nextHeartbeat()
+	late := oldest.nextHeartbeat().record
 	clocks.advance(time.Second)
-	old, _ := first.nextHeartbeat()
+	old := first.nextHeartbeat().record
 	clocks.advance(time.Second)
 	is.NoErr(first.send(context.Background()))
 	successor := newMonitor(log, "vm-1", "p2", clocks)
--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -20,6 +20,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 )
 
 // Policy holds the parameters that determine the sizes of shares and of their limits.
@@ -92,10 +94,10 @@
 	// limits are those of logged, or lower ones while an append that lowers the share may still
 	// take effect.
 	limits spendLimits
-	// heartbeatUsage is the usage of the whole share that the last heartbeat reported, or 0 if it was
-	// not above the base limit. It takes the place of a lower base limit until a later record
-	// replaces it.
-	heartbeatUsage int64
+	// confirmedUsage and pendingUsage are the usage of the whole share that the last confirmed heartbeat and the pending
+	// one reported, or 0 if it was not above the base limit. It takes the place of a lower base limit until a later
+	// record replaces it.
+	confirmedUsage, pendingUsage int64
 	// priorUsage is what counts as used by earlier processes of this VM, and stranded the part of it
 	// that they had not reported.
 	priorUsage int64
@@ -177,14 +179,22 @@
 	return ramped + int64(fraction*float64(l.granted-ramped))
 }
 
-// withReportedUsage returns the limits after a heartbeat that reported the used tokens.
-func (l spendLimits) withReportedUsage(used int64) spendLimits {
-	return spendLimits{l.granted, max(l.base, used), l.rampRate}
+// spendableAfter is spendable after a gap since a heartbeat that reported the used tokens.
+func (l spendLimits) spendableAfter(gap time.Duration, used int64, p Policy) int64 {
+	return spendLimits{l.granted, max(l.base, used), l.rampRate}.spendable(gap, p)
+}
+
+// limit is what may be used of the whole share.
+func (a *account) limit(gaps heartbeat.Gaps, p Policy) int64 {
+	if gaps.Pending {
+		return a.limits.spendableAfter(gaps.SincePending, a.pendingUsage, p)
+	}
+	return a.limits.spendableAfter(gaps.SinceConfirmed, a.confirmedUsage, p)
 }
 
-// available is what a new request may take without waiting, after a heartbeat gap.
-func (a *account) available(gap time.Duration, p Policy) int64 {
-	return max(0, a.limits.withReportedUsage(a.heartbeatUsage).spendable(gap, p)-a.priorUsage) + a.borrowed - a.spent - a.reserved
+// available is what a new request may take without waiting.
+func (a *account) available(gaps heartbeat.Gaps, p Policy) int64 {
+	return max(0, a.limit(gaps, p)-a.priorUsage) + a.borrowed - a.spent - a.reserved
 }
 
 // shareSpent is what is spent of the share that the log has granted, and shareUsed what is spent or
@@ -469,7 +479,8 @@
 	a.stranded = share.Stranded + share.Granted - share.Spent
 	a.priorUsage = share.Granted
 	a.priorLent, a.priorBorrowedSpent = share.Lent, share.BorrowedSpent
-	a.logged, a.limits, a.heartbeatUsage = share, spendLimits{granted: share.Granted}, 0
+	a.logged, a.limits = share, spendLimits{granted: share.Granted}
+	a.confirmedUsage, a.pendingUsage = 0, 0
 }
 
 // releaseUnspent releases the part of the predecessor's share that it cannot have spent by its end.
@@ -480,7 +491,7 @@
 		return 0
 	}
 	a.predecessorReleased = true
-	released := a.priorUsage - a.predecessor.limits().withReportedUsage(usage).spendable(gap, p)
+	released := a.priorUsage - a.predecessor.limits().spendableAfter(gap, usage, p)
 	a.stranded -= released
 	a.priorUsage -= released
 	return released
--- a/internal/coordination/prepaid/apply.go
+++ b/internal/coordination/prepaid/apply.go
@@ -96,8 +96,8 @@
 		}
 		obs.EventShareCountedSpent.Log(p.cfg.Logger, logrus.Fields{
 			"entry": entry, "process": share.Process, "offset": rec.Offset, "granted": share.Granted, "spent": share.Spent,
-			"in_flight": share.InFlight, "open": share.BaseLimit, "ramp": share.RampRate,
-			"stranded": a.priorUsage - share.Spent, "proven": proven, "gap_ms": gap.Milliseconds(),
+			"in_flight": share.InFlight, "open": share.BaseLimit, "ramp": share.RampRate, "reported": usage[entry],
+			"counted": a.priorUsage, "stranded": a.priorUsage - share.Spent, "proven": proven, "gap_ms": gap.Milliseconds(),
 			"outdated": share.outdated(p.era()),
 		})
 	}
--- a/internal/coordination/prepaid/fleet_rate_test.go
+++ b/internal/coordination/prepaid/fleet_rate_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/callrate"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -174,7 +175,7 @@
 // ratedHeartbeats has no gap, and proves that the predecessor had a short one.
 type ratedHeartbeats struct{ never chan struct{} }
 
-func (h ratedHeartbeats) Gap() time.Duration { return 0 }
+func (h ratedHeartbeats) Gaps() heartbeat.Gaps { return heartbeat.Gaps{} }
 func (h ratedHeartbeats) PredecessorGap(string) (time.Duration, map[string]int64, bool) {
 	return time.Second, nil, true
 }
--- a/internal/coordination/prepaid/loans.go
+++ b/internal/coordination/prepaid/loans.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 )
 
@@ -80,11 +81,11 @@
 // lend lends tokens for a request of another VM: the amount, more if there is plenty, or what is
 // available if that is at least minLoan. It returns the lent amount. The answer to a repeated request is the same, and
 // nothing is lent for a request that arrives after its repayment.
-func (a *account) lend(id string, amount int64, gap time.Duration, p Policy, bulk bool, now time.Time) int64 {
+func (a *account) lend(id string, amount int64, gaps heartbeat.Gaps, p Policy, bulk bool, now time.Time) int64 {
 	if known := a.given[id]; known != nil {
 		return known.amount - known.repaid
 	}
-	spendable := a.available(gap, p)
+	spendable := a.available(gaps, p)
 	if spendable < min(amount, minLoan) {
 		return 0
 	}
@@ -253,7 +254,7 @@
 	}
 	now := p.cfg.Now()
 	a.forgetGiven(now)
-	lent := a.lend(id, amount, p.cfg.Heartbeats.Gap(), p.cfg.Policy, p.bulk(), now)
+	lent := a.lend(id, amount, p.cfg.Heartbeats.Gaps(), p.cfg.Policy, p.bulk(), now)
 	if routers := p.cfg.Routers(); p.bulk() {
 		if holders, _ := p.holders(entry, routers); holders < routers {
 			a.demand.add(lent, now) // the borrowers record no demand
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -53,10 +54,10 @@
 
 // Heartbeats measures the heartbeat gaps of this VM's processes.
 type Heartbeats interface {
-	// Gap is the time since the last heartbeat of this process that may have reached the log.
-	Gap() time.Duration
-	// PredecessorGap returns an upper bound of what Gap was when the predecessor ended, and what
-	// Manager.HeartbeatUsage returned for the heartbeat before that gap. proven is false if no bound
+	// Gaps returns the times since the heartbeats of this process that its successor may find to be the last one.
+	Gaps() heartbeat.Gaps
+	// PredecessorGap returns an upper bound of the time from the predecessor's last heartbeat to its end, and what
+	// Manager.HeartbeatUsage returned for that heartbeat. proven is false if no bound
 	// is proven or the process is not the predecessor.
 	PredecessorGap(process string) (gap time.Duration, usage map[string]int64, proven bool)
 	// WhenPredecessorGapProven returns a channel that is closed once PredecessorGap is proven.
@@ -192,37 +193,42 @@
 }
 
 // HeartbeatUsage returns, for the next heartbeat, the used tokens of each share of which more is
-// used than the base limit in the log. undo must be called if the heartbeat did not take effect.
-func (m *Manager) HeartbeatUsage() (usage map[string]int64, undo func()) {
+// used than the base limit in the log. resolve must be called once it is known whether the heartbeat took effect.
+func (m *Manager) HeartbeatUsage() (usage map[string]int64, resolve func(tookEffect bool)) {
 	usage = make(map[string]int64)
 	for _, p := range m.partitions {
 		p.collectHeartbeatUsage(usage)
 	}
-	return usage, func() {
+	return usage, func(tookEffect bool) {
 		for _, p := range m.partitions {
-			p.clearHeartbeatUsage()
+			p.resolveHeartbeatUsage(tookEffect)
 		}
 	}
 }
 
 func (p *partition) collectHeartbeatUsage(usage map[string]int64) {
+	gaps := p.cfg.Heartbeats.Gaps()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for entry, a := range p.accounts {
-		a.heartbeatUsage = 0
+		p.checkLimit(a, gaps)
+		a.pendingUsage = 0
 		if a.aboveBaseLimit() {
-			a.heartbeatUsage = a.shareUsed()
-			usage[entry] = a.heartbeatUsage
+			a.pendingUsage = a.shareUsed()
+			usage[entry] = a.pendingUsage
 			p.wake()
 		}
 	}
 }
 
-func (p *partition) clearHeartbeatUsage() {
+func (p *partition) resolveHeartbeatUsage(tookEffect bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range p.accounts {
-		a.heartbeatUsage = 0
+		if tookEffect {
+			a.confirmedUsage = a.pendingUsage
+		}
+		a.pendingUsage = 0
 	}
 }
 
--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -108,10 +109,10 @@
 type modelHeartbeats struct {
 	model   *model
 	process string
-	// sent is the last heartbeat that may have reached the log, and appended the last that has.
-	// unresolved is true while they may differ.
-	sent, appended modelHeartbeat
-	unresolved     bool
+	// confirmed is the last heartbeat that the log has confirmed, and appended the last that has reached it. pending is one
+	// that was sent and not confirmed.
+	confirmed, appended modelHeartbeat
+	pending             *pendingModelHeartbeat
 	// lastGaps holds the last gap of each process, and the usage that it reported before.
 	lastGaps   map[string]modelGap
 	provesGaps bool
@@ -123,7 +124,22 @@
 	usage    map[string]int64
 }
 
-func (h *modelHeartbeats) Gap() time.Duration { return h.model.now.Sub(h.sent.at) }
+// pendingModelHeartbeat is a heartbeat that may take effect, or may have, once an attempt to send it had no response.
+type pendingModelHeartbeat struct {
+	modelHeartbeat
+	mayTakeEffect bool
+	resolve       func(tookEffect bool)
+}
+
+func (h *modelHeartbeats) Gaps() (g heartbeat.Gaps) {
+	if !h.confirmed.at.IsZero() {
+		g.SinceConfirmed, g.Confirmed = h.model.now.Sub(h.confirmed.at), true
+	}
+	if h.pending != nil {
+		g.SincePending, g.Pending = h.model.now.Sub(h.pending.at), true
+	}
+	return g
+}
 
 func (h *modelHeartbeats) PredecessorGap(process string) (time.Duration, map[string]int64, bool) {
 	gap, ended := h.lastGaps[process]
@@ -144,20 +160,23 @@
 // sendHeartbeat models a heartbeat of a process. One without a response is sent again unchanged.
 func (vm *modelVM) sendHeartbeat(outcome int) {
 	h := vm.heartbeats
-	before, undo := h.sent, func() {}
-	if !h.unresolved {
-		h.sent.at = h.model.now
-		h.sent.usage, undo = vm.m.HeartbeatUsage()
+	if h.pending == nil {
+		h.pending = &pendingModelHeartbeat{modelHeartbeat: modelHeartbeat{at: h.model.now}}
+		h.pending.usage, h.pending.resolve = vm.m.HeartbeatUsage()
 	}
 	switch outcome {
-	case heartbeatAppended, heartbeatResponseLost:
-		h.appended, h.unresolved = h.sent, outcome == heartbeatResponseLost
+	case heartbeatAppended:
+		h.appended, h.confirmed = h.pending.modelHeartbeat, h.pending.modelHeartbeat
+		h.pending.resolve(true)
+		h.pending = nil
+	case heartbeatResponseLost:
+		h.appended, h.pending.mayTakeEffect = h.pending.modelHeartbeat, true
 	case heartbeatDelayed:
-		h.unresolved = true
+		h.pending.mayTakeEffect = true
 	case heartbeatRefused:
-		if !h.unresolved {
-			undo()
-			h.sent = before
+		if !h.pending.mayTakeEffect {
+			h.pending.resolve(false)
+			h.pending = nil
 		}
 	}
 }
@@ -219,8 +238,8 @@
 	// Producer epochs are times in microseconds, and two processes must not have the same one.
 	m.now = m.now.Add(time.Microsecond)
 	vm.heartbeats.process = fmt.Sprintf("%s/%06d", vm.name, vm.starts)
-	vm.heartbeats.sent, vm.heartbeats.unresolved = modelHeartbeat{at: m.now}, false
-	vm.heartbeats.appended = vm.heartbeats.sent
+	vm.heartbeats.confirmed, vm.heartbeats.pending = modelHeartbeat{at: m.now}, nil
+	vm.heartbeats.appended = vm.heartbeats.confirmed
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	vm.m = New(Config{
--- a/internal/coordination/prepaid/reserve.go
+++ b/internal/coordination/prepaid/reserve.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 )
 
@@ -174,14 +175,14 @@
 // p.mu.
 func (p *partition) requestRefill(a *account) {
 	now := p.cfg.Now()
-	if a.available(0, p.cfg.Policy) < a.baseHeadroom(now, p.cfg.Policy, 0)/2 && now.Sub(p.lastResponse) > refillInterval {
+	if a.available(heartbeat.Gaps{}, p.cfg.Policy) < a.baseHeadroom(now, p.cfg.Policy, 0)/2 && now.Sub(p.lastResponse) > refillInterval {
 		p.wake()
 	}
 }
 
 // available is what a new request may take of a budget without waiting. The caller holds p.mu.
 func (p *partition) available(a *account) int64 {
-	return a.available(p.cfg.Heartbeats.Gap(), p.cfg.Policy)
+	return a.available(p.cfg.Heartbeats.Gaps(), p.cfg.Policy)
 }
 
 // addToMean adds the upper bound of a request to the moving average.
--- a/internal/coordination/prepaid/share_test.go
+++ b/internal/coordination/prepaid/share_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -25,6 +26,11 @@
 	})
 }
 
+// confirmedGap is the gap after a confirmed heartbeat.
+func confirmedGap(since time.Duration) heartbeat.Gaps {
+	return heartbeat.Gaps{SinceConfirmed: since, Confirmed: true}
+}
+
 // fullShareGap is a heartbeat gap after which the whole share may be spent.
 const fullShareGap = 8 * time.Second
 
@@ -70,11 +76,11 @@
 		p.mu.Lock()
 		acct.reserved, acct.spent = 0, 1000
 		p.mu.Unlock()
-		before := acct.available(fullShareGap, DefaultPolicy())
+		before := acct.available(confirmedGap(fullShareGap), DefaultPolicy())
 		m.memory.FaultHook = func(call string, _ keyedlog.Stream, done bool) error {
 			if call == "append" && done {
 				is.True(acct.logged.Granted > acct.limits.granted)
-				is.True(acct.available(fullShareGap, DefaultPolicy()) < before)
+				is.True(acct.available(confirmedGap(fullShareGap), DefaultPolicy()) < before)
 			}
 			return nil
 		}
@@ -113,12 +119,12 @@
 		acct := a.account()
 		p := Policy{RampDuration: 3 * time.Second, FullShareAfter: 7 * time.Second}
 		acct.limits = spendLimits{granted: 10_500, base: 3_000, rampRate: 500}
-		is.Equal(acct.available(0, p), int64(2_000))
-		is.Equal(acct.available(2*time.Second, p), int64(3_000))
-		is.Equal(acct.available(p.RampDuration, p), int64(3_500))
-		is.Equal(acct.available(5*time.Second, p), int64(6_500))
-		is.Equal(acct.available(p.FullShareAfter, p), int64(9_500))
-		is.Equal(acct.available(time.Minute, p), int64(9_500))
+		is.Equal(acct.available(confirmedGap(0), p), int64(2_000))
+		is.Equal(acct.available(confirmedGap(2*time.Second), p), int64(3_000))
+		is.Equal(acct.available(confirmedGap(p.RampDuration), p), int64(3_500))
+		is.Equal(acct.available(confirmedGap(5*time.Second), p), int64(6_500))
+		is.Equal(acct.available(confirmedGap(p.FullShareAfter), p), int64(9_500))
+		is.Equal(acct.available(confirmedGap(time.Minute), p), int64(9_500))
 	})
 }
 
@@ -129,21 +135,21 @@
 		is.True(m.reserve(a, 1000))
 		lender, borrower := a.account(), b.account()
 		lender.limits = spendLimits{granted: 20_000, base: 20_000}
-		before := lender.available(0, DefaultPolicy())
+		before := lender.available(confirmedGap(0), DefaultPolicy())
 		lent := a.m.Lend(modelEntry, "l", 2_000)
 		is.True(lent >= 2_000)
-		is.Equal(lender.available(0, DefaultPolicy()), before-lent)
+		is.Equal(lender.available(confirmedGap(0), DefaultPolicy()), before-lent)
 		b.partition().addLoans(borrower, nil, []Loan{{ID: "l", Lender: "vm-0", Amount: lent}}, nil)
-		is.Equal(borrower.available(0, DefaultPolicy()), lent)
+		is.Equal(borrower.available(confirmedGap(0), DefaultPolicy()), lent)
 		repayment, ok := borrower.repay()
 		is.True(ok)
-		is.Equal(borrower.available(0, DefaultPolicy()), lent-repayment.Repaid)
+		is.Equal(borrower.available(confirmedGap(0), DefaultPolicy()), lent-repayment.Repaid)
 		for range 2 { // a repayment may arrive twice
 			a.m.AcceptRepayment(modelEntry, "l", repayment.Repaid)
-			is.Equal(lender.available(0, DefaultPolicy()), before-lent+repayment.Repaid)
+			is.Equal(lender.available(confirmedGap(0), DefaultPolicy()), before-lent+repayment.Repaid)
 		}
 		a.m.AcceptRepayment(modelEntry, "l", 1<<40) // what exceeds the loan is ignored
-		is.Equal(lender.available(0, DefaultPolicy()), before)
+		is.Equal(lender.available(confirmedGap(0), DefaultPolicy()), before)
 	})
 }
 
@@ -236,15 +242,17 @@
 		m.now = m.now.Add(fullShareGap)
 		is.True(m.reserve(a, a.partition().available(a.account())))
 		a.sendHeartbeat(heartbeatRefused)
-		is.Equal(a.account().heartbeatUsage, int64(0))
-		is.True(a.heartbeats.Gap() >= fullShareGap)
+		is.Equal(a.account().pendingUsage, int64(0))
+		is.Equal(a.account().confirmedUsage, int64(0))
+		is.True(!a.heartbeats.Gaps().Pending)
+		is.True(a.heartbeats.Gaps().SinceConfirmed >= fullShareGap)
 		a.sendHeartbeat(heartbeatAppended)
 		used := a.account().shareUsed()
-		is.Equal(a.account().heartbeatUsage, used)
+		is.Equal(a.account().confirmedUsage, used)
 		a.m.Release(a.reservations[1])
 		a.sync(is)
 		is.True(a.account().logged.BaseLimit < used)
-		is.True(a.account().heartbeatUsage <= a.account().logged.BaseLimit)
+		is.True(a.account().confirmedUsage <= a.account().logged.BaseLimit)
 	})
 }
 
--- a/internal/coordination/prepaid/sync.go
+++ b/internal/coordination/prepaid/sync.go
@@ -262,7 +262,7 @@
 // plan returns the records to append and the offset up to which the stream was read. With
 // returnUnused, the records reduce the shares to what is used. plan also creates the accounts of
 // Config.Entries, lowers the limits of the accounts to those of their records until the limits are
-// confirmed, and caps heartbeatUsage at the base limits of the records.
+// confirmed, and caps the reported usage at the base limits of the records.
 func (p *partition) plan(returnUnused bool) (records []plannedRecord, at uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -290,7 +290,7 @@
 			records = append(records, plannedRecord{a, next})
 			// Until the log has responded, the lower one of the old and the new limits applies.
 			a.limits = a.limits.lower(next.limits())
-			a.heartbeatUsage = min(a.heartbeatUsage, next.BaseLimit)
+			a.confirmedUsage, a.pendingUsage = min(a.confirmedUsage, next.BaseLimit), min(a.pendingUsage, next.BaseLimit)
 		}
 	}
 	return records, p.nextOffset
--- a/internal/coordination/prepaid/unreachable.go
+++ b/internal/coordination/prepaid/unreachable.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
 	"github.com/dotterelthread/dotterelthread/internal/obs"
 )
 
@@ -37,6 +38,23 @@
 	a.unreachable, a.unreachableLoggedAt = 0, now
 }
 
+// checkLimit logs a share of which more is used than a successor would count as spent, if it found the last confirmed heartbeat.
+// The caller holds p.mu.
+func (p *partition) checkLimit(a *account, gaps heartbeat.Gaps) {
+	if !gaps.Confirmed || a.limits != a.logged.limits() {
+		return // an append that is under way changes what a successor finds
+	}
+	used, counted := a.shareUsed(), a.limits.spendableAfter(gaps.SinceConfirmed, a.confirmedUsage, p.cfg.Policy)
+	if used == a.priorUsage || used <= counted {
+		return
+	}
+	obs.SharesAboveLimitTotal.Add(1)
+	obs.EventShareAboveLimit.Log(p.cfg.Logger, logrus.Fields{
+		"entry": a.entry, "used": used, "counted": counted, "granted": a.limits.granted, "open": a.limits.base,
+		"ramp": a.limits.rampRate, "reported": a.confirmedUsage, "confirmed_ms": gaps.SinceConfirmed.Milliseconds(),
+	})
+}
+
 // noteTimeout is noteUnreachable for a request that has waited in vain for the log.
 func (p *partition) noteTimeout(entry string, amount int64, cause error) {
 	p.mu.Lock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -242,7 +242,7 @@
 	g.heartbeats = heartbeat.New(heartbeat.Config{
 		Log: controlLog, Stream: heartbeatStream, VM: cfg.VM, Interval: heartbeatInterval, MaxProvableGap: policy.FullShareAfter, Timestamp: readClocks,
 		Self:           heartbeat.Record{Process: string(g.holder), Address: cfg.PeerListen, Zone: cfg.Zone},
-		HeartbeatUsage: func() (map[string]int64, func()) { return g.budget.HeartbeatUsage() },
+		HeartbeatUsage: func() (map[string]int64, func(bool)) { return g.budget.HeartbeatUsage() },
 		Notice:         func() []byte { return encodeVerdicts(logger, g.crashes) },
 		OnNotice:       func(notice []byte) { mergeVerdicts(logger, g.crashes, notice) },
 		Unreachable:    g.reach.UnreachableServices,
--- a/internal/obs/events_keyedlog.go
+++ b/internal/obs/events_keyedlog.go
@@ -38,6 +38,10 @@
 			"estimated (1813, \"outdated\"): compare bills and budgets.")
 	EventShareRecalled = register(1817, logrus.InfoLevel, "later share of an earlier process learned from another VM",
 		"The restored log has an older record. No action.")
+	EventShareAboveLimit = register(1819, logrus.ErrorLevel, "more of a share is used than a successor would count as spent",
+		"If this process ended now, its successor would take \"counted\" of the share as spent, \"used\" are. \"counted\" follows from "+
+			"the limits in the log (\"open\", \"ramp\", \"granted\"), what the last confirmed heartbeat \"reported\" and the time "+
+			"since then. The budget may be overspent: report the lines of this budget and of heartbeats.")
 	EventBudgetUnreachable = register(1825, logrus.WarnLevel, "requests refused for a budget that may cover them",
 		"The budget has \"left\" tokens, of which this router may use \"available\". Of the rest, \"others_idle\" is unused in the "+
 			"shares of other routers, \"others_in_flight\" reserved there, \"stranded\" lost with processes that ended, and "+
@@ -85,6 +89,9 @@
 		"The fields say how long before the start of this process it was sent, and whether that is proven.")
 	EventPredecessorGapProven = register(1821, logrus.InfoLevel, "last heartbeat gap of an earlier process proven",
 		"Other routers confirm how long the earlier process ran after its last heartbeat, at most. The share that it cannot have spent is released.")
+	EventHeartbeatUnconfirmed = register(1822, logrus.InfoLevel, "heartbeat had no response",
+		"It may still take effect and is sent again. Until then, shares are used only as far as both this heartbeat, of \"pending_ms\" "+
+			"ago, and the last confirmed one, of \"confirmed_ms\" ago, allow. No action.")
 )
 
 // EventStreamOriginsUnwritten reports that the origins of streams cannot be written.
@@ -108,5 +115,8 @@
 // HeartbeatsFailedTotal counts heartbeats that the log did not confirm.
 var HeartbeatsFailedTotal = newMetric("beats_failed_total")
 
+// SharesAboveLimitTotal counts findings of a share of which more was used than a successor would count as spent.
+var SharesAboveLimitTotal = newMetric("shares_above_limit_total")
+
 // BudgetUnreachableTotal counts requests that were refused although the budget may cover them.
 var BudgetUnreachableTotal = newMetric("budget_unreachable_total")
