Use no more of a share than a successor counts, whichever heartbeat it finds

The store answers one machine 503 for 2.3 s, then not at all for 2.2 s, and its process is killed.

Cause: while a heartbeat had no response, the process took it for the last one that a successor finds: its usage as the base limit, and the ramp from the time at which it was created. It was never executed. The successor finds the confirmed heartbeat before it, and what one gap of 5.1 s allows is less than what two of 2.7 and 2.3 s allow, since the limit rises more slowly after RampDuration while the rest of the share is less than what the ramp adds in FullShareAfter.

Change: the limit is the least that a successor counts after either heartbeat, computed by the function that the successor calls. What a successor counts as spent has not changed, so an ordinary kill strands what it did.

Weighed: a limit that never rises more slowly later (two gaps then never exceed one). It would count more as spent after gaps of 3 to 7 s, or allow less in the first 3 s, for every kill and outage, not only for this one.

--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -184,12 +184,18 @@
 	return spendLimits{l.granted, max(l.base, used), l.rampRate}.spendable(gap, p)
 }
 
-// limit is what may be used of the whole share.
+// limit is what may be used of the whole share: the least that a successor counts as spent after one of the heartbeats that it
+// may find to be the last one, see releaseUnspent.
 func (a *account) limit(gaps heartbeat.Gaps, p Policy) int64 {
-	if gaps.Pending {
-		return a.limits.spendableAfter(gaps.SincePending, a.pendingUsage, p)
+	confirmed := a.limits.spendableAfter(gaps.SinceConfirmed, a.confirmedUsage, p)
+	if !gaps.Pending {
+		return confirmed
 	}
-	return a.limits.spendableAfter(gaps.SinceConfirmed, a.confirmedUsage, p)
+	pending := a.limits.spendableAfter(gaps.SincePending, a.pendingUsage, p)
+	if !gaps.Confirmed {
+		return pending
+	}
+	return min(confirmed, pending)
 }
 
 // available is what a new request may take without waiting.
