Report usage above a base limit that an unanswered append may have lowered

What callers saw: nothing yet.

Cause: a heartbeat reported usage above the base limit of the last confirmed record. A later record without a response may have been appended, with a lower base limit. The process keeps to the lower one, but may use more of it during a heartbeat gap. The heartbeat that ended the gap left this usage out, since it was below the old base limit, and a successor that found the new record counted only its base limit.

Usage is now reported if it is above the lower one.

TestHeartbeatReportsUsageAboveUnresolvedBaseLimit failed before (7,934 tokens used, 6,765 counted).

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -70,7 +70,7 @@
 	Timestamp func() Timestamp
 	Now       func() time.Time
 	// HeartbeatUsage returns the usage that a heartbeat reports: the used tokens of each share of
-	// which more is used than its base limit in the log, which only a gap allows. It is called when the
+	// which more is used than a base limit that a successor may find in the log, which only a gap allows. It is called when the
 	// heartbeat counts as pending. resolve is called once it is known whether the heartbeat took effect. The function
 	// may be nil.
 	HeartbeatUsage func() (usage map[string]int64, resolve func(tookEffect bool))
--- a/internal/coordination/prepaid/account.go
+++ b/internal/coordination/prepaid/account.go
@@ -460,7 +460,7 @@
 	case !in.holds && old == (shareRecord{}) && next.Granted == 0 && next.Spent == 0:
 		// Only loans were spent, which count at their lenders. The records must not grow with routers times budgets.
 		return false
-	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.aboveBaseLimit(),
+	case next.Granted != old.Granted || next.BaseLimit != old.BaseLimit || next.RampRate != old.RampRate || a.usedAbove(old.BaseLimit),
 		next.Releasable != old.Releasable:
 		return true
 	case next.Spent == old.Spent && next.InFlight == old.InFlight && next.BorrowedSpent == old.BorrowedSpent:
@@ -471,8 +471,8 @@
 	return unreported >= threshold || in.now.Sub(a.loggedAt) > in.policy.maxReportDelay(in.routers)
 }
 
-// aboveBaseLimit reports whether more is used than the base limit in the log.
-func (a *account) aboveBaseLimit() bool { return a.shareUsed() > max(a.logged.BaseLimit, a.priorUsage) }
+// usedAbove reports whether more is used than a base limit.
+func (a *account) usedAbove(base int64) bool { return a.shareUsed() > max(base, a.priorUsage) }
 
 // reportDivisor bounds the spending that stays unreported: spending is reported at once when it
 // reaches 1/reportDivisor of a router's equal part of the budget. The spending that this VM has
--- a/internal/coordination/prepaid/gap_test.go
+++ b/internal/coordination/prepaid/gap_test.go
@@ -1,6 +1,7 @@
 package prepaid
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -66,3 +67,29 @@
 		})
 	}
 }
+
+// Guards against usage that a heartbeat leaves out although a record without a response may have lowered the base limit below it:
+// a successor that finds the record counts too little as spent.
+func TestHeartbeatReportsUsageAboveUnresolvedBaseLimit(t *testing.T) {
+	scenario(t, func(is *is.I, m *model) {
+		vm := m.vms[0]
+		m.serve(is, vm, 5*time.Second)
+		is.True(m.reserve(vm, 2000))
+		before := vm.account().logged.BaseLimit
+		vm.m.Release(vm.reservations[0])
+		vm.reservations = nil
+		vm.log.mode = logLosesResponses
+		is.True(vm.partition().sync(context.Background(), false) != nil)
+		is.True(vm.account().limits.base < before)
+		m.now = m.now.Add(time.Second)
+		m.reserveAvailable(vm)
+		used := vm.account().shareUsed()
+		is.True(used > vm.account().limits.base && used <= before)
+		vm.sendHeartbeat(heartbeatAppended)
+		m.crash(vm)
+		vm.log.mode = logUp
+		vm.sync(is)
+		t.Logf("%d tokens were used and %d count as spent", used, vm.account().priorUsage)
+		is.True(vm.account().priorUsage >= used)
+	})
+}
--- a/internal/coordination/prepaid/manager.go
+++ b/internal/coordination/prepaid/manager.go
@@ -193,7 +193,7 @@
 }
 
 // HeartbeatUsage returns, for the next heartbeat, the used tokens of each share of which more is
-// used than the base limit in the log. resolve must be called once it is known whether the heartbeat took effect.
+// used than a base limit that a successor may find in the log. resolve must be called once it is known whether the heartbeat took effect.
 func (m *Manager) HeartbeatUsage() (usage map[string]int64, resolve func(tookEffect bool)) {
 	usage = make(map[string]int64)
 	for _, p := range m.partitions {
@@ -213,7 +213,8 @@
 	for entry, a := range p.accounts {
 		p.checkLimit(a, gaps)
 		a.pendingUsage = 0
-		if a.aboveBaseLimit() {
+		// limits has the lower base limit while an append may still lower it.
+		if a.usedAbove(a.limits.base) {
 			a.pendingUsage = a.shareUsed()
 			usage[entry] = a.pendingUsage
 			p.wake()
