Fence heartbeats that the log executes late

The store may execute a call without a response seconds later. Heartbeats were appended without a condition, so that an attempt which had been sent again could replace a later heartbeat of the process. A successor then finds older usage and one long gap, which allow less than the heartbeats since.

Heartbeats now have an epoch and a sequence number, as the reports of shares do; the rule for a refused epoch serves both (Producer.Raised). No heartbeat follows the last record of a process that leaves.

TestLateHeartbeatReplacesNoLaterOne and TestNoHeartbeatFollowsTheLastRecord failed before. TestHeartbeatsAfterRefusedEpochs guards the new failure: a clock that was set back, a log restored from an older copy.

--- a/internal/coordination/heartbeat/monitor.go
+++ b/internal/coordination/heartbeat/monitor.go
@@ -132,7 +132,13 @@
 	// confirmedAt is when the last heartbeat that the log has confirmed was created, by the monotonic clock.
 	confirmedAt time.Time
 	// pending is the heartbeat that is being sent, or may still take effect; nil if there is none.
-	pending     *pendingHeartbeat
+	pending *pendingHeartbeat
+	// producer orders the heartbeats of this VM's processes, so that one that is executed late does not replace a later one.
+	// Its sequence number is that of the last confirmed one. refusals counts its epochs that the log has refused in a row.
+	producer keyedlog.Producer
+	refusals int
+	// hasLeft is true once the process has sent its last record.
+	hasLeft     bool
 	predecessor predecessor
 	reads       readHistory
 }
@@ -142,6 +148,7 @@
 	m := &Monitor{
 		cfg: cfg, startTimestamp: cfg.Timestamp(), started: cfg.Now(), members: make(map[string]member), left: make(map[string]uint64), live: 1,
 		malformed: make(map[string]uint64), silent: make(map[string]time.Time), predecessor: predecessor{provenCh: make(chan struct{})},
+		producer: keyedlog.Producer{ID: cfg.VM, Epoch: uint64(cfg.Now().UnixMicro())},
 	}
 	m.replica = replica.New(replica.Config{
 		Log: cfg.Log, Stream: cfg.Stream, Interval: cfg.Interval, Now: cfg.Now, OnChange: m.update, Logger: cfg.Logger,
@@ -176,8 +183,14 @@
 	return max(m.cfg.Interval, time.Duration(m.Routers())*time.Second/fleetHeartbeatsPerSecond)
 }
 
-// Leave removes this router's record, or leaves its notice behind if it has one.
+// Leave removes this router's record, or leaves its notice behind if it has one. No heartbeat follows, and one that is still
+// under way is fenced.
 func (m *Monitor) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.hasLeft = true
+	m.producer = m.producer.Raised(0)
+	producer := m.producer
+	m.mu.Unlock()
 	last := keyedlog.Record{Key: m.cfg.VM}
 	if notice := m.notice(); len(notice) > 0 {
 		value, err := cbor.Marshal(Record{Process: m.cfg.Self.Process, Notice: notice, Left: true})
@@ -187,8 +200,7 @@
 			last.Value = value
 		}
 	}
-	_, err := m.cfg.Log.Append(ctx, m.cfg.Stream, []keyedlog.Record{last}, keyedlog.AnyOffset)
-	if err != nil {
+	if _, err := m.cfg.Log.AppendAs(ctx, m.cfg.Stream, []keyedlog.Record{last}, producer); err != nil {
 		// The other routers notice that no heartbeat follows.
 		obs.HeartbeatsFailedTotal.Add(1)
 	}
--- a/internal/coordination/heartbeat/monitor_test.go
+++ b/internal/coordination/heartbeat/monitor_test.go
@@ -299,3 +299,104 @@
 	_, known = size("vm-4") // may be one of many that start for the first time
 	is.True(!known)
 }
+
+// lateLog executes appends late while it delays them.
+type lateLog struct {
+	*keyedlog.Memory
+	delays bool
+	late   []func()
+}
+
+func (l *lateLog) delay(execute func()) (uint64, error) {
+	l.late = append(l.late, execute)
+	return 0, errors.Mark(errors.New("late"), keyedlog.ErrOutcomeUnknown)
+}
+
+func (l *lateLog) Append(ctx context.Context, s keyedlog.Stream, records []keyedlog.Record, at uint64) (uint64, error) {
+	if l.delays {
+		return l.delay(func() { _, _ = l.Memory.Append(ctx, s, records, at) }) // nobody waits for the outcome
+	}
+	return l.Memory.Append(ctx, s, records, at)
+}
+
+func (l *lateLog) AppendAs(ctx context.Context, s keyedlog.Stream, records []keyedlog.Record, p keyedlog.Producer) (uint64, error) {
+	if l.delays {
+		return l.delay(func() { _, _ = l.Memory.AppendAs(ctx, s, records, p) }) // nobody waits for the outcome
+	}
+	return l.Memory.AppendAs(ctx, s, records, p)
+}
+
+// Guards against a heartbeat that the log executes late and that replaces a later one of the process: a successor finds the
+// usage of before, and counts too little as spent.
+func TestLateHeartbeatReplacesNoLaterOne(t *testing.T) {
+	is := is.New(t)
+	clocks, log := newClock(), &lateLog{Memory: keyedlog.NewMemory()}
+	m := newMonitor(log, "vm-1", "p1", clocks)
+	used := int64(0)
+	m.cfg.HeartbeatUsage = func() (map[string]int64, func(bool)) {
+		used++
+		return map[string]int64{"team": used}, func(bool) {}
+	}
+	is.NoErr(m.send(context.Background()))
+	clocks.advance(time.Second)
+	log.delays = true
+	is.True(m.send(context.Background()) != nil) // executed late
+	log.delays = false
+	is.NoErr(m.send(context.Background())) // the same heartbeat again
+	clocks.advance(time.Second)
+	is.NoErr(m.send(context.Background()))
+	for _, execute := range log.late {
+		execute()
+	}
+	successor := newMonitor(log, "vm-1", "p2", clocks)
+	successor.readStream(is, log)
+	gap, usage, proven := successor.PredecessorGap("p1")
+	is.True(proven)
+	is.Equal(usage["team"], int64(3))
+	is.Equal(gap, clockMargin)
+}
+
+// Guards against a heartbeat that the log executes after the process has left: other routers would wait for one that is gone,
+// and its successor for the proof of a gap.
+func TestNoHeartbeatFollowsTheLastRecord(t *testing.T) {
+	is := is.New(t)
+	clocks, log := newClock(), &lateLog{Memory: keyedlog.NewMemory(), delays: true}
+	m := newMonitor(log, "vm-1", "p1", clocks)
+	is.True(m.send(context.Background()) != nil) // executed late
+	log.delays = false
+	m.Leave(context.Background())
+	is.NoErr(m.send(context.Background()))
+	for _, execute := range log.late {
+		execute()
+	}
+	page, err := log.Newest(context.Background(), stream)
+	is.NoErr(err)
+	is.Equal(len(page.Records), 0)
+}
+
+// Guards against a router without heartbeats after its time of day was set back or the log was restored from an older copy:
+// the log refuses its epoch or its sequence number then.
+func TestHeartbeatsAfterRefusedEpochs(t *testing.T) {
+	is := is.New(t)
+	clocks, log := newClock(), keyedlog.NewMemory()
+	first := newMonitor(log, "vm-1", "p1", clocks)
+	is.NoErr(first.send(context.Background()))
+	copied := log.Copy()
+	is.NoErr(first.send(context.Background()))
+	log.Restore(copied)
+	is.True(errors.Is(first.send(context.Background()), keyedlog.ErrFenced))
+	is.NoErr(first.send(context.Background()))
+
+	const setBack = 24 * time.Hour
+	clocks.monotonic = clocks.monotonic.Add(setBack)
+	before := newMonitor(log, "vm-1", "p2", clocks)
+	is.NoErr(before.send(context.Background()))
+	clocks.monotonic = clocks.monotonic.Add(-setBack)
+	after := newMonitor(log, "vm-1", "p3", clocks)
+	attempts := 1
+	for after.send(context.Background()) != nil {
+		attempts++
+		is.True(attempts <= 10)
+	}
+	is.NoErr(after.send(context.Background()))
+}
--- a/internal/coordination/heartbeat/send.go
+++ b/internal/coordination/heartbeat/send.go
@@ -50,30 +50,57 @@
 	return g
 }
 
-// send appends one heartbeat.
+// send appends one heartbeat, unless the process has left.
 func (m *Monitor) send(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
+	producer, ok := m.nextProducer()
+	if !ok {
+		return nil
+	}
 	next := m.nextHeartbeat()
 	value, err := cbor.Marshal(next.record)
 	if err != nil {
 		m.drop(next)
 		return errors.Wrap(err, "encode heartbeat")
 	}
-	end, err := m.cfg.Log.Append(ctx, m.cfg.Stream, []keyedlog.Record{{Key: m.cfg.VM, Value: value}}, keyedlog.AnyOffset)
+	end, err := m.cfg.Log.AppendAs(ctx, m.cfg.Stream, []keyedlog.Record{{Key: m.cfg.VM, Value: value}}, producer)
 	if err == nil {
-		m.confirm(next, end)
+		m.confirm(next, producer, end)
 		return nil
 	}
 	obs.HeartbeatsFailedTotal.Add(1)
-	if !errors.Is(err, keyedlog.ErrUnavailable) {
+	switch {
+	case errors.Is(err, keyedlog.ErrFenced):
+		m.raiseEpoch(producer)
+	case !errors.Is(err, keyedlog.ErrUnavailable):
 		m.noteUnknownOutcome(next, err)
-	} else if !next.mayTakeEffect {
+	case !next.mayTakeEffect:
 		m.drop(next)
 	}
 	return err
 }
 
+// nextProducer returns the producer for the pending heartbeat or the next one. ok is false once the process has left.
+func (m *Monitor) nextProducer() (p keyedlog.Producer, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p = m.producer
+	p.Sequence++
+	return p, !m.hasLeft
+}
+
+// raiseEpoch raises the epoch after the log has refused it. The time of day was set back, or the log was restored from a copy
+// that lacks the last heartbeats.
+func (m *Monitor) raiseEpoch(refused keyedlog.Producer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.hasLeft {
+		m.producer = refused.Raised(m.refusals)
+		m.refusals++
+	}
+}
+
 // nextHeartbeat returns the heartbeat to send, which counts as pending from then on. One without a response may still take
 // effect, so it is sent again unchanged: the gap that a successor measures from it must not be shorter than
 // Gaps.SincePending.
@@ -112,11 +139,14 @@
 
 // confirm records that the pending heartbeat took effect. The usage is resolved before the gap, so that at no time the usage of
 // an earlier heartbeat counts with the gap of this one.
-func (m *Monitor) confirm(h *pendingHeartbeat, end uint64) {
+func (m *Monitor) confirm(h *pendingHeartbeat, producer keyedlog.Producer, end uint64) {
 	h.resolve(true)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.confirmedAt, m.pending = h.at, nil
+	m.confirmedAt, m.pending, m.refusals = h.at, nil, 0
+	if !m.hasLeft {
+		m.producer = producer
+	}
 	m.cfg.Self.Previous, m.cfg.Self.PreviousEnd = h.record.Timestamp, end
 }
 
--- a/internal/coordination/prepaid/report.go
+++ b/internal/coordination/prepaid/report.go
@@ -14,14 +14,8 @@
 // that the reports of many VMs do not conflict. The epoch of its producer fences late reports of
 // earlier processes of the VM, and its sequence number late reports of this process.
 
-const (
-	// epochStep, in microseconds, is added to an epoch that is too low because the time of day was
-	// set back. It is multiplied by epochGrowth after each attempt.
-	epochStep   = 1_000_000
-	epochGrowth = 16
-	// maxEpochAttempts covers a clock that was set back by years.
-	maxEpochAttempts = 10
-)
+// maxEpochAttempts covers a clock that was set back by years, see keyedlog.Producer.Raised.
+const maxEpochAttempts = 10
 
 // raisesShare reports whether one of the records raises a share.
 func raisesShare(records []plannedRecord) bool {
@@ -41,8 +35,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
 	defer cancel()
-	step := uint64(epochStep)
-	for range maxEpochAttempts {
+	for refusals := range maxEpochAttempts {
 		_, err := p.cfg.Log.AppendAs(ctx, p.stream, nil, p.producer)
 		if err == nil {
 			p.epochAcquired, p.everFenced = true, true
@@ -51,8 +44,7 @@
 		if !errors.Is(err, keyedlog.ErrFenced) {
 			return err
 		}
-		p.producer.Epoch += step
-		step *= epochGrowth
+		p.producer = p.producer.Raised(refusals)
 	}
 	return errors.Mark(errors.Newf("no accepted epoch for producer %s", p.producer.ID), keyedlog.ErrUnavailable)
 }
