--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -304,6 +304,37 @@
 	}
 }
 
+// work reserves and settles requests at a VM for some seconds, so that its share, demand and base limit fit each other.
+func (m *model) work(vm *modelVM, amount int64) {
+	const requests, interval = 30, 100 * time.Millisecond
+	for range requests {
+		if m.reserve(vm, amount) {
+			r := vm.reservations[len(vm.reservations)-1]
+			vm.reservations = vm.reservations[:len(vm.reservations)-1]
+			m.spent += amount
+			vm.m.Settle(r, settlementOf(amount))
+		}
+		m.now = m.now.Add(interval)
+		vm.sendHeartbeat(heartbeatAppended)
+	}
+}
+
+// turnAway lets the log turn a VM away in one way after the other, while the VM uses all that it may.
+func (m *model) turnAway(vm *modelVM) {
+	for range rapid.IntRange(1, 4).Draw(m.t, "ways") {
+		vm.log.mode = rapid.IntRange(0, logModes-1).Draw(m.t, "mode")
+		outcome := rapid.IntRange(0, heartbeatOutcomes-1).Draw(m.t, "outcome")
+		interval := time.Duration(rapid.IntRange(200, 1200).Draw(m.t, "ms")) * time.Millisecond
+		for range rapid.IntRange(1, 8).Draw(m.t, "heartbeats") {
+			m.now = m.now.Add(interval)
+			m.reserveAvailable(vm)
+			vm.sendHeartbeat(outcome)
+			m.reserveAvailable(vm)
+		}
+	}
+	vm.log.mode = logUp
+}
+
 // crash ends a VM's process without closing it; its requests may have used their upper bounds.
 func (m *model) crash(vm *modelVM) {
 	for _, r := range vm.reservations {
@@ -354,6 +385,18 @@
 					m.crash(vm)
 				}
 			},
+			"turn away": func(t *rapid.T) {
+				m.t = t
+				vm := m.pick("vm")
+				m.turnAway(vm)
+				if rapid.Bool().Draw(t, "crash") {
+					m.crash(vm)
+				}
+			},
+			"work": func(t *rapid.T) {
+				m.t = t
+				m.work(m.pick("vm"), rapid.Int64Range(50, 400).Draw(t, "amount"))
+			},
 			"settle": func(t *rapid.T) {
 				m.t = t
 				vm := m.pick("vm")
