--- a/internal/coordination/prepaid/model_test.go
+++ b/internal/coordination/prepaid/model_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/dotterelthread/dotterelthread/internal/coordination/budget"
 	"github.com/dotterelthread/dotterelthread/internal/coordination/heartbeat"
+	"github.com/dotterelthread/dotterelthread/internal/obs"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/keyedlog"
 	"github.com/dotterelthread/dotterelthread/internal/protocol/record"
 )
@@ -203,6 +204,8 @@
 	repayments []modelRepayment
 	// configure, if set, changes the configuration of each new process.
 	configure func(*Config)
+	// sharesAboveLimit is obs.SharesAboveLimitTotal at the start.
+	sharesAboveLimit int64
 	// spent is what requests have used, reported or not. The requests of terminated processes count
 	// at their upper bounds.
 	spent int64
@@ -219,7 +222,8 @@
 func newModel(t *rapid.T) *model { return newConfiguredModel(t, nil) }
 
 func newConfiguredModel(t *rapid.T, configure func(*Config)) *model {
-	m := &model{t: t, now: time.Unix(1_000_000, 0), prepaid: 30_000, memory: keyedlog.NewMemory(), configure: configure}
+	m := &model{t: t, now: time.Unix(1_000_000, 0), prepaid: 30_000, memory: keyedlog.NewMemory(), configure: configure,
+		sharesAboveLimit: obs.SharesAboveLimitTotal.Value()}
 	for i := range 3 {
 		vm := &modelVM{name: fmt.Sprintf("vm-%d", i), log: &modelLog{Memory: m.memory, lateAppends: &m.lateAppends},
 			heartbeats: &modelHeartbeats{model: m, provesGaps: true, lastGaps: make(map[string]modelGap), proven: make(chan struct{})}}
@@ -344,8 +348,12 @@
 	m.start(vm)
 }
 
-// check fails the test if the spent and the reserved tokens exceed the budget.
+// check fails the test if the spent and the reserved tokens exceed the budget, or a VM has found that it uses more of its share
+// than a successor would count.
 func (m *model) check() {
+	if above := obs.SharesAboveLimitTotal.Value(); above > m.sharesAboveLimit {
+		m.t.Fatalf("more of a share is used than a successor would count")
+	}
 	total := m.spent
 	for _, vm := range m.vms {
 		for _, r := range vm.reservations {
