Tests: two addresses of a router are never the same

Traced: a router was started with 127.0.0.1:37757 for callers and for operators and ended with status 1. The ports were asked for one after the other, each freed before the next; they are held together now.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -40,7 +40,7 @@
 	if testing.Short() {
 		t.Skip("child processes run without the race detector; the run without -short covers this test")
 	}
-	_, peerPort, err := net.SplitHostPort(freeAddress(t))
+	_, peerPort, err := net.SplitHostPort(freeAddresses(t, 1)[0])
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -133,7 +133,8 @@
 
 func startRouter(t *testing.T, vm, logURL string, extraArgs ...string) *router {
 	t.Helper()
-	public, admin := freeAddress(t), freeAddress(t)
+	free := freeAddresses(t, 2)
+	public, admin := free[0], free[1]
 	r := &router{url: "http://" + public, admin: "http://" + admin}
 	args := []string{"--vm", vm, "--listen", public, "--admin-listen", admin,
 		"--log-url", logURL, "--flush-interval", "20ms", "--log-level", "warn"}
@@ -149,14 +150,18 @@
 	return r
 }
 
-func freeAddress(t *testing.T) string {
+// freeAddresses returns different addresses that are free. Asked for one after the other, the same port may come twice.
+func freeAddresses(t *testing.T, n int) (free []string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		free = append(free, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return free
 }
 
 func waitFor(t *testing.T, done func() bool) {
